--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(BIN)/python -m bench $(if $(ONLY),--only $(ONLY))
 
 lock:
-	$(BIN)/pip-compile --quiet --strip-extras --no-emit-index-url --no-emit-trusted-host --extra dev -o requirements.lock pyproject.toml
+	$(BIN)/pip-compile --quiet --strip-extras --no-emit-index-url --no-emit-trusted-host --no-emit-find-links --extra dev -o requirements.lock pyproject.toml
--- /dev/null
+++ b/bench/suites/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of one matter each; a module names its figures."""
--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -5,12 +5,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from result import Result
 
     from quetzalcourse.state.generation import Chunk, GenerationRequest
     from quetzalcourse.state.manifest import Upstream
+    from quetzalcourse.state.members import Member, Topic
     from quetzalcourse.state.rows import (
         Commit,
         Row,
@@ -88,3 +89,41 @@
         :param sample_id: idempotency key of the call.
         :param text: what the engine generated.
         """
+
+
+class Peers(Protocol):
+    """Messages between daemons: one way, unordered, and sometimes lost."""
+
+    def send(self, receiver: Member, topic: Topic, content: bytes) -> None:
+        """Send a message without waiting; it may be lost.
+
+        :param receiver: whom to send it to.
+        :param topic: kind of the message.
+        :param content: encoded message.
+        """
+
+    def subscribe(
+        self,
+        topic: Topic,
+        receive: Callable[[Member, bytes], None],
+    ) -> None:
+        """Hand the messages of a topic to a handler.
+
+        :param topic: kind of the messages.
+        :param receive: called with the sender and the encoded message.
+        """
+
+
+class MemberView(Protocol):
+    """The daemons that are known to be live."""
+
+    own: Member
+
+    def list_live(self, data_centre: str = '') -> list[Member]:
+        """List the live daemons, this one included, sorted by incarnation.
+
+        :param data_centre: only those there, or all if left out.
+        """
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever the list of live daemons changed."""
--- /dev/null
+++ b/quetzalcourse/state/members.py
@@ -0,0 +1,34 @@
+"""Daemons as they know one another."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One run of a daemon.
+
+    :param vm: id of the VM.
+    :param incarnation: name of this run; a replaced VM has another.
+    :param address: IP number and port for messages between daemons.
+    :param leaving: whether it has begun its graceful shutdown.
+    """
+
+    vm: str
+    incarnation: str
+    data_centre: str
+    address: str
+    leaving: bool = False
+
+
+class Topic(enum.StrEnum):
+    """Kinds of messages between daemons, a handler each."""
+
+    heartbeat = 'heartbeat'
+    manifest = 'manifest'
+    keys = 'keys'
+    slots = 'slots'
+    steps = 'steps'
+    usage = 'usage'
