Add the port for engines' reports and orders

Cause: routing, weight waves and fleet orders all ask engines about themselves, each in its own module. Conclusion: the three matters can be built side by side.

--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -9,6 +9,12 @@
 
     from result import Result
 
+    from quetzalcourse.state.engines import (
+        CacheChange,
+        EngineOrder,
+        EngineReport,
+        OrderProblem,
+    )
     from quetzalcourse.state.generation import Chunk, GenerationRequest
     from quetzalcourse.state.manifest import Upstream
     from quetzalcourse.state.members import Member, Topic
@@ -80,6 +86,40 @@
         """Tell an engine to stop a request; failure to reach it is ignored."""
 
 
+class EngineControl(Protocol):
+    """Reports from engines and orders to them."""
+
+    async def observe(
+        self,
+        upstream: Upstream,
+    ) -> Result[EngineReport, OrderProblem]:
+        """Ask an engine what it runs.
+
+        :param upstream: engine to ask.
+        """
+
+    async def order(
+        self,
+        upstream: Upstream,
+        order: EngineOrder,
+    ) -> Result[EngineReport, OrderProblem]:
+        """Give an order; the same order id again does no harm.
+
+        :param upstream: engine to order.
+        :param order: what to do, with the sender's fencing token.
+        """
+
+    async def list_changes(
+        self,
+        upstream: Upstream,
+        after: int,
+    ) -> Result[list[CacheChange], OrderProblem]:
+        """List the changes of an engine's prefix cache.
+
+        :param after: sequence behind which to begin.
+        """
+
+
 class Scorer(Protocol):
     """The platform's scoring service."""
 
--- a/quetzalcourse/protocol/engines.py
+++ b/quetzalcourse/protocol/engines.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from quetzalcourse.state import engines
 from quetzalcourse.state.generation import Chunk
 
 if TYPE_CHECKING:
@@ -114,3 +115,34 @@
         finish_reason=message.finish_reason,
         prompt_tokens=message.prompt_tokens,
     )
+
+
+def build_order(order: engines.EngineOrder, sender: str) -> EngineOrder:
+    """Write an order as an engine expects it."""
+    return EngineOrder(
+        order.order_id,
+        order.token,
+        order.kind.value,
+        order.name,
+        order.version,
+        sender,
+    )
+
+
+def read_report(message: LoadReport) -> engines.EngineReport:
+    """Read an engine's report of itself."""
+    return engines.EngineReport(
+        message.slots,
+        message.running,
+        message.queued,
+        message.weight_version,
+        tuple(message.models),
+        tuple(message.adapters),
+        message.role,
+    )
+
+
+def read_change(message: CacheEvent) -> engines.CacheChange:
+    """Read a change of an engine's prefix cache."""
+    stored = message.kind == 'stored'
+    return engines.CacheChange(message.sequence, stored, message.prefix)
