Let a grant be revoked and a request state its cost

Cause: training must give its slot back when humans need the room, and accounts are to be compared by tokens; neither could be said so far. Change: slot requests and grants move to state/slots.py; a grant carries the event that revokes it, and its release carries the tokens it made. Conclusion: the holders of grants can be built against these names.

--- a/quetzalcourse/coordination/admission.py
+++ b/quetzalcourse/coordination/admission.py
@@ -11,37 +11,15 @@
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.slots import Grant, SlotRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from datetime import timedelta
 
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.manifest import Manifest, Upstream
 
 
-@dataclass(frozen=True, slots=True)
-class SlotRequest:
-    """Work that waits for a slot.
-
-    :param candidates: names of the upstreams that could run it, best first.
-    :param deadline: time since boot after which a slot is of no use.
-    """
-
-    client_account: str
-    traffic_class: TrafficClass
-    candidates: tuple[str, ...]
-    deadline: timedelta
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """Leave to run one request on an upstream."""
-
-    upstream: Upstream
-    traffic_class: TrafficClass
-
-
 @dataclass(order=True, slots=True)
 class _Waiter:
     rank: int
@@ -106,8 +84,11 @@
         finally:
             self._forget(waiter)
 
-    def release(self, grant: Grant) -> None:
-        """Give a slot back."""
+    def release(self, grant: Grant, tokens: int = 0) -> None:
+        """Give a slot back.
+
+        :param tokens: how many were generated while it was held.
+        """
         self._running[grant.upstream.name] -= 1
         self._hand_out()
 
@@ -126,7 +107,10 @@
                 kept.append(waiter)
                 continue
             self._running[upstream.name] = self.running(upstream.name) + 1
-            grant = Grant(upstream, waiter.request.traffic_class)
+            request = waiter.request
+            grant = Grant(
+                upstream, request.traffic_class, request.client_account
+            )
             waiter.granted.set_result(grant)
         self._waiters = kept
         heapq.heapify(self._waiters)
