Let a request for tokens go on behind tokens that are there

A training sample that lags on a slow engine can be taken over by another one only if whoever holds its tokens can pass them on. Requests now carry tokens that were received before and upstreams to keep off, and each chunk names the upstream that it came from. Both default to nothing, so other callers see no change.

Before: a moved sample had to begin again.

--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import aclosing
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.admission import (
@@ -58,8 +59,8 @@
         :param request: what to run.
         :raises RefusedError: when no engine finishes the request.
         """
-        received: list[str] = []
-        failed: set[str] = set()
+        received = list(request.received)
+        failed = set(request.avoid)
         for _ in range(MAX_ATTEMPTS):
             grant = await self._acquire(request, frozenset(failed))
             try:
@@ -111,7 +112,7 @@
                 if not self._belongs(chunk, request, len(received)):
                     continue
                 received.extend(chunk.tokens)
-                yield chunk
+                yield replace(chunk, upstream=grant.upstream.name)
 
     def _belongs(
         self,
--- a/quetzalcourse/state/generation.py
+++ b/quetzalcourse/state/generation.py
@@ -25,6 +25,9 @@
     :param seed: makes the tokens repeatable.
     :param weight_version: version to run on, or ``None`` for any.
     :param oldest_version: versions below it are too stale to be used.
+    :param received: tokens that are there already; generation goes on
+        behind them and yields only what follows.
+    :param avoid: names of upstreams to use only if there is no other.
     """
 
     request_id: str
@@ -38,6 +41,8 @@
     adapter: str = ''
     weight_version: int | None = None
     oldest_version: int = 0
+    received: tuple[str, ...] = ()
+    avoid: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,7 @@
     :param weight_version: version that made them, as the engine named it.
     :param finish_reason: set on the last chunk only.
     :param prompt_tokens: length of the prompt, known on the last chunk.
+    :param upstream: name of the upstream that the chunk came from.
     """
 
     request_id: str
@@ -58,6 +64,7 @@
     weight_version: int
     finish_reason: str = ''
     prompt_tokens: int = 0
+    upstream: str = ''
 
 
 class AttemptState(enum.StrEnum):
