Report the burn of error budgets

Cause: operators could not tell how fast a service level's error budget is spent, nor which account is served worst. Change: daemons count events of human latency and success in slots of 30 s and publish them by window; quetzalctl report burn adds them up over daemons as a table, as JSON and as a page with plots.

--- a/quetzalcourse/__main__.py
+++ b/quetzalcourse/__main__.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse import __version__
-from quetzalcourse.commands import apply, check, demo, key, status
+from quetzalcourse.commands import apply, check, demo, key, report, status
 from quetzalcourse.exceptions import AbortError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-COMMANDS = (check, apply, key, status, demo)
+COMMANDS = (check, apply, key, status, report, demo)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -12,9 +12,11 @@
 
 from quetzalcourse.coordination.admission import Admission
 from quetzalcourse.coordination.generation import Generation
+from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
 from quetzalcourse.coordination.manifest import ManifestKeeper
 from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.service_levels import ServiceLevels
 from quetzalcourse.coordination.services import Services
 from quetzalcourse.coordination.steps import Steps
 from quetzalcourse.log import get_log
@@ -127,6 +129,7 @@
             self.counters,
             self.incarnation,
         )
+        self.service_levels = ServiceLevels(self.clock, self.counters)
         self.manifest.on_manifest(self.on_manifest)
 
     def on_manifest(self, manifest: Manifest) -> None:
@@ -135,6 +138,7 @@
         self.admission.on_manifest(manifest)
         self.router.on_manifest(manifest)
         self.services.on_manifest(manifest)
+        self.service_levels.on_manifest(manifest)
         self.activity.ready = True
         log.info('Manifest in force.', version=manifest.version)
 
@@ -152,6 +156,8 @@
             generation=self.generation,
             services=self.services,
             steps=self.steps,
+            service_levels=self.service_levels,
+            human_service=HumanService(self.service_levels, self.clock),
         )
         prepare_app(app, parts, RequestIds(self.incarnation))
         GenerationRoutes(app, parts)
--- /dev/null
+++ b/quetzalcourse/commands/report.py
@@ -0,0 +1,158 @@
+"""``quetzalctl report burn``: how fast the error budgets are spent."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from result import Err
+
+from quetzalcourse.commands.burn_page import render_page
+from quetzalcourse.commands.output import write_json, write_line, write_table
+from quetzalcourse.coordination.burn import (
+    LevelBurn,
+    LevelEvents,
+    compute_burns,
+)
+from quetzalcourse.exceptions import AbortError
+from quetzalcourse.loop import run_loop
+from quetzalcourse.protocol.exposition import read_events
+from quetzalcourse.settings.manifest import load_manifest
+from quetzalcourse.state.service_levels import Window
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+TIMEOUT_SECONDS = 5.0
+HEADER = (
+    'service level',
+    'objective',
+    'events',
+    'budget left',
+    *(f'burn {window.value}' for window in Window),
+    'alert',
+    'worst account',
+)
+
+
+def add_parser(subparsers: Any) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser('report', help='reports for operators')
+    reports = parser.add_subparsers(metavar='REPORT', required=True)
+    burn = reports.add_parser('burn', help='burn of the error budgets')
+    burn.add_argument('--manifest', type=Path, required=True, metavar='FILE')
+    burn.add_argument(
+        '--daemon',
+        action='append',
+        required=True,
+        metavar='IP:PORT',
+        help='address of a daemon for callers; give one for each daemon',
+    )
+    burn.add_argument('--json', action='store_true')
+    burn.add_argument('--html', type=Path, metavar='FILE')
+    burn.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Print the burn of every service level of a manifest.
+
+    :raises AbortError: if the manifest has faults or no daemon answers.
+    """
+    loaded = load_manifest(options.manifest)
+    if isinstance(loaded, Err):
+        raise AbortError('\n'.join(str(fault) for fault in loaded.err_value))
+    levels = list(loaded.ok_value.service_levels.values())
+    return run_loop(_report(options, levels))
+
+
+async def _report(options: argparse.Namespace, levels: list[Any]) -> int:
+    events: dict[str, LevelEvents] = {}
+    silent = await collect_events(options.daemon, events)
+    if len(silent) == len(options.daemon):
+        raise AbortError(f'no daemon answers: {", ".join(silent)}')
+    burns = compute_burns(levels, events)
+    if options.html:
+        options.html.write_text(render_page(burns, silent))
+    if options.json:
+        write_json(build_document(burns, silent))
+    else:
+        print_burns(burns, silent)
+    return 0
+
+
+async def collect_events(
+    daemons: Sequence[str],
+    events: dict[str, LevelEvents],
+) -> list[str]:
+    """Add up the events of every daemon that answers.
+
+    :param daemons: addresses for callers.
+    :param events: events by service level, added to in place.
+    :returns: daemons that gave no answer.
+    """
+    silent = []
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for daemon in daemons:
+            url = f'http://{daemon}/metrics'
+            try:
+                async with session.get(url) as answer:
+                    read_events(await answer.text(), events)
+            except (aiohttp.ClientError, TimeoutError):
+                silent.append(daemon)
+    return silent
+
+
+def print_burns(burns: Sequence[LevelBurn], silent: Sequence[str]) -> None:
+    """Print the burns as a table.
+
+    :param silent: daemons whose events are missing.
+    """
+    write_table(HEADER, [format_burn(burn) for burn in burns])
+    for daemon in silent:
+        write_line(f'no answer from {daemon}: its events are missing')
+
+
+def format_burn(burn: LevelBurn) -> list[str]:
+    """Write a burn as a row of the table."""
+    worst = '-'
+    if burn.worst_account:
+        worst = f'{burn.worst_account} ({burn.worst_share:.2%} good)'
+    return [
+        burn.service_level,
+        f'{burn.objective:.2%}',
+        f'{burn.events.total:.0f}',
+        f'{burn.budget_left:.1%}',
+        *(f'{burn.rates[window]:.2f}' for window in Window),
+        burn.alert.value,
+        worst,
+    ]
+
+
+def build_document(
+    burns: Sequence[LevelBurn],
+    silent: Sequence[str],
+) -> dict[str, Any]:
+    """Build the report for a script."""
+    return {
+        'service_levels': [
+            {
+                'name': burn.service_level,
+                'indicator': burn.indicator,
+                'objective': burn.objective,
+                'good': burn.events.good,
+                'bad': burn.events.bad,
+                'budget_left': burn.budget_left,
+                'burn_rates': {
+                    window.value: rate for window, rate in burn.rates.items()
+                },
+                'alert': burn.alert.value,
+                'worst_account': burn.worst_account,
+                'worst_account_good_share': burn.worst_share,
+            }
+            for burn in burns
+        ],
+        'silent_daemons': list(silent),
+    }
--- /dev/null
+++ b/quetzalcourse/coordination/human_service.py
@@ -0,0 +1,89 @@
+"""Counts how humans are served against the service levels."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.state.service_levels import Indicator
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from quetzalcourse.coordination.service_levels import ServiceLevels
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.generation import Chunk
+
+CALLER_FAULTS = frozenset(
+    (
+        RefusalCode.unauthenticated,
+        RefusalCode.key_withdrawn,
+        RefusalCode.forbidden,
+        RefusalCode.invalid_body,
+        RefusalCode.body_too_large,
+        RefusalCode.unknown_model,
+        RefusalCode.unknown_service,
+        RefusalCode.not_found,
+        RefusalCode.conflict,
+        RefusalCode.rate_limited,
+        RefusalCode.cancelled,
+    )
+)
+
+
+class HumanService:
+    """Watches the requests of human callers.
+
+    :param levels: counts what the requests came to.
+    """
+
+    def __init__(self, levels: ServiceLevels, clock: Clock) -> None:
+        """Keep where the events go."""
+        self._levels = levels
+        self._clock = clock
+
+    async def watch(
+        self,
+        client_account: str,
+        chunks: AsyncIterator[Chunk],
+    ) -> AsyncIterator[Chunk]:
+        """Pass the chunks of a request on and count how it went.
+
+        The latency is the time to the first chunk.
+
+        :param client_account: whose request it is.
+        :param chunks: the answer.
+        """
+        began = self._clock.elapsed()
+        waiting = True
+        with self.track(client_account):
+            async for chunk in chunks:
+                if waiting:
+                    waiting = False
+                    self._levels.observe(
+                        Indicator.human_latency,
+                        client_account,
+                        self._clock.elapsed() - began,
+                    )
+                yield chunk
+
+    @contextmanager
+    def track(self, client_account: str) -> Iterator[None]:
+        """Count whether a request succeeded.
+
+        A refusal that the caller brought about counts neither way, since
+        no change of the service would have served the request; neither
+        does a request that its caller gave up.
+        """
+        try:
+            yield
+        except RefusedError as error:
+            if error.refusal.code not in CALLER_FAULTS:
+                self._record(client_account, good=False)
+            raise
+        self._record(client_account, good=True)
+
+    def _record(self, client_account: str, *, good: bool) -> None:
+        self._levels.record(Indicator.human_success, client_account, good=good)
--- /dev/null
+++ b/quetzalcourse/coordination/service_levels.py
@@ -0,0 +1,157 @@
+"""Counts events against the service levels of the manifest."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.state.manifest import Manifest
+from quetzalcourse.state.service_levels import (
+    WINDOW_LENGTHS,
+    EventCount,
+    Indicator,
+    Window,
+)
+
+if TYPE_CHECKING:
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.manifest import ServiceLevel
+
+SLOT = timedelta(seconds=30)
+LONGEST = max(WINDOW_LENGTHS.values())
+EVENTS = 'service_level_events'
+WINDOW_EVENTS = 'service_level_window_events'
+
+
+@dataclass(slots=True)
+class _Slot:
+    """Events of one short stretch of time."""
+
+    began: timedelta
+    good: int = 0
+    bad: int = 0
+
+
+class EventHistory:
+    """Events of the last hours in short slots, in bounded memory.
+
+    :param clock: tells which slot is the present one.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Begin without events."""
+        self._clock = clock
+        self._slots: deque[_Slot] = deque(maxlen=LONGEST // SLOT + 1)
+
+    def record(self, *, good: bool) -> None:
+        """Count one event now."""
+        now = self._clock.elapsed()
+        if not self._slots or now - self._slots[-1].began >= SLOT:
+            self._slots.append(_Slot(now))
+        slot = self._slots[-1]
+        if good:
+            slot.good += 1
+        else:
+            slot.bad += 1
+
+    def count(self, length: timedelta) -> EventCount:
+        """Add up the events of the last while.
+
+        :param length: how far to look back.
+        """
+        since = self._clock.elapsed() - length
+        recent = [slot for slot in self._slots if slot.began >= since]
+        return EventCount(
+            sum(slot.good for slot in recent),
+            sum(slot.bad for slot in recent),
+        )
+
+
+class ServiceLevels:
+    """Sorts events into good and bad for every service level.
+
+    :param counters: where the counts are published.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        """Begin without service levels."""
+        self._clock = clock
+        self._counters = counters
+        self._levels: list[ServiceLevel] = []
+        self._histories: dict[str, EventHistory] = {}
+
+    def on_manifest(self, manifest: Manifest) -> None:
+        """Take the service levels of a manifest that came into force."""
+        self._levels = list(manifest.service_levels.values())
+        self._histories = {
+            level.name: self._histories.get(level.name)
+            or EventHistory(self._clock)
+            for level in self._levels
+        }
+
+    def record(
+        self,
+        indicator: Indicator,
+        client_account: str,
+        *,
+        good: bool,
+    ) -> None:
+        """Count an event that was good or bad by itself."""
+        for level in self._levels:
+            if level.indicator == indicator:
+                self._count(level, client_account, good=good)
+
+    def observe(
+        self,
+        indicator: Indicator,
+        client_account: str,
+        duration: timedelta,
+    ) -> None:
+        """Count an event that is good if it was quick enough.
+
+        :param duration: compared with the threshold of each service level;
+            a level without a threshold takes any duration as good.
+        """
+        for level in self._levels:
+            if level.indicator == indicator:
+                quick = level.threshold is None or duration <= level.threshold
+                self._count(level, client_account, good=quick)
+
+    def publish(self) -> None:
+        """Bring the counts of every window up to date in the counters."""
+        for name, history in self._histories.items():
+            for window, length in WINDOW_LENGTHS.items():
+                self._publish_window(name, window, history.count(length))
+
+    def _publish_window(
+        self,
+        name: str,
+        window: Window,
+        count: EventCount,
+    ) -> None:
+        for outcome, amount in (('good', count.good), ('bad', count.bad)):
+            self._counters.set(
+                WINDOW_EVENTS,
+                amount,
+                service_level=name,
+                window=window.value,
+                outcome=outcome,
+            )
+
+    def _count(
+        self,
+        level: ServiceLevel,
+        client_account: str,
+        *,
+        good: bool,
+    ) -> None:
+        self._histories[level.name].record(good=good)
+        self._counters.add(
+            EVENTS,
+            service_level=level.name,
+            client_account=client_account,
+            outcome='good' if good else 'bad',
+        )
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -29,9 +29,11 @@
     from sanic.response import HTTPResponse
 
     from quetzalcourse.coordination.generation import Generation
+    from quetzalcourse.coordination.human_service import HumanService
     from quetzalcourse.coordination.keys import Identity, KeyRing
     from quetzalcourse.coordination.manifest import ManifestKeeper
     from quetzalcourse.coordination.routing import Router
+    from quetzalcourse.coordination.service_levels import ServiceLevels
     from quetzalcourse.coordination.services import Services
     from quetzalcourse.coordination.steps import Steps
     from quetzalcourse.settings.process import ProcessSettings
@@ -76,6 +78,8 @@
     generation: Generation
     services: Services
     steps: Steps
+    service_levels: ServiceLevels
+    human_service: HumanService
 
 
 class RequestIds:
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -91,7 +91,9 @@
     ) -> HTTPResponse | None:
         created = int(self._parts.clock.now().timestamp())
         writer = AnswerWriter(wanted, shape, created)
-        chunks = self._parts.generation.run(wanted)
+        chunks = self._parts.human_service.watch(
+            wanted.client_account, self._parts.generation.run(wanted)
+        )
         with self._parts.activity.track():
             if body.stream:
                 await self._stream(request, writer, chunks)
--- a/quetzalcourse/transport/health_routes.py
+++ b/quetzalcourse/transport/health_routes.py
@@ -38,6 +38,7 @@
         return answers.text('not ready', status=NOT_READY)
 
     async def _tell_metrics(self, _: Request) -> HTTPResponse:
+        self._parts.service_levels.publish()
         return answers.raw(
             render_metrics(self._parts.counters),
             content_type='text/plain; version=0.0.4',
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -98,7 +98,8 @@
         call = ServiceCall(name, request.method, identity.client_account)
         limit = self._parts.settings.limits.service_body_bytes
         body = BodySource(request, limit)
-        with self._parts.activity.track():
+        human = self._parts.human_service
+        with self._parts.activity.track(), human.track(call.client_account):
             await self._attempt_all(request, call, path, body)
 
     async def _attempt_all(
