Add membership over pynng links between daemons

Cause: a daemon knew of no other daemon, so slots, usage and configuration could not be shared without the platform's store.

Change: transport/peer_link.py implements the port Peers with one Pull0 listener and a Push0 dialer for each peer in use, sealed by HMAC-SHA256 with rotating secrets, addressed and numbered against replay. The platform's VM list and the settings only name addresses to try.

Ruled out: taking another daemon's word that a member is gone.

Found on the way: pynng's recv fails on a message without bytes and would have ended the reading; it is now counted as foreign.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -4,23 +4,29 @@
 
 import asyncio
 import os
+import random
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import aiohttp
-from result import Err
+from result import Err, Ok
 
 from quetzalcourse.coordination.admission import Admission
 from quetzalcourse.coordination.generation import Generation
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
 from quetzalcourse.coordination.manifest import ManifestKeeper
+from quetzalcourse.coordination.membership import (
+    Membership,
+    MembershipPlan,
+)
 from quetzalcourse.coordination.routing import Router
 from quetzalcourse.coordination.service_levels import ServiceLevels
 from quetzalcourse.coordination.services import Services
 from quetzalcourse.coordination.steps import Steps
 from quetzalcourse.log import get_log
 from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.members import Member
 from quetzalcourse.transport.callers import (
     Activity,
     CallerParts,
@@ -31,6 +37,7 @@
 from quetzalcourse.transport.engine_client import EngineClient
 from quetzalcourse.transport.generation_routes import GenerationRoutes
 from quetzalcourse.transport.health_routes import HealthRoutes
+from quetzalcourse.transport.peer_link import PeerLink
 from quetzalcourse.transport.platform_client import PlatformClient
 from quetzalcourse.transport.service_routes import ServiceRoutes
 from quetzalcourse.transport.sockets import open_listener, read_address
@@ -41,6 +48,9 @@
     from quetzalcourse.settings.process import ProcessSettings
     from quetzalcourse.state.manifest import Manifest
 
+LINK_CLEANING = timedelta(seconds=10)
+SEEDS_WAIT = timedelta(seconds=10)
+SECRET_BYTES = 32
 DRAIN_POLL = timedelta(milliseconds=50)
 INCARNATION_BYTES = 4
 log = get_log('application')
@@ -67,6 +77,7 @@
         self._listener = open_listener(settings.listen.callers)
         self.address = read_address(self._listener)
         self._tasks: list[asyncio.Task[None]] = []
+        self._build_peers()
 
     async def on_start(self) -> None:
         """Build the parts, adopt a manifest and begin to serve."""
@@ -74,17 +85,22 @@
             connector=aiohttp.TCPConnector(limit=0),
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         )
+        self.peers.start(self.members.own)
         self._build_parts()
         self._server = self._build_server()
         await self._refresh_once()
         await self._server.start()
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self._follow_manifest()))
+        self._tasks.append(loop.create_task(self.members.run()))
+        self._tasks.append(loop.create_task(self._follow_seeds()))
+        self._tasks.append(loop.create_task(self._clean_links()))
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
         """Refuse new work gently and finish what is being served."""
         self.activity.ready = False
+        self.members.announce_leaving()
         log.info('Drain began.', serving=self.activity.serving)
         drain = self.settings.drain
         await self.clock.sleep(timedelta(seconds=drain.balancer_seconds))
@@ -103,8 +119,39 @@
         await self.steps.stop()
         await self._server.stop()
         await self._session.close()
+        self.members.announce_gone()
+        self.peers.stop()
         log.info('Daemon stopped.')
 
+    def _build_peers(self) -> None:
+        peering = self.settings.peering
+        secrets = [secret.encode() for secret in peering.secrets]
+        self.peers = PeerLink(
+            self.settings.listen.peers,
+            secrets or [os.urandom(SECRET_BYTES)],
+            self.clock,
+            self.counters,
+        )
+        own = Member(
+            self.settings.vm,
+            self.incarnation,
+            self.settings.data_centre,
+            self.peers.address,
+        )
+        self.members = Membership(
+            own,
+            self.peers,
+            self.clock,
+            random.Random(),
+            self.counters,
+            MembershipPlan(
+                tick=timedelta(seconds=peering.tick_seconds),
+                suspicion=timedelta(seconds=peering.suspicion_seconds),
+            ),
+        )
+        self.members.on_own(self.peers.replace_own)
+        self.members.seed(peering.seeds)
+
     def _build_parts(self) -> None:
         platform = self.settings.platform
         self.platform = PlatformClient(
@@ -177,3 +224,21 @@
         while True:
             await self.clock.sleep(wait)
             await self._refresh_once()
+
+    async def _follow_seeds(self) -> None:
+        while True:
+            answer = await self.platform.list_vms()
+            if isinstance(answer, Ok):
+                vms = answer.ok_value
+                seeds = list(self.settings.peering.seeds)
+                self.members.seed(seeds + [vm.address for vm in vms])
+                self.members.note_leaving(
+                    vm.address for vm in vms if vm.leaving
+                )
+            near = self.members.list_live(self.settings.data_centre)
+            await self.clock.sleep(SEEDS_WAIT * len(near))
+
+    async def _clean_links(self) -> None:
+        while True:
+            await self.clock.sleep(LINK_CLEANING)
+            self.peers.close_unused()
--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -17,7 +17,7 @@
     )
     from quetzalcourse.state.generation import Chunk, GenerationRequest
     from quetzalcourse.state.manifest import Upstream
-    from quetzalcourse.state.members import Member, Topic
+    from quetzalcourse.state.members import Member, Topic, Vm
     from quetzalcourse.state.rows import (
         Commit,
         Row,
@@ -167,3 +167,10 @@
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever the list of live daemons changed."""
+
+
+class Vms(Protocol):
+    """The platform's list of entry VMs, which lags."""
+
+    async def list_vms(self) -> Result[list[Vm], StoreFault]:
+        """List the VMs that run daemons, live and leaving."""
--- /dev/null
+++ b/quetzalcourse/coordination/roster.py
@@ -0,0 +1,174 @@
+"""List of known daemons, built of the news that is told of them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from quetzalcourse.state.heartbeats import Change, Standing, describe
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.state.members import Member
+
+FORGET_AFTER = timedelta(minutes=10)
+REPEATS = 3
+
+
+@dataclass(slots=True)
+class Entry:
+    """What is held of one daemon.
+
+    :param since: when its standing last changed, by the own clock.
+    """
+
+    change: Change
+    since: timedelta
+
+
+@dataclass(slots=True)
+class Rumour:
+    """News that is still being passed on.
+
+    :param repeats: in how many more messages it goes out.
+    """
+
+    change: Change
+    repeats: int
+
+
+class Roster:
+    """Merges news of daemons; the order in which it arrives is no matter."""
+
+    def __init__(self) -> None:
+        """Begin with nobody."""
+        self.entries: dict[str, Entry] = {}
+        self._rumours: dict[str, Rumour] = {}
+        self._hashes: dict[str, int] | None = None
+
+    def find(self, incarnation: str) -> Change | None:
+        """Find the news that is held of a daemon."""
+        entry = self.entries.get(incarnation)
+        return entry.change if entry else None
+
+    def list_standing(self) -> list[Change]:
+        """List the daemons that are not gone."""
+        return [
+            entry.change
+            for entry in self.entries.values()
+            if entry.change.standing is not Standing.gone
+        ]
+
+    def record(self, change: Change, now: timedelta) -> None:
+        """Hold news as it is, and pass it on."""
+        self.entries[change.incarnation] = Entry(change, now)
+        count = len(self.entries)
+        repeats = REPEATS * math.ceil(math.log2(count + 1))
+        self._rumours[change.incarnation] = Rumour(change, repeats)
+        self._hashes = None
+
+    def merge(self, change: Change, now: timedelta) -> bool:
+        """Take news in if it says more than what is held.
+
+        Others may have lost a daemon that is well heard here, as after a
+        partition. Their word that it is gone therefore only casts suspicion,
+        unless the daemon is suspect here too or said itself that it leaves.
+
+        :returns: whether anything changed.
+        """
+        entry = self.entries.get(change.incarnation)
+        gone = change.standing is Standing.gone
+        if entry is None:
+            if not gone:
+                self.record(change, now)
+            return not gone
+        held = entry.change
+        if not change.beats(held):
+            return False
+        if gone and held.standing is Standing.alive and not change.leaving:
+            change = describe(
+                change.read_member(), change.counter, Standing.suspect
+            )
+        self.record(change, now)
+        return True
+
+    def judge(self, member: Member, standing: Standing, now: timedelta) -> bool:
+        """Change the standing of a daemon on own evidence.
+
+        :returns: whether the evidence changed anything.
+        """
+        held = self.find(member.incarnation)
+        if held is None or held.standing >= standing:
+            return False
+        self.record(describe(held.read_member(), held.counter, standing), now)
+        return True
+
+    def expire(self, suspicion: timedelta, now: timedelta) -> bool:
+        """Take suspects for gone in time, and forget those long gone.
+
+        :param suspicion: how long a suspect may take to refute.
+        """
+        changed = False
+        for incarnation, entry in tuple(self.entries.items()):
+            age = now - entry.since
+            standing = entry.change.standing
+            if standing is Standing.suspect and age >= suspicion:
+                member = entry.change.read_member()
+                changed = self.judge(member, Standing.gone, now) or changed
+            elif standing is Standing.gone and age >= FORGET_AFTER:
+                self.entries.pop(incarnation)
+        return changed
+
+    def shift(self, pause: timedelta) -> None:
+        """Leave the length of an own pause out of every age."""
+        for entry in self.entries.values():
+            entry.since += pause
+
+    def take_rumours(self, count: int) -> list[Change]:
+        """Choose the news that was passed on least."""
+        chosen = sorted(
+            self._rumours.values(), key=lambda rumour: -rumour.repeats
+        )[:count]
+        for rumour in chosen:
+            rumour.repeats -= 1
+            if not rumour.repeats:
+                self._rumours.pop(rumour.change.incarnation)
+        return [rumour.change for rumour in chosen]
+
+    def hash_parts(self) -> dict[str, int]:
+        """Hash the list of each data centre; equal lists hash equally."""
+        if self._hashes is None:
+            self._hashes = _hash_parts(self.list_standing())
+        return self._hashes
+
+    def hash_whole(self) -> int:
+        """Hash the list of all data centres."""
+        whole = 0
+        for part in self.hash_parts().values():
+            whole ^= part
+        return whole
+
+    def list_different(self, hashes: dict[str, int]) -> list[Change]:
+        """List the news of the data centres whose hash is another one."""
+        own = self.hash_parts()
+        return [
+            entry.change
+            for entry in self.entries.values()
+            if hashes.get(entry.change.data_centre)
+            != own.get(entry.change.data_centre)
+        ]
+
+
+def _hash_parts(changes: Iterable[Change]) -> dict[str, int]:
+    hashes: dict[str, int] = {}
+    for change in changes:
+        text = f'{change.incarnation} {change.counter} {change.leaving}'
+        digest = xxhash.xxh32_intdigest(text.encode())
+        known = hashes.get(change.data_centre, 0)
+        hashes[change.data_centre] = known ^ digest
+    return hashes
--- /dev/null
+++ b/quetzalcourse/protocol/peers.py
@@ -0,0 +1,137 @@
+"""Envelope of the messages between daemons."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from quetzalcourse.state.members import Member, Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ENVELOPE_VERSION = 1
+MAC_BYTES = 16
+SENDERS_REMEMBERED = 4096
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message on its way from one daemon to another.
+
+    :param receiver: address it is meant for; elsewhere it is foreign.
+    :param sequence: grows with every message of the sender's incarnation.
+    """
+
+    version: int
+    vm: str
+    incarnation: str
+    data_centre: str
+    address: str
+    leaving: bool
+    receiver: str
+    sequence: int
+    topic: Topic
+    content: bytes
+
+    def read_sender(self) -> Member:
+        """Tell who sent the message."""
+        return Member(
+            self.vm,
+            self.incarnation,
+            self.data_centre,
+            self.address,
+            self.leaving,
+        )
+
+
+def sign(body: bytes, secret: bytes) -> bytes:
+    """Compute the HMAC-SHA256 of a body, cut to 128 bits."""
+    return hmac.digest(secret, body, hashlib.sha256)[:MAC_BYTES]
+
+
+class EnvelopeCodec:
+    """Seals and opens envelopes.
+
+    A recorded message must do no harm when it is sent again: each is
+    addressed, and numbered upwards within the sender's incarnation. After a
+    restart the receiver has forgotten the numbers; what reaches it then is
+    old news that every handler has to stand anyway.
+
+    :param secrets: shared secrets; the first one signs, each one opens.
+    """
+
+    def __init__(self, secrets: Sequence[bytes]) -> None:
+        """Begin with no sender heard of."""
+        self._secrets = tuple(secrets)
+        self._sequence = 0
+        self._heard: dict[str, int] = {}
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def seal(
+        self,
+        sender: Member,
+        receiver: str,
+        topic: Topic,
+        content: bytes,
+    ) -> bytes:
+        """Sign a message.
+
+        :param receiver: address it is meant for.
+        """
+        self._sequence += 1
+        body = msgspec.msgpack.encode(
+            Envelope(
+                ENVELOPE_VERSION,
+                sender.vm,
+                sender.incarnation,
+                sender.data_centre,
+                sender.address,
+                sender.leaving,
+                receiver,
+                self._sequence,
+                topic,
+                content,
+            )
+        )
+        return sign(body, self._secrets[0]) + body
+
+    def open(self, wire: bytes, own: str) -> Result[Envelope, str]:
+        """Check a message.
+
+        :param own: address of the receiver.
+        :returns: the envelope, or why the message is dropped.
+        """
+        mac = wire[:MAC_BYTES]
+        body = wire[MAC_BYTES:]
+        if not self._is_signed(mac, body):
+            return Err('foreign')
+        try:
+            envelope = self._decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return Err('malformed')
+        if envelope.version != ENVELOPE_VERSION:
+            return Err('version')
+        if envelope.receiver != own:
+            return Err('misdirected')
+        if not self._advance(envelope):
+            return Err('replayed')
+        return Ok(envelope)
+
+    def _is_signed(self, mac: bytes, body: bytes) -> bool:
+        return any(
+            hmac.compare_digest(mac, sign(body, secret))
+            for secret in self._secrets
+        )
+
+    def _advance(self, envelope: Envelope) -> bool:
+        last = self._heard.pop(envelope.incarnation, 0)
+        self._heard[envelope.incarnation] = max(last, envelope.sequence)
+        # Incarnations that ended stay in the table until newer ones push
+        # them out; without the bound it would grow with every restart.
+        if len(self._heard) > SENDERS_REMEMBERED:
+            self._heard.pop(next(iter(self._heard)))
+        return envelope.sequence > last
--- a/quetzalcourse/settings/process.py
+++ b/quetzalcourse/settings/process.py
@@ -97,6 +97,23 @@
         return self
 
 
+class PeeringSettings(SettingsModel):
+    """Messages between daemons.
+
+    :param secrets: shared by all daemons; the first one signs what is sent,
+        each one is accepted. Without any the daemon stays alone.
+    :param seeds: addresses of daemons to try besides the platform's list.
+    :param suspicion_seconds: time that a silent daemon has to answer.
+    """
+
+    secrets: list[Annotated[str, Field(min_length=16)]] = Field(
+        default=[], repr=False
+    )
+    seeds: list[Address] = []
+    tick_seconds: float = Field(default=0.5, gt=0)
+    suspicion_seconds: float = Field(default=4.0, gt=0)
+
+
 class ProcessSettings(SettingsModel):
     """Everything that one daemon is told at its start.
 
@@ -111,6 +128,7 @@
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
     drain: DrainSettings = DrainSettings()
+    peering: PeeringSettings = PeeringSettings()
 
 
 def load_settings(path: Path) -> Result[ProcessSettings, list[SettingFault]]:
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -23,6 +23,19 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """An entry VM as the platform lists it.
+
+    :param address: where its daemon listens for other daemons.
+    """
+
+    vm: str
+    data_centre: str
+    address: str
+    leaving: bool = False
+
+
 class Topic(enum.StrEnum):
     """Kinds of messages between daemons, a handler each."""
 
--- /dev/null
+++ b/quetzalcourse/transport/peer_link.py
@@ -0,0 +1,206 @@
+"""Messages between daemons over pynng."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import pynng
+from pynng._nng import lib as nng
+from result import Err
+
+from quetzalcourse.log import get_log
+from quetzalcourse.protocol.peers import EnvelopeCodec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.members import Member, Topic
+
+THREADS = (
+    ('NNG_INIT_NUM_TASK_THREADS', 2),
+    ('NNG_INIT_MAX_TASK_THREADS', 2),
+    ('NNG_INIT_NUM_EXPIRE_THREADS', 1),
+    ('NNG_INIT_MAX_EXPIRE_THREADS', 1),
+    ('NNG_INIT_NUM_POLLER_THREADS', 1),
+    ('NNG_INIT_MAX_POLLER_THREADS', 1),
+    ('NNG_INIT_NUM_RESOLVER_THREADS', 1),
+)
+SEND_BUFFER = 32
+RECEIVE_BUFFER = 512
+LARGEST_MESSAGE = 4_000_000
+RECONNECT_FASTEST_MS = 200
+RECONNECT_SLOWEST_MS = 5000
+MESSAGES_PER_WAKE = 64
+UNUSED_AFTER = timedelta(seconds=60)
+log = get_log('peers')
+
+
+def limit_threads() -> None:
+    """Keep pynng's threads to a handful; works before the first socket only.
+
+    Left alone it starts over 30 threads on 12 cores, which shows as memory
+    and context switches of every daemon.
+    """
+    for name, count in THREADS:
+        nng.nng_init_set_parameter(getattr(nng, name), count)
+
+
+@dataclass(slots=True)
+class Outlet:
+    """Socket to one peer.
+
+    :param used: when a message was last sent.
+    """
+
+    socket: pynng.Push0
+    used: timedelta
+
+
+class PeerLink:
+    """Sends to and receives from the other daemons.
+
+    One listening socket takes every peer's messages; a sending socket is
+    opened with the first message to an address and closed when unused.
+
+    :param listen: IP number and port; port 0 lets the system choose.
+    :param secrets: the first one signs, each one is accepted.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        secrets: Sequence[bytes],
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Open the listening socket, so that the address is known."""
+        limit_threads()
+        self._clock = clock
+        self._counters = counters
+        self._codec = EnvelopeCodec(secrets)
+        self._inlet = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER,
+            recv_max_size=LARGEST_MESSAGE,
+        )
+        self._inlet.listen(f'tcp://{listen}')
+        self.address = str(self._inlet.listeners[0].local_address)
+        self._own: Member | None = None
+        self._outlets: dict[str, Outlet] = {}
+        self._handlers: dict[Topic, Callable[[Member, bytes], None]] = {}
+        self._complained: set[str] = set()
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    def start(self, own: Member) -> None:
+        """Begin to receive on the running loop.
+
+        :param own: whom to name as the sender.
+        """
+        self._own = own
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._inlet.recv_fd, self._on_readable)
+
+    def stop(self) -> None:
+        """Close every socket."""
+        if self._loop is not None:
+            self._loop.remove_reader(self._inlet.recv_fd)
+        for outlet in self._outlets.values():
+            outlet.socket.close()
+        self._outlets.clear()
+        self._inlet.close()
+
+    def replace_own(self, own: Member) -> None:
+        """Name a changed member as the sender from now on."""
+        self._own = own
+
+    def send(self, receiver: Member, topic: Topic, content: bytes) -> None:
+        """Send a message without waiting; it may be lost."""
+        if self._own is None or receiver.address == self.address:
+            return
+        wire = self._codec.seal(self._own, receiver.address, topic, content)
+        try:
+            self._open_outlet(receiver.address).send(wire, block=False)
+        except pynng.NNGException:
+            self._counters.add('peer_messages_lost', topic=topic.value)
+            return
+        self._counters.add('peer_messages_sent', topic=topic.value)
+        self._counters.add('peer_bytes_sent', len(wire), topic=topic.value)
+
+    def subscribe(
+        self,
+        topic: Topic,
+        receive: Callable[[Member, bytes], None],
+    ) -> None:
+        """Hand the messages of a topic to a handler."""
+        self._handlers[topic] = receive
+
+    def close_unused(self) -> None:
+        """Close the sockets that carried nothing for a while."""
+        oldest = self._clock.elapsed() - UNUSED_AFTER
+        unused = [
+            address
+            for address, outlet in self._outlets.items()
+            if outlet.used < oldest
+        ]
+        for address in unused:
+            self._outlets.pop(address).socket.close()
+        self._counters.set('peer_sockets', len(self._outlets))
+
+    def _open_outlet(self, address: str) -> pynng.Push0:
+        outlet = self._outlets.get(address)
+        if outlet is None:
+            opened = pynng.Push0(
+                send_buffer_size=SEND_BUFFER,
+                reconnect_time_min=RECONNECT_FASTEST_MS,
+                reconnect_time_max=RECONNECT_SLOWEST_MS,
+            )
+            opened.dial(f'tcp://{address}', block=False)
+            outlet = Outlet(opened, self._clock.elapsed())
+            self._outlets[address] = outlet
+        outlet.used = self._clock.elapsed()
+        return outlet.socket
+
+    def _on_readable(self) -> None:
+        # The descriptor stays readable while messages wait, so a bounded
+        # batch leaves the loop free for callers between two batches.
+        with suppress(pynng.TryAgain):
+            for _ in range(MESSAGES_PER_WAKE):
+                self._receive(self._take())
+
+    def _take(self) -> bytes:
+        try:
+            return self._inlet.recv(block=False)
+        except RuntimeError:
+            # pynng fails so on a message without bytes, which is consumed;
+            # left alone the error would end the reading of this batch.
+            return b''
+
+    def _receive(self, wire: bytes) -> None:
+        opened = self._codec.open(wire, self.address)
+        if isinstance(opened, Err):
+            self._drop(opened.err_value)
+            return
+        envelope = opened.ok_value
+        topic = envelope.topic
+        self._counters.add('peer_messages_received', topic=topic.value)
+        self._counters.add('peer_bytes_received', len(wire), topic=topic.value)
+        handler = self._handlers.get(topic)
+        if handler is None:
+            return
+        try:
+            handler(envelope.read_sender(), envelope.content)
+        except Exception as error:
+            # One fault in a handler must not stop the reading of all other
+            # messages, which would look like a cut.
+            self._drop(f'{topic.value}: {type(error).__name__}')
+
+    def _drop(self, reason: str) -> None:
+        self._counters.add('peer_messages_dropped', reason=reason)
+        if reason not in self._complained:
+            self._complained.add(reason)
+            log.warning('Message dropped.', reason=reason, step='receive')
--- a/quetzalcourse/transport/platform_client.py
+++ b/quetzalcourse/transport/platform_client.py
@@ -16,10 +16,12 @@
     ScanMessage,
     ScoreAnswer,
     ScoreRequest,
+    VmEntry,
     pack_transaction,
     unpack_commit,
     unpack_row,
 )
+from quetzalcourse.state.members import Vm
 from quetzalcourse.state.rows import FaultKind, StoreFault
 
 if TYPE_CHECKING:
@@ -137,6 +139,25 @@
             return answer
         return Ok(None)
 
+    async def list_vms(self) -> Result[list[Vm], StoreFault]:
+        """List the entry VMs."""
+        answer = await self.request('GET', '/vms')
+        if isinstance(answer, Err):
+            return answer
+        content = answer.ok_value.content
+        try:
+            entries = msgspec.json.decode(content, type=list[VmEntry])
+        except msgspec.DecodeError:
+            return Err(
+                StoreFault(FaultKind.not_applied, 'list VMs', self._address)
+            )
+        return Ok(
+            [
+                Vm(entry.vm, entry.data_centre, entry.address, entry.leaving)
+                for entry in entries
+            ]
+        )
+
     async def score(self, sample_id: str, text: str) -> Result[float, str]:
         """Score one sample."""
         body = msgspec.json.encode(ScoreRequest(sample_id, text))
