--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,6 @@
 
 lock:
 	$(BIN)/pip-compile --quiet --strip-extras --no-emit-index-url --no-emit-trusted-host --no-emit-find-links --extra dev -o requirements.lock pyproject.toml
+
+reference: $(STAMP)
+	$(BIN)/python -m quetzalcourse.settings.reference docs/reference
--- /dev/null
+++ b/quetzalcourse/tests/docs_tests.py
@@ -0,0 +1,93 @@
+"""The pages: links, commands they name, and the generated reference."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from quetzalcourse.__main__ import build_parser
+from quetzalcourse.settings.reference import PAGES, render_page
+
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / 'docs'
+ALL_PAGES = sorted([ROOT / 'README.md', *DOCS.rglob('*.md')])
+LINK = re.compile(r'\]\(([^)#\s]+)(?:#[^)]*)?\)')
+TARGET = re.compile(r'(?:^    |`)make ([a-z]+)', re.MULTILINE)
+COMMAND = re.compile(r'quetzalctl ([a-z]+(?: [a-z]+)?)')
+BENCH = re.compile(r'make bench ONLY=([a-z_0-9]+)')
+
+
+def name_page(page: Path) -> str:
+    """Name a page in the output of the tests."""
+    return str(page.relative_to(ROOT))
+
+
+def list_commands() -> set[str]:
+    """List the subcommands, with their own subcommands."""
+    commands = set()
+    top: Any = build_parser()._subparsers
+    for name, parser in top._group_actions[0].choices.items():
+        commands.add(name)
+        if parser._subparsers:
+            for action in parser._subparsers._group_actions:
+                commands.update(f'{name} {inner}' for inner in action.choices)
+    return commands
+
+
+@pytest.mark.parametrize('page', ALL_PAGES, ids=name_page)
+def test_links_lead_somewhere(page: Path) -> None:
+    # A page moves and another still points to where it was. A reader who
+    # follows the link finds nothing.
+    links = LINK.findall(page.read_text())
+    local = [link for link in links if '://' not in link]
+    missing = [link for link in local if not (page.parent / link).exists()]
+    assert not missing
+
+
+@pytest.mark.parametrize('page', ALL_PAGES, ids=name_page)
+def test_commands_exist(page: Path) -> None:
+    # A command is renamed and a page still names the old one. A reader who
+    # copies it from there gets a usage error.
+    text = page.read_text()
+    makefile = (ROOT / 'Makefile').read_text()
+    targets = set(TARGET.findall(text))
+    unknown = {name for name in targets if f'\n{name}:' not in makefile}
+    commands = list_commands()
+    for words in COMMAND.findall(text):
+        first = words.split()[0]
+        nested = any(known.startswith(f'{first} ') for known in commands)
+        if words not in commands and (nested or first not in commands):
+            unknown.add(words)
+    assert not unknown
+
+
+@pytest.mark.parametrize('page', ALL_PAGES, ids=name_page)
+def test_measures_exist(page: Path) -> None:
+    # A figure on a page names the measure that gave it. If the measure is
+    # gone, nobody can check the figure.
+    named = set(BENCH.findall(page.read_text()))
+    sources = [path for path in (ROOT / 'bench' / 'suites').glob('*.py')]
+    known = {path.stem for path in sources}
+    for source in sources:
+        known.update(re.findall(r"'([a-z_0-9]+)'", source.read_text()))
+    assert named <= known
+
+
+def test_every_page_is_in_the_index() -> None:
+    # A page that the index does not name is found by nobody.
+    index = (DOCS / 'index.md').read_text()
+    named = {(DOCS / link).resolve() for link in LINK.findall(index)}
+    pages = {page for page in DOCS.rglob('*.md') if page.name != 'index.md'}
+    assert pages <= named
+
+
+@pytest.mark.parametrize('name', PAGES)
+def test_reference_is_current(name: str) -> None:
+    # A key is added to a model and the page is not written again. An
+    # operator then does not learn of it.
+    model, title = PAGES[name]
+    page = DOCS / 'reference' / name
+    assert page.read_text() == render_page(model, title)
