Keep the events of replaced daemons in the error budget

Cause: daemons are replaced daily and took their counts along, so the budget of a period of weeks showed only the daemons of the moment. Ruled out: adding events to a shared row, which a lost answer would count twice. Conclusion: a killed daemon takes at most ten minutes of its events along.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from quetzalcourse.coordination.admission import Admission
+from quetzalcourse.coordination.burn_ledger import BurnLedger
 from quetzalcourse.coordination.generation import Generation
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
@@ -92,6 +93,7 @@
         await self._server.start()
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self._follow_manifest()))
+        self._tasks.append(loop.create_task(self.burn_ledger.run()))
         self._tasks.append(loop.create_task(self.members.run()))
         self._tasks.append(loop.create_task(self._follow_seeds()))
         self._tasks.append(loop.create_task(self._clean_links()))
@@ -116,6 +118,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.burn_ledger.flush()
         await self.steps.stop()
         await self._server.stop()
         await self._session.close()
@@ -177,6 +180,9 @@
             self.incarnation,
         )
         self.service_levels = ServiceLevels(self.clock, self.counters)
+        self.burn_ledger = BurnLedger(
+            self.platform, self.clock, self.counters, self.incarnation
+        )
         self.manifest.on_manifest(self.on_manifest)
 
     def on_manifest(self, manifest: Manifest) -> None:
--- a/quetzalcourse/commands/report.py
+++ b/quetzalcourse/commands/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -11,11 +12,13 @@
 
 from quetzalcourse.commands.burn_page import render_page
 from quetzalcourse.commands.output import write_json, write_line, write_table
+from quetzalcourse.commands.platform import open_platform
 from quetzalcourse.coordination.burn import (
     LevelBurn,
     LevelEvents,
     compute_burns,
 )
+from quetzalcourse.coordination.burn_ledger import read_sums
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
 from quetzalcourse.protocol.exposition import read_events
@@ -25,6 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from quetzalcourse.state.manifest import ServiceLevel
+
 TIMEOUT_SECONDS = 5.0
 HEADER = (
     'service level',
@@ -50,6 +55,11 @@
         metavar='IP:PORT',
         help='address of a daemon for callers; give one for each daemon',
     )
+    burn.add_argument(
+        '--platform',
+        metavar='IP:PORT',
+        help='count the budget over its whole period, from the table',
+    )
     burn.add_argument('--json', action='store_true')
     burn.add_argument('--html', type=Path, metavar='FILE')
     burn.set_defaults(run=run)
@@ -67,11 +77,16 @@
     return run_loop(_report(options, levels))
 
 
-async def _report(options: argparse.Namespace, levels: list[Any]) -> int:
+async def _report(
+    options: argparse.Namespace,
+    levels: list[ServiceLevel],
+) -> int:
     events: dict[str, LevelEvents] = {}
     silent = await collect_events(options.daemon, events)
     if len(silent) == len(options.daemon):
         raise AbortError(f'no daemon answers: {", ".join(silent)}')
+    if options.platform:
+        await replace_accounts(options.platform, levels, events)
     burns = compute_burns(levels, events)
     if options.html:
         options.html.write_text(render_page(burns, silent))
@@ -82,6 +97,31 @@
     return 0
 
 
+async def replace_accounts(
+    address: str,
+    levels: Sequence[ServiceLevel],
+    events: dict[str, LevelEvents],
+) -> None:
+    """Take the events of accounts from the table in place of the daemons'.
+
+    The table has the events of daemons that are gone, too.
+
+    :param address: address of the platform's services.
+    :param events: events by service level, changed in place.
+    :raises AbortError: if the table gives no answer.
+    """
+    today = datetime.now(UTC).date()
+    async with open_platform(address) as platform:
+        answer = await read_sums(platform, levels, today)
+    if isinstance(answer, Err):
+        fault = answer.err_value
+        raise AbortError(f'{fault.step} at {fault.peer}: {fault.kind.value}')
+    for level in levels:
+        summed = answer.ok_value.get(level.name, LevelEvents())
+        entry = events.setdefault(level.name, LevelEvents())
+        entry.client_accounts = summed.client_accounts
+
+
 async def collect_events(
     daemons: Sequence[str],
     events: dict[str, LevelEvents],
--- /dev/null
+++ b/quetzalcourse/coordination/burn_ledger.py
@@ -0,0 +1,197 @@
+"""Sums of service-level events that outlast the daemon that counted them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import date, timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.burn import LevelEvents
+from quetzalcourse.coordination.service_levels import EVENTS
+from quetzalcourse.state.rows import StoreFault, Transaction, Write
+from quetzalcourse.state.service_levels import EventCount
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters, Labels
+    from quetzalcourse.state.manifest import ServiceLevel
+
+BURN_PREFIX = 'burn/'
+FLUSH_INTERVAL = timedelta(minutes=10)
+PAGE_SIZE = 1000
+HASH_RANGE = 2**32
+
+
+@dataclass(frozen=True, slots=True)
+class DaySums:
+    """Events that one daemon counted on one day.
+
+    :param levels: events by service level and client account.
+    """
+
+    day: date
+    levels: dict[str, dict[str, EventCount]]
+
+
+def name_sums(day: date, incarnation: str) -> str:
+    """Name the row of a daemon's sums; rows sort by day."""
+    return f'{BURN_PREFIX}{day.isoformat()}/{incarnation}'
+
+
+class BurnLedger:
+    """Writes this daemon's sums of the day into the platform's table.
+
+    The row belongs to this incarnation alone and holds the whole sums of the
+    day. So a write whose answer was lost is simply written again, and a
+    replaced daemon's events stay. A killed daemon takes at most one flush
+    interval of events along.
+
+    :param counters: where the events of service levels are counted.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        counters: Counters,
+        incarnation: str,
+    ) -> None:
+        """Begin a day of its own with nothing counted."""
+        self._table = table
+        self._clock = clock
+        self._counters = counters
+        self._incarnation = incarnation
+        self._day = clock.now().date()
+        self._before: dict[Labels, float] = {}
+        self._written: DaySums | None = None
+
+    async def flush(self) -> None:
+        """Write the sums of the day if they changed.
+
+        Without an answer the next flush writes them again.
+        """
+        sums = self._sum_day()
+        if sums != self._written and sums.levels:
+            answer = await self._table.transact(
+                Transaction(
+                    (),
+                    (
+                        Write(
+                            name_sums(sums.day, self._incarnation),
+                            msgspec.json.encode(sums),
+                        ),
+                    ),
+                )
+            )
+            if isinstance(answer, Err):
+                return
+            self._written = sums
+        self._turn_day(sums)
+
+    async def run(self) -> None:
+        """Flush at every interval until cancelled.
+
+        Daemons that start together would otherwise all write at the same
+        instant; each begins at its own place in the interval.
+        """
+        place = xxhash.xxh32_intdigest(self._incarnation.encode())
+        await self._clock.sleep(FLUSH_INTERVAL * (place / HASH_RANGE))
+        while True:
+            await self._clock.sleep(FLUSH_INTERVAL)
+            await self.flush()
+
+    def _sum_day(self) -> DaySums:
+        sums: dict[str, dict[str, EventCount]] = {}
+        for labels, amount in self._counters.counts.get(EVENTS, {}).items():
+            added = amount - self._before.get(labels, 0)
+            if not added:
+                continue
+            names = dict(labels)
+            accounts = sums.setdefault(names['service_level'], {})
+            account = names['client_account']
+            good = names['outcome'] == 'good'
+            count = EventCount(added, 0) if good else EventCount(0, added)
+            accounts[account] = accounts.get(account, EventCount()) + count
+        return DaySums(self._day, sums)
+
+    def _turn_day(self, written: DaySums) -> None:
+        today = self._clock.now().date()
+        if today == self._day:
+            return
+        # Events that came while the old day's row was on its way belong to
+        # no row yet; counting them from the written sums on keeps them.
+        for level, accounts in written.levels.items():
+            for account, count in accounts.items():
+                self._move_start(level, account, 'good', count.good)
+                self._move_start(level, account, 'bad', count.bad)
+        self._day = today
+        self._written = None
+
+    def _move_start(
+        self,
+        level: str,
+        account: str,
+        outcome: str,
+        amount: float,
+    ) -> None:
+        labels = (
+            ('client_account', account),
+            ('outcome', outcome),
+            ('service_level', level),
+        )
+        self._before[labels] = self._before.get(labels, 0) + amount
+
+
+async def read_sums(
+    table: Table,
+    levels: Iterable[ServiceLevel],
+    today: date,
+) -> Result[dict[str, LevelEvents], StoreFault]:
+    """Add up the events of each service level over its period.
+
+    :param levels: service levels of the manifest.
+    :param today: last day of the period.
+    :returns: events by service level, without windows.
+    """
+    periods = {level.name: level.period for level in levels}
+    longest = max(periods.values(), default=timedelta(0))
+    cursor = f'{BURN_PREFIX}{(today - longest).isoformat()}'
+    events: dict[str, LevelEvents] = {}
+    while True:
+        answer = await table.scan(BURN_PREFIX, cursor, PAGE_SIZE)
+        if isinstance(answer, Err):
+            return answer
+        rows = answer.ok_value
+        for row in rows:
+            sums = msgspec.json.decode(row.content, type=DaySums)
+            add_day(sums, periods, today, events)
+        if len(rows) < PAGE_SIZE:
+            return Ok(events)
+        cursor = rows[-1].key
+
+
+def add_day(
+    sums: DaySums,
+    periods: dict[str, timedelta],
+    today: date,
+    events: dict[str, LevelEvents],
+) -> None:
+    """Add a daemon's day to the levels whose period it is in.
+
+    :param periods: period by service level.
+    :param events: events by service level, added to in place.
+    """
+    age = today - sums.day
+    for level, accounts in sums.levels.items():
+        if level not in periods or age >= periods[level]:
+            continue
+        entry = events.setdefault(level, LevelEvents())
+        for account, count in accounts.items():
+            entry.add_account(account, count)
--- /dev/null
+++ b/quetzalcourse/tests/coordination/burn_ledger_tests.py
@@ -0,0 +1,115 @@
+"""Sums of service-level events in the platform's table."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.burn_ledger import BurnLedger, read_sums
+from quetzalcourse.coordination.service_levels import EVENTS
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.manifest import ServiceLevel
+from quetzalcourse.state.service_levels import EventCount
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.tables import FakeStore
+
+DAY = timedelta(days=1)
+
+
+def make_level(days: int) -> ServiceLevel:
+    """Make a service level with a period."""
+    return ServiceLevel(
+        'answered', 'human_success', 0.99, None, timedelta(days=days)
+    )
+
+
+def count_event(counters: Counters, outcome: str, amount: int = 1) -> None:
+    """Count events of one account."""
+    counters.add(
+        EVENTS,
+        amount,
+        service_level='answered',
+        client_account='readers',
+        outcome=outcome,
+    )
+
+
+async def read_total(store: FakeStore, clock: FakeClock, days: int) -> object:
+    """Read what a report would count."""
+    answer = await read_sums(store, [make_level(days)], clock.now().date())
+    return answer.unwrap()['answered'].client_accounts['readers']
+
+
+async def test_replaced_daemon_keeps_its_events() -> None:
+    # A VM is replaced. If its counts went with it, an outage in the morning
+    # would be gone from the budget in the evening.
+    store, clock = FakeStore(), FakeClock()
+    for incarnation, amount in (('vm-1-a', 3), ('vm-1-b', 4)):
+        counters = Counters()
+        ledger = BurnLedger(store, clock, counters, incarnation)
+        count_event(counters, 'bad', amount)
+        await ledger.flush()
+    assert await read_total(store, clock, 28) == EventCount(0, 7)
+
+
+@pytest.mark.parametrize('fault', ['not_applied', 'lost_before', 'lost_after'])
+async def test_lost_answer_counts_nothing_twice(fault: str) -> None:
+    # The table's answer is lost, with or without its effect. Events that
+    # were added again would overstate the burn.
+    store, clock, counters = FakeStore(), FakeClock(), Counters()
+    ledger = BurnLedger(store, clock, counters, 'vm-1-a')
+    count_event(counters, 'good', 5)
+    store.write_faults.append(fault)
+    await ledger.flush()
+    await ledger.flush()
+    assert await read_total(store, clock, 28) == EventCount(5, 0)
+
+
+@pytest.mark.parametrize(
+    ('days', 'expected'),
+    [(1, EventCount(2, 0)), (2, EventCount(3, 0)), (28, EventCount(3, 1))],
+)
+async def test_day_is_counted_in_its_period(
+    days: int,
+    expected: EventCount,
+) -> None:
+    store, clock, counters = FakeStore(), FakeClock(), Counters()
+    ledger = BurnLedger(store, clock, counters, 'vm-1-a')
+    count_event(counters, 'bad')
+    await ledger.flush()
+    clock.move(DAY)
+    await ledger.flush()
+    count_event(counters, 'good')
+    await ledger.flush()
+    clock.move(DAY)
+    await ledger.flush()
+    count_event(counters, 'good', 2)
+    await ledger.flush()
+    assert await read_total(store, clock, days) == expected
+
+
+async def test_outage_over_midnight_keeps_events() -> None:
+    # The store is down when the day turns. The old day's events must not be
+    # lost, and they must not be counted in the new day as well.
+    store, clock, counters = FakeStore(), FakeClock(), Counters()
+    ledger = BurnLedger(store, clock, counters, 'vm-1-a')
+    count_event(counters, 'bad', 2)
+    store.down = True
+    clock.move(DAY)
+    await ledger.flush()
+    store.down = False
+    await ledger.flush()
+    count_event(counters, 'good')
+    await ledger.flush()
+    assert await read_total(store, clock, 28) == EventCount(1, 2)
+    assert await read_total(store, clock, 1) == EventCount(1, 0)
+
+
+async def test_unchanged_sums_cost_no_write() -> None:
+    store, clock, counters = FakeStore(), FakeClock(), Counters()
+    ledger = BurnLedger(store, clock, counters, 'vm-1-a')
+    count_event(counters, 'good')
+    await ledger.flush()
+    await ledger.flush()
+    assert store.writes == 1
