Claim idempotency keys in the platform's table

A call that may not be repeated could reach two daemons, when its caller asked again after a broken connection. The key is now claimed by a conditional write before anything is sent. An unanswered claim is read back; while that can't be done the call is refused as not run. A claim that is given up stays as a row, since a deletion that takes effect late could remove the next claim.

Checked: 300 seeded schedules of up to six uses, at once or in turn, over a table that loses requests and answers: never more than one run.

--- /dev/null
+++ b/quetzalcourse/coordination/idempotency.py
@@ -0,0 +1,237 @@
+"""Claims of callers' idempotency keys, made before anything is sent."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok
+
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.rows import (
+    ABSENT,
+    Condition,
+    FaultKind,
+    Row,
+    Transaction,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.rows import Commit, StoreFault
+
+MAX_TRIES = 3
+ASK_AGAIN = timedelta(seconds=5)
+
+
+class ClaimState(enum.StrEnum):
+    """What is known of the call that a key was used for."""
+
+    claimed = 'claimed'
+    not_run = 'not_run'
+    answered = 'answered'
+
+
+class ClaimContent(msgspec.Struct):
+    """Content of a claim's row.
+
+    :param holder: request id of the call that made the claim.
+    :param digest: SHA-256 of what the call asked for, in hexadecimal.
+    :param status: HTTP status that the call was answered with.
+    """
+
+    holder: str
+    digest: str
+    state: ClaimState
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """A call that carries an idempotency key.
+
+    :param key: the caller's key.
+    :param digest: SHA-256 of what the call asks for, in hexadecimal.
+    """
+
+    request_id: str
+    client_account: str
+    key: str
+    digest: str
+
+    @property
+    def row(self) -> str:
+        """Key of the claim's row; an account can't meet another's keys."""
+        named = f'{self.client_account}\n{self.key}'.encode()
+        return f'idempotency/{hashlib.sha256(named).hexdigest()}'
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Leave to send a call once.
+
+    :param version: version of the claim's row.
+    """
+
+    call: KeyedCall
+    version: int
+
+
+class Claims:
+    """Claims idempotency keys in the platform's table.
+
+    :param table: shared by all daemons, so that a caller who asks again
+        through another daemon is recognised.
+    """
+
+    def __init__(self, table: Table) -> None:
+        """Keep the table."""
+        self._table = table
+
+    async def claim(self, call: KeyedCall) -> Claim:
+        """Claim a key for a call that was not sent yet.
+
+        :raises RefusedError: if the key was used before, or if it can't be
+            found out whether the claim took effect.
+        """
+        version = ABSENT
+        for _ in range(MAX_TRIES):
+            answer = await self._write(call, version, ClaimState.claimed)
+            if isinstance(answer, Ok) and answer.ok_value.applied:
+                return Claim(call, version + 1)
+            found = await self._find_row(call, answer)
+            if found is None:
+                version = ABSENT
+                continue
+            if _judge(call, found):
+                return Claim(call, found.version)
+            version = found.version
+        raise RefusedError(_refuse_store())
+
+    async def on_answered(self, claim: Claim, status: int) -> bool:
+        """Note the status that a call was answered with.
+
+        :returns: whether it was noted; if not, the key stays claimed and
+            whoever asks again learns that the outcome is unknown.
+        """
+        answer = await self._write(
+            claim.call, claim.version, ClaimState.answered, status
+        )
+        return isinstance(answer, Ok) and answer.ok_value.applied
+
+    async def on_not_run(self, claim: Claim) -> bool:
+        """Give up the claim of a call that certainly did not run.
+
+        The row stays, since a deletion that takes effect late could remove
+        the claim of the next call with this key.
+
+        :returns: whether the key can be used again.
+        """
+        answer = await self._write(
+            claim.call, claim.version, ClaimState.not_run
+        )
+        return isinstance(answer, Ok) and answer.ok_value.applied
+
+    async def _write(
+        self,
+        call: KeyedCall,
+        version: int,
+        state: ClaimState,
+        status: int = 0,
+    ) -> Result[Commit, StoreFault]:
+        content = ClaimContent(call.request_id, call.digest, state, status)
+        return await self._table.transact(
+            Transaction(
+                (Condition(call.row, version),),
+                (Write(call.row, msgspec.json.encode(content)),),
+            )
+        )
+
+    async def _find_row(
+        self,
+        call: KeyedCall,
+        answer: Result[Commit, StoreFault],
+    ) -> Row | None:
+        if isinstance(answer, Ok):
+            conflicts = answer.ok_value.conflicts
+            return conflicts[0] if conflicts else None
+        # A write whose answer was lost may have taken effect. Sending the
+        # call without knowing could let a second daemon send it as well.
+        if answer.err_value.kind is FaultKind.not_applied:
+            return None
+        found = await self._table.read(call.row)
+        if isinstance(found, Err):
+            raise RefusedError(_refuse_store())
+        return found.ok_value
+
+
+def digest_call(method: str, path: str, body: bytes) -> str:
+    """Name what a call asks for.
+
+    :param path: service, path and query.
+    """
+    head = f'{method} {path}\n'.encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def _judge(call: KeyedCall, row: Row) -> bool:
+    """Tell whether the claim is the call's own; else it can be replaced.
+
+    :raises RefusedError: if the key was used by another call.
+    """
+    found = msgspec.json.decode(row.content, type=ClaimContent)
+    if found.state is ClaimState.not_run:
+        return False
+    if found.holder == call.request_id:
+        return True
+    if found.digest != call.digest:
+        raise RefusedError(_refuse_reused())
+    if found.state is ClaimState.answered:
+        raise RefusedError(_refuse_ran(found.status))
+    raise RefusedError(_refuse_unknown())
+
+
+def _refuse_store() -> Refusal:
+    return Refusal(
+        RefusalCode.store_unavailable,
+        'The idempotency key could not be claimed; nothing was sent.',
+        not_run=True,
+        retry_after=ASK_AGAIN,
+        step='claim key',
+    )
+
+
+def _refuse_reused() -> Refusal:
+    return Refusal(
+        RefusalCode.conflict,
+        'The idempotency key was used for another request.',
+        not_run=True,
+        step='claim key',
+    )
+
+
+def _refuse_ran(status: int) -> Refusal:
+    return Refusal(
+        RefusalCode.already_ran,
+        f'A request with this key ran and was answered with status {status}.',
+        not_run=False,
+        step='claim key',
+    )
+
+
+def _refuse_unknown() -> Refusal:
+    return Refusal(
+        RefusalCode.outcome_unknown,
+        'A request with this key was sent; its outcome is not known yet.',
+        not_run=False,
+        retry_after=ASK_AGAIN,
+        step='claim key',
+    )
--- a/quetzalcourse/protocol/refusals.py
+++ b/quetzalcourse/protocol/refusals.py
@@ -31,6 +31,8 @@
     RefusalCode.not_ready: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCode.cancelled: HTTPStatus.CONFLICT,
     RefusalCode.internal: HTTPStatus.INTERNAL_SERVER_ERROR,
+    RefusalCode.already_ran: HTTPStatus.CONFLICT,
+    RefusalCode.body_timeout: HTTPStatus.REQUEST_TIMEOUT,
 }
 
 
--- a/quetzalcourse/state/refusal.py
+++ b/quetzalcourse/state/refusal.py
@@ -31,6 +31,8 @@
     not_ready = 'not_ready'
     cancelled = 'cancelled'
     internal = 'internal'
+    already_ran = 'already_ran'
+    body_timeout = 'body_timeout'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/quetzalcourse/tests/coordination/idempotency_tests.py
@@ -0,0 +1,154 @@
+"""A keyed call is sent once, whatever the store does."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalcourse.coordination.idempotency import (
+    Claims,
+    KeyedCall,
+    digest_call,
+)
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.tests.tables import FakeStore
+
+CALL = KeyedCall('one', 'readers', 'key', digest_call('POST', 'a', b'body'))
+AGAIN = replace(CALL, request_id='two')
+OTHER_BODY = replace(AGAIN, digest=digest_call('POST', 'a', b'other'))
+OTHER_ACCOUNT = replace(OTHER_BODY, client_account='editors')
+
+
+async def ask(claims: Claims, call: KeyedCall) -> tuple[RefusalCode, bool]:
+    """Claim a key that can't be claimed."""
+    with pytest.raises(RefusedError) as raised:
+        await claims.claim(call)
+    return raised.value.refusal.code, raised.value.refusal.not_run
+
+
+@pytest.mark.parametrize(
+    ('faults', 'taken'),
+    [
+        ([''], True),
+        (['lost_after'], True),
+        (['lost_before'], True),
+        (['not_applied', ''], True),
+        (['lost_before', 'lost_after'], True),
+        (['not_applied'] * 3, False),
+        (['lost_before'] * 3, False),
+    ],
+)
+async def test_claim_is_found_out(faults: list[str], taken: bool) -> None:
+    # The store loses an answer after the write took effect. A daemon that
+    # believed its claim failed would refuse a call that nobody else can
+    # make any more.
+    store = FakeStore()
+    store.write_faults.extend(faults)
+    claims = Claims(store)
+    if taken:
+        await claims.claim(CALL)
+    else:
+        assert await ask(claims, CALL) == (
+            RefusalCode.store_unavailable,
+            True,
+        )
+
+
+@pytest.mark.parametrize(
+    ('call', 'state', 'expected'),
+    [
+        (AGAIN, 'open', (RefusalCode.outcome_unknown, False)),
+        (AGAIN, 'answered', (RefusalCode.already_ran, False)),
+        (OTHER_BODY, 'open', (RefusalCode.conflict, True)),
+        (OTHER_BODY, 'answered', (RefusalCode.conflict, True)),
+        (AGAIN, 'not_run', None),
+        (OTHER_BODY, 'not_run', None),
+        (OTHER_ACCOUNT, 'answered', None),
+    ],
+)
+async def test_second_use_is_told(
+    call: KeyedCall,
+    state: str,
+    expected: tuple[RefusalCode, bool] | None,
+) -> None:
+    # A caller whose connection broke asks again with the same key, through
+    # another daemon. It has to learn what became of the first call.
+    store = FakeStore()
+    first = Claims(store)
+    claim = await first.claim(CALL)
+    if state == 'answered':
+        assert await first.on_answered(claim, 201)
+    elif state == 'not_run':
+        assert await first.on_not_run(claim)
+    second = Claims(store)
+    if expected is None:
+        await second.claim(call)
+    else:
+        assert await ask(second, call) == expected
+
+
+async def test_unreadable_claim_is_refused() -> None:
+    # The store goes down between the claim and its reading back. Sending
+    # without knowing could run the call a second time.
+    store = FakeStore()
+    claims = Claims(store)
+    store.write_faults.append('lost_after')
+    reading = store.read
+
+    async def read(key: str):  # type: ignore[no-untyped-def]
+        store.down = True
+        return await reading(key)
+
+    store.read = read  # type: ignore[method-assign]
+    assert await ask(claims, CALL) == (RefusalCode.store_unavailable, True)
+
+
+FAULT = st.sampled_from(('', '', 'not_applied', 'lost_before', 'lost_after'))
+USE = st.tuples(
+    st.lists(FAULT, max_size=4),
+    st.sampled_from(('answered', 'not_run', 'dies')),
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(USE, min_size=2, max_size=6), st.booleans())
+def test_key_runs_once(
+    uses: list[tuple[list[str], str]],
+    together: bool,
+) -> None:
+    # Many daemons get the same call, one after another or at once, while
+    # the store fails in every way and daemons die in mid-call. A poem would
+    # be scored twice if two of them sent it.
+    runs: list[str] = []
+
+    async def use(store: FakeStore, name: str, outcome: str) -> None:
+        claims = Claims(store)
+        try:
+            claim = await claims.claim(replace(CALL, request_id=name))
+        except RefusedError:
+            return
+        await asyncio.sleep(0)
+        if outcome == 'not_run':
+            await claims.on_not_run(claim)
+            return
+        runs.append(name)
+        if outcome == 'answered':
+            await claims.on_answered(claim, 200)
+
+    async def play() -> None:
+        store = FakeStore()
+        tasks = []
+        for number, (faults, outcome) in enumerate(uses):
+            store.write_faults.extend(faults)
+            tasks.append(asyncio.create_task(use(store, f'{number}', outcome)))
+            if not together:
+                await tasks[-1]
+        await asyncio.gather(*tasks)
+
+    asyncio.run(play())
+    assert len(runs) <= 1
