Rank engines by version, cached prefix and corrected load

Reports lag, so all requests of a second went to the engine that was idle in its last report. The daemon's own part of a report is now replaced by what it has running. Engines whose cache probably holds the prompt's prefix come first while they have room; after a gap in their cache events only the daemon's own placements are believed. Leaving upstreams get nothing.

--- /dev/null
+++ b/quetzalcourse/coordination/observer.py
@@ -0,0 +1,123 @@
+"""Regular look at every upstream: reports, cache changes and departures."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.coordination.leaving import Departure, Leaving
+    from quetzalcourse.coordination.ports import EngineControl
+    from quetzalcourse.coordination.prefixes import PrefixHints
+    from quetzalcourse.coordination.reports import EngineReports
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+INTERVAL = timedelta(seconds=1)
+FAR_ROUNDS = 5
+MAX_MISSED = 3
+
+
+class Observer:
+    """Asks the engines for their reports once a second.
+
+    Engines of other data centres are asked less often, since they only
+    get what the own ones can't take.
+
+    :param data_centre: where this daemon runs.
+    :param control: connections to the engines.
+    :param running: requests of this daemon on an upstream.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        control: EngineControl,
+        leaving: Leaving,
+        reports: EngineReports,
+        prefixes: PrefixHints,
+        clock: Clock,
+        counters: Counters,
+        running: Callable[[str], int],
+    ) -> None:
+        """Begin without upstreams."""
+        self._data_centre = data_centre
+        self._control = control
+        self._leaving = leaving
+        self._reports = reports
+        self._prefixes = prefixes
+        self._clock = clock
+        self._counters = counters
+        self._running = running
+        self._manifest = Manifest()
+        self._missed: dict[str, int] = {}
+        self._listeners: list[Callable[[Departure], None]] = []
+
+    def on_departure(self, listener: Callable[[Departure], None]) -> None:
+        """Call a listener when an upstream begins to leave."""
+        self._listeners.append(listener)
+
+    def on_manifest(self, manifest: Manifest) -> None:
+        """Take the upstreams and windows of a manifest."""
+        self._manifest = manifest
+        self._leaving.on_manifest(manifest)
+        self._check()
+
+    async def run(self) -> None:
+        """Look at all upstreams until cancelled."""
+        rounds = 0
+        while True:
+            await self.observe_all(far=rounds % FAR_ROUNDS == 0)
+            rounds += 1
+            await self._clock.sleep(INTERVAL)
+
+    async def observe_all(self, *, far: bool) -> None:
+        """Ask the engines once.
+
+        :param far: whether those of other data centres are asked as well.
+        """
+        wanted = [
+            upstream
+            for upstream in self._manifest.upstreams.values()
+            if upstream.kind is UpstreamKind.engine
+            and (far or upstream.data_centre == self._data_centre)
+        ]
+        await asyncio.gather(*(self._observe(one) for one in wanted))
+        self._check()
+
+    async def _observe(self, upstream: Upstream) -> None:
+        name = upstream.name
+        answer = await self._control.observe(upstream)
+        if not isinstance(answer, Ok):
+            self._on_missed(name)
+            return
+        report = answer.ok_value
+        self._missed[name] = 0
+        self._reports.on_report(name, report, self._running(name))
+        self._leaving.on_notice(name, leaving=report.leaving)
+        after = self._prefixes.read_sequence(name)
+        changes = await self._control.list_changes(upstream, after)
+        if isinstance(changes, Ok):
+            self._prefixes.on_changes(name, changes.ok_value)
+
+    def _on_missed(self, name: str) -> None:
+        self._counters.add('reports_missed', upstream=name)
+        missed = self._missed.get(name, 0) + 1
+        self._missed[name] = missed
+        if missed >= MAX_MISSED:
+            self._reports.on_lost(name)
+            self._prefixes.on_restart(name)
+
+    def _check(self) -> None:
+        for departure in self._leaving.check():
+            for listener in self._listeners:
+                listener(departure)
+        leaving = len(self._leaving.list_leaving())
+        self._counters.set('upstreams_leaving', leaving)
--- a/quetzalcourse/coordination/routing.py
+++ b/quetzalcourse/coordination/routing.py
@@ -4,27 +4,53 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
+from quetzalcourse.coordination.prefixes import PrefixHints, hash_prefix
+from quetzalcourse.coordination.reports import EngineReports
 from quetzalcourse.state.generation import GenerationRequest, TrafficClass
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quetzalcourse.coordination.leaving import Leaving
+
+LOAD_STEPS = 4
+Rank = tuple[bool, bool, int, int]
+
 
 class Router:
     """Chooses upstreams for requests.
 
     :param data_centre: where this daemon runs.
+    :param leaving: knows which upstreams get no new work.
+    :param reports: what engines said of themselves.
+    :param prefixes: what is believed of the engines' caches.
     """
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        leaving: Leaving | None = None,
+        reports: EngineReports | None = None,
+        prefixes: PrefixHints | None = None,
+    ) -> None:
         """Begin without upstreams."""
         self._data_centre = data_centre
+        self._leaving = leaving
+        self._reports = reports or EngineReports()
+        self._prefixes = prefixes or PrefixHints()
         self._manifest = Manifest()
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Take the upstreams of a manifest that came into force."""
         self._manifest = manifest
+        self._prefixes.keep_only(manifest.upstreams)
+
+    def on_sent(self, name: str, request: GenerationRequest) -> None:
+        """Learn that a request was sent to an engine."""
+        self._prefixes.on_sent(name, hash_prefix(request.prompt))
 
     def knows_model(self, model: str) -> bool:
         """Tell whether any engine serves a model."""
@@ -33,6 +59,12 @@
             for upstream in self._manifest.upstreams.values()
         )
 
+    def is_open(self, name: str) -> bool:
+        """Tell whether an upstream may get new work."""
+        if name not in self._manifest.upstreams:
+            return False
+        return self._leaving is None or not self._leaving.is_leaving(name)
+
     def rank_engines(
         self,
         request: GenerationRequest,
@@ -48,16 +80,42 @@
         fitting = [
             upstream
             for upstream in self._manifest.upstreams.values()
-            if _fits(upstream, request) and upstream.name not in excluded
+            if _fits(upstream, request)
+            and upstream.name not in excluded
+            and self.is_open(upstream.name)
         ]
-        fitting.sort(
-            key=lambda upstream: (
-                upstream.data_centre != self._data_centre,
-                running(upstream.name) / max(upstream.slots, 1),
-                upstream.name,
-            ),
+        # Reports lag, so an engine that seems to have another version is
+        # still asked when no other is left; it refuses before it runs.
+        serving = [
+            upstream
+            for upstream in fitting
+            if self._reports.serves(upstream.name, request)
+        ]
+        prefix = hash_prefix(request.prompt)
+        ranked = sorted(
+            serving or fitting,
+            key=lambda upstream: self._rank(upstream, prefix, running),
+        )
+        return tuple(upstream.name for upstream in ranked)
+
+    def _rank(
+        self,
+        upstream: Upstream,
+        prefix: int,
+        running: Callable[[str], int],
+    ) -> Rank:
+        name = upstream.name
+        busy = self._reports.estimate_running(name, running(name))
+        full = busy >= upstream.slots
+        warm = not full and self._prefixes.holds(name, prefix)
+        # Daemons that place the same new prefix at the same time agree on
+        # an engine by its hash, as long as the loads are about the same.
+        return (
+            upstream.data_centre != self._data_centre,
+            not warm,
+            min(busy * LOAD_STEPS // max(upstream.slots, 1), LOAD_STEPS),
+            xxhash.xxh64_intdigest(f'{name}|{prefix}'.encode()),
         )
-        return tuple(upstream.name for upstream in fitting)
 
 
 def _fits(upstream: Upstream, request: GenerationRequest) -> bool:
--- a/quetzalcourse/state/engines.py
+++ b/quetzalcourse/state/engines.py
@@ -13,6 +13,7 @@
     :param slots: requests that it runs at once.
     :param queued: requests that wait inside the engine.
     :param weight_version: version that new tokens are made with.
+    :param leaving: whether it gave notice that it will go away.
     """
 
     slots: int
@@ -22,6 +23,7 @@
     models: tuple[str, ...]
     adapters: tuple[str, ...]
     role: str = ''
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
