--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -13,7 +13,6 @@
 
 from quetzalcourse.coordination.admission import Admission
 from quetzalcourse.coordination.burn_ledger import BurnLedger
-from quetzalcourse.coordination.generation import Generation
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
 from quetzalcourse.coordination.manifest import ManifestKeeper
@@ -21,9 +20,7 @@
     Membership,
     MembershipPlan,
 )
-from quetzalcourse.coordination.routing import Router
 from quetzalcourse.coordination.service_levels import ServiceLevels
-from quetzalcourse.coordination.services import Services
 from quetzalcourse.coordination.steps import Steps
 from quetzalcourse.log import get_log
 from quetzalcourse.state.counters import Counters
@@ -35,7 +32,10 @@
     prepare_app,
 )
 from quetzalcourse.transport.clock import SystemClock
-from quetzalcourse.transport.engine_client import EngineClient
+from quetzalcourse.transport.connections import (
+    build_connector,
+    send_once,
+)
 from quetzalcourse.transport.generation_routes import GenerationRoutes
 from quetzalcourse.transport.health_routes import HealthRoutes
 from quetzalcourse.transport.peer_link import PeerLink
@@ -44,6 +44,7 @@
 from quetzalcourse.transport.sockets import open_listener, read_address
 from quetzalcourse.transport.step_routes import StepRoutes
 from quetzalcourse.transport.web import WebServer, build_app
+from quetzalcourse.upstreams import build_upstreams
 
 if TYPE_CHECKING:
     from quetzalcourse.settings.process import ProcessSettings
@@ -83,8 +84,9 @@
     async def on_start(self) -> None:
         """Build the parts, adopt a manifest and begin to serve."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=build_connector(),
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+            middlewares=(send_once,),
         )
         self.peers.start(self.members.own)
         self._build_parts()
@@ -97,6 +99,7 @@
         self._tasks.append(loop.create_task(self.members.run()))
         self._tasks.append(loop.create_task(self._follow_seeds()))
         self._tasks.append(loop.create_task(self._clean_links()))
+        self._tasks.append(loop.create_task(self.upstreams.observer.run()))
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
@@ -120,6 +123,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.burn_ledger.flush()
         await self.steps.stop()
+        await self.generation.stop()
         await self._server.stop()
         await self._session.close()
         self.members.announce_gone()
@@ -163,15 +167,16 @@
         self.keys = KeyRing()
         self.manifest = ManifestKeeper(self.platform, self.platform)
         self.admission = Admission(self.clock)
-        self.router = Router(self.settings.data_centre)
-        self.services = Services(self.admission, self.clock)
-        self.generation = Generation(
+        self.upstreams = build_upstreams(
+            self.settings.data_centre,
+            self.incarnation,
+            self._session,
+            self.platform,
             self.admission,
-            self.router,
-            EngineClient(self._session),
             self.clock,
             self.counters,
         )
+        self.generation = self.upstreams.generation
         self.steps = Steps(
             self.platform,
             self.generation,
@@ -189,8 +194,7 @@
         """Hand a manifest that came into force to every part."""
         self.keys.replace_grants(manifest.keys.values())
         self.admission.on_manifest(manifest)
-        self.router.on_manifest(manifest)
-        self.services.on_manifest(manifest)
+        self.upstreams.on_manifest(manifest)
         self.service_levels.on_manifest(manifest)
         self.activity.ready = True
         log.info('Manifest in force.', version=manifest.version)
@@ -205,12 +209,13 @@
             activity=self.activity,
             keys=self.keys,
             manifest=self.manifest,
-            router=self.router,
+            router=self.upstreams.router,
             generation=self.generation,
-            services=self.services,
+            services=self.upstreams.services,
             steps=self.steps,
             service_levels=self.service_levels,
             human_service=HumanService(self.service_levels, self.clock),
+            claims=self.upstreams.claims,
         )
         prepare_app(app, parts, RequestIds(self.incarnation))
         GenerationRoutes(app, parts)
@@ -241,6 +246,7 @@
                 self.members.note_leaving(
                     vm.address for vm in vms if vm.leaving
                 )
+                self.upstreams.leaving.on_vms(vms)
             near = self.members.list_live(self.settings.data_centre)
             await self.clock.sleep(SEEDS_WAIT * len(near))
 
--- /dev/null
+++ b/quetzalcourse/coordination/assembly.py
@@ -0,0 +1,112 @@
+"""Assembly of one answer from the chunks of one or more attempts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from quetzalcourse.exceptions import QuetzalcourseError
+
+if TYPE_CHECKING:
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.generation import Chunk, GenerationRequest
+
+MAX_DROPPED = 8
+
+
+class ChunkError(QuetzalcourseError):
+    """Stream whose chunks can't become the answer any more."""
+
+
+class Assembly:
+    """Puts an answer together, each offset once and in order.
+
+    :param request: request that the answer belongs to.
+    """
+
+    def __init__(self, request: GenerationRequest, counters: Counters) -> None:
+        """Begin before the first token."""
+        self.tokens: list[str] = list(request.received)
+        self._request = request
+        self._counters = counters
+        self._attempt_id = request.request_id
+        self._held: Chunk | None = None
+        self._dropped = 0
+
+    def begin(self, attempt_id: str) -> None:
+        """Expect the chunks of a new attempt.
+
+        :param attempt_id: id that the chunks of this attempt carry.
+        """
+        self._attempt_id = attempt_id
+        self._held = None
+        self._dropped = 0
+
+    def accept(self, chunk: Chunk) -> Chunk | None:
+        """Take a chunk as far as it is new.
+
+        The last chunk is held until :meth:`finish`: if the stream broke
+        before its end marker, the resumed stream would show it again.
+
+        :returns: what the caller may see now, if anything.
+        :raises ChunkError: if this stream can't go on to a whole answer.
+        """
+        if chunk.request_id != self._attempt_id or self._held is not None:
+            self._drop('crossed')
+            return None
+        expected = len(self.tokens)
+        end = chunk.offset + len(chunk.tokens)
+        if chunk.offset > expected:
+            self._count('gap')
+            raise ChunkError('tokens are missing in the stream')
+        if end < expected or (end == expected and not chunk.finish_reason):
+            self._drop('late')
+            return None
+        self._check_version(chunk)
+        return self._take(chunk, expected)
+
+    def finish(self) -> Chunk | None:
+        """Give the last chunk, once the end marker was seen.
+
+        :returns: ``None`` if the stream ended without a last chunk.
+        """
+        last = self._held
+        self._held = None
+        if last is not None:
+            self.tokens.extend(last.tokens)
+        return last
+
+    def _take(self, chunk: Chunk, expected: int) -> Chunk | None:
+        fresh = replace(
+            chunk,
+            request_id=self._request.request_id,
+            offset=expected,
+            tokens=chunk.tokens[expected - chunk.offset :],
+        )
+        self._dropped = 0
+        if fresh.finish_reason:
+            self._held = fresh
+            return None
+        self.tokens.extend(fresh.tokens)
+        return fresh
+
+    def _check_version(self, chunk: Chunk) -> None:
+        # Weights may be swapped in mid-stream. Tokens of another version
+        # than the one asked for would be shown under a false name.
+        version = chunk.weight_version
+        if not version:
+            return
+        wanted = self._request.weight_version
+        if version < self._request.oldest_version:
+            raise ChunkError('the weight version is too old')
+        if wanted not in {None, version}:
+            raise ChunkError('the weight version is not the one asked for')
+
+    def _drop(self, reason: str) -> None:
+        self._count(reason)
+        self._dropped += 1
+        if self._dropped >= MAX_DROPPED:
+            raise ChunkError('the stream carries other chunks only')
+
+    def _count(self, reason: str) -> None:
+        self._counters.add('chunks_dropped', reason=reason)
--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -2,29 +2,39 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.admission import (
-    Admission,
-    Grant,
-    SlotRequest,
-)
+from quetzalcourse.coordination.assembly import Assembly, ChunkError
 from quetzalcourse.coordination.attempt import AttemptError
+from quetzalcourse.coordination.guard import (
+    AttemptInterruptedError,
+    Guard,
+    Interruption,
+)
+from quetzalcourse.coordination.work import Work
 from quetzalcourse.exceptions import RefusedError
-from quetzalcourse.state.generation import Chunk, GenerationRequest
-from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.generation import (
+    NEVER_RAN,
+    AttemptState,
+    TrafficClass,
+)
+from quetzalcourse.state.slots import Grant, SlotRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.health import Health
+    from quetzalcourse.coordination.leaving import Departure
     from quetzalcourse.coordination.ports import Engines
+    from quetzalcourse.coordination.retries import RetryBudget
     from quetzalcourse.coordination.routing import Router
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
-
-MAX_ATTEMPTS = 4
+    from quetzalcourse.state.generation import Chunk, GenerationRequest
 
 
 class Generation:
@@ -32,6 +42,8 @@
 
     :param admission: hands out slots.
     :param router: ranks the engines.
+    :param health: knows which engines fail.
+    :param budget: bounds the retries of each account.
     :param engines: connections to the engines.
     """
 
@@ -39,6 +51,8 @@
         self,
         admission: Admission,
         router: Router,
+        health: Health,
+        budget: RetryBudget,
         engines: Engines,
         clock: Clock,
         counters: Counters,
@@ -46,102 +60,247 @@
         """Keep the parts that a request passes through."""
         self._admission = admission
         self._router = router
+        self._health = health
+        self._budget = budget
         self._engines = engines
         self._clock = clock
         self._counters = counters
+        self._closings: set[asyncio.Task[None]] = set()
+        self._guards: dict[str, set[Guard]] = {}
 
     async def run(self, request: GenerationRequest) -> AsyncIterator[Chunk]:
         """Yield the tokens of a request, each offset once and in order.
 
         A stream that breaks goes on behind its last token on the same or
         another engine, since tokens depend on request and offset only.
+        The iterator is to be closed, so that an engine stops when the
+        caller has gone.
 
         :param request: what to run.
         :raises RefusedError: when no engine finishes the request.
         """
-        received = list(request.received)
-        failed = set(request.avoid)
-        for _ in range(MAX_ATTEMPTS):
-            grant = await self._acquire(request, frozenset(failed))
+        work = Work(request, Assembly(request, self._counters))
+        self._budget.earn(request.client_account)
+        while True:
+            grant = await self._acquire(work)
+            attempt = self._attempt(grant, work)
             try:
-                async for chunk in self._attempt(grant, request, received):
-                    yield chunk
+                async with aclosing(attempt):  # type: ignore[type-var]
+                    async for chunk in attempt:
+                        yield chunk
             except AttemptError as error:
-                failed.add(error.peer)
-                self._counters.add('attempts_failed', state=error.state.value)
-                continue
-            finally:
-                self._admission.release(grant)
-            return
-        raise RefusedError(_refuse_failed(ran=bool(received)))
+                self._on_failed(work, error)
+            except AttemptInterruptedError as interruption:
+                self._on_interrupted(work, interruption)
+            else:
+                return
 
-    async def _acquire(
-        self,
-        request: GenerationRequest,
-        failed: frozenset[str],
-    ) -> Grant:
-        candidates = self._router.rank_engines(
-            request, self._admission.running, failed
-        )
-        if not candidates and failed:
-            candidates = self._router.rank_engines(
-                request, self._admission.running
-            )
-        if not candidates:
-            raise RefusedError(_refuse_model(request.model))
-        return await self._admission.acquire(
-            SlotRequest(
+    def on_departure(self, departure: Departure) -> None:
+        """Move the streams of a leaving upstream elsewhere.
+
+        Human callers' streams are short and finish in place while there is
+        time; training streams may outlast any notice.
+        """
+        for guard in tuple(self._guards.get(departure.upstream, ())):
+            training = guard.traffic_class is TrafficClass.training
+            if training or departure.humans:
+                guard.interrupt(Interruption.leaving)
+
+    async def stop(self) -> None:
+        """Wait until the last cancellations have been sent."""
+        await asyncio.gather(*self._closings, return_exceptions=True)
+
+    async def _acquire(self, work: Work) -> Grant:
+        request = work.request
+        while True:
+            candidates = self._rank(work)
+            slot = SlotRequest(
                 request.client_account,
                 request.traffic_class,
                 candidates,
                 request.deadline,
+                resumed=work.attempts > 0,
             )
+            try:
+                grant = await self._admission.acquire(slot)
+            except RefusedError as error:
+                raise work.correct(error) from error
+            # The engine may have failed while this request waited for it.
+            name = grant.upstream.name
+            if self._health.admits(name) and self._router.is_open(name):
+                return grant
+            self._admission.release(grant)
+
+    def _rank(self, work: Work) -> tuple[str, ...]:
+        ranked = self._router.rank_engines(
+            work.request, self._admission.running
         )
+        if not ranked:
+            raise work.refuse_route()
+        admitted = [name for name in ranked if self._health.admits(name)]
+        if not admitted:
+            raise work.refuse_failed(self._health.measure_wait(ranked))
+        fresh = [name for name in admitted if name not in work.failed]
+        return tuple(fresh or admitted)
 
     async def _attempt(
+        self,
+        grant: Grant,
+        work: Work,
+    ) -> AsyncIterator[Chunk]:
+        guard = Guard(grant.traffic_class)
+        work.begin()
+        watchers = self._open(grant, work.request, guard)
+        state = AttemptState.maybe_sent
+        stream = self._stream(grant, work, guard)
+        try:
+            async with aclosing(stream):  # type: ignore[type-var]
+                async for chunk in stream:
+                    yield chunk
+            state = AttemptState.complete
+        except AttemptError as error:
+            state = error.state
+            raise
+        finally:
+            self._forget(grant, guard, watchers)
+            self._close(grant, work, state)
+
+    def _open(
         self,
         grant: Grant,
         request: GenerationRequest,
-        received: list[str],
+        guard: Guard,
+    ) -> list[asyncio.Task[None]]:
+        name = grant.upstream.name
+        self._health.on_start(name)
+        self._router.on_sent(name, request)
+        self._guards.setdefault(name, set()).add(guard)
+        return self._watch(grant, request, guard)
+
+    def _forget(
+        self,
+        grant: Grant,
+        guard: Guard,
+        watchers: list[asyncio.Task[None]],
+    ) -> None:
+        for watcher in watchers:
+            watcher.cancel()
+        self._guards[grant.upstream.name].discard(guard)
+        self._health.on_end(grant.upstream.name)
+
+    def _watch(
+        self,
+        grant: Grant,
+        request: GenerationRequest,
+        guard: Guard,
+    ) -> list[asyncio.Task[None]]:
+        loop = asyncio.get_running_loop()
+        watchers = [loop.create_task(self._watch_deadline(request, guard))]
+        if grant.traffic_class is TrafficClass.training:
+            watchers.append(loop.create_task(_watch_revoked(grant, guard)))
+        return watchers
+
+    async def _watch_deadline(
+        self,
+        request: GenerationRequest,
+        guard: Guard,
+    ) -> None:
+        await self._clock.sleep(request.deadline - self._clock.elapsed())
+        guard.interrupt(Interruption.late)
+
+    async def _stream(
+        self,
+        grant: Grant,
+        work: Work,
+        guard: Guard,
     ) -> AsyncIterator[Chunk]:
-        chunks = self._engines.generate(
-            grant.upstream, request, tuple(received)
-        )
+        sent = replace(work.request, request_id=work.attempt_id)
+        tokens = tuple(work.assembly.tokens)
+        chunks = self._engines.generate(grant.upstream, sent, tokens)
+        began = self._clock.elapsed()
+        name = grant.upstream.name
+        answered = False
         async with aclosing(chunks) as stream:  # type: ignore[type-var]
-            async for chunk in stream:
-                if not self._belongs(chunk, request, len(received)):
+            while True:
+                guard.check()
+                try:
+                    chunk = await guard.wait(anext(stream))
+                    fresh = work.assembly.accept(chunk)
+                except StopAsyncIteration:
+                    break
+                except ChunkError as error:
+                    raise _break_attempt(name) from error
+                if fresh is None:
                     continue
-                received.extend(chunk.tokens)
-                yield replace(chunk, upstream=grant.upstream.name)
+                if not answered:
+                    answered = True
+                    waited = self._clock.elapsed() - began
+                    self._health.on_first_token(name, waited)
+                yield replace(fresh, upstream=name)
+        last = work.assembly.finish()
+        if last is None:
+            raise _break_attempt(name)
+        self._health.on_success(name)
+        yield replace(last, upstream=name)
 
-    def _belongs(
+    def _close(
         self,
-        chunk: Chunk,
-        request: GenerationRequest,
-        expected: int,
-    ) -> bool:
-        # An engine that answers late or on the wrong stream would put
-        # another caller's tokens into this answer; they are dropped.
-        if chunk.request_id == request.request_id:
-            if chunk.offset == expected:
-                return True
-        self._counters.add('chunks_dropped')
-        return False
-
-
-def _refuse_failed(*, ran: bool) -> Refusal:
-    return Refusal(
-        RefusalCode.upstream_failed,
-        'No engine could finish the request.',
-        not_run=not ran,
-        step='generate',
-    )
-
-
-def _refuse_model(model: str) -> Refusal:
-    return Refusal(
-        RefusalCode.unknown_model,
-        f'No engine serves the model {model!r}.',
-        not_run=True,
-        step='route',
-    )
+        grant: Grant,
+        work: Work,
+        state: AttemptState,
+    ) -> None:
+        if state in NEVER_RAN or state is AttemptState.complete:
+            self._admission.release(grant, work.count_fresh())
+        else:
+            closing = self._cancel(grant, work.attempt_id, work.count_fresh())
+            task = asyncio.get_running_loop().create_task(closing)
+            self._closings.add(task)
+            task.add_done_callback(self._closings.discard)
+
+    async def _cancel(
+        self,
+        grant: Grant,
+        attempt_id: str,
+        generated: int,
+    ) -> None:
+        # The engine runs the request until it is told to stop. Were the
+        # slot released before, the next request would queue inside it.
+        try:
+            await self._engines.cancel(grant.upstream, attempt_id)
+        finally:
+            self._admission.release(grant, generated)
+
+    def _on_failed(self, work: Work, error: AttemptError) -> None:
+        self._counters.add('attempts_failed', state=error.state.value)
+        progressed = work.on_failed(error)
+        if error.state is not AttemptState.refused and not progressed:
+            connected = error.state is not AttemptState.not_sent
+            self._health.on_failure(error.peer, connected=connected)
+        if progressed:
+            return
+        account = work.request.client_account
+        if work.is_hopeless or not self._budget.spend(account):
+            raise work.refuse_failed(
+                self._health.measure_wait((error.peer,))
+            ) from error
+        self._counters.add('retries')
+
+    def _on_interrupted(
+        self,
+        work: Work,
+        interruption: AttemptInterruptedError,
+    ) -> None:
+        kind = interruption.kind
+        self._counters.add('attempts_interrupted', reason=kind.value)
+        work.on_interrupted()
+        if kind is Interruption.late:
+            raise work.refuse_late()
+
+
+async def _watch_revoked(grant: Grant, guard: Guard) -> None:
+    await grant.revoked.wait()
+    guard.interrupt(Interruption.revoked)
+
+
+def _break_attempt(peer: str) -> AttemptError:
+    return AttemptError(AttemptState.broken, 'generate', peer)
--- /dev/null
+++ b/quetzalcourse/coordination/guard.py
@@ -0,0 +1,108 @@
+"""Interruption of a wait without cancelling the task that waits."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING, TypeVar
+
+from quetzalcourse.exceptions import QuetzalcourseError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from quetzalcourse.state.generation import TrafficClass
+
+Outcome = TypeVar('Outcome')
+
+
+class Interruption(enum.StrEnum):
+    """Why an attempt was stopped by this daemon."""
+
+    revoked = 'revoked'
+    leaving = 'leaving'
+    late = 'late'
+
+
+class AttemptInterruptedError(QuetzalcourseError):
+    """Wait that ended because this daemon wanted it to.
+
+    :param kind: why it was stopped.
+    """
+
+    def __init__(self, kind: Interruption) -> None:
+        """Keep the reason."""
+        super().__init__(kind.value)
+        self.kind = kind
+
+
+class Guard:
+    """Lets other tasks interrupt the waits of one attempt.
+
+    Between two waits the attempt's task runs its caller's code, such as a
+    write to the caller's connection. An interruption that arrived there
+    would break that write, so it takes effect at the next wait.
+
+    :param traffic_class: class of the request that waits.
+    """
+
+    def __init__(self, traffic_class: TrafficClass) -> None:
+        """Begin without an interruption."""
+        self.traffic_class = traffic_class
+        self.kind: Interruption | None = None
+        self._waiting: asyncio.Task[object] | None = None
+        self._cancelled = False
+
+    def interrupt(self, kind: Interruption) -> None:
+        """Stop the current or the next wait.
+
+        :param kind: why; only the first reason counts.
+        """
+        if self.kind is not None:
+            return
+        self.kind = kind
+        if self._waiting is not None:
+            self._cancelled = True
+            self._waiting.cancel()
+
+    async def wait(self, awaitable: Awaitable[Outcome]) -> Outcome:
+        """Wait for something unless interrupted.
+
+        :raises AttemptInterruptedError: when :meth:`interrupt` was called.
+        """
+        task = asyncio.current_task()
+        assert task is not None  # noqa: S101
+        before = task.cancelling()
+        self._waiting = task
+        try:
+            return await awaitable
+        except BaseException as error:
+            self._waiting = None
+            self._settle(task, before, error)
+            raise
+        finally:
+            self._waiting = None
+
+    def check(self) -> None:
+        """Raise if an interruption came between two waits.
+
+        :raises AttemptInterruptedError: when :meth:`interrupt` was called.
+        """
+        if self.kind is not None:
+            raise AttemptInterruptedError(self.kind)
+
+    def _settle(
+        self,
+        task: asyncio.Task[object],
+        before: int,
+        error: BaseException,
+    ) -> None:
+        # A cancellation by someone else at the same time has to go on, or
+        # a caller who went away would keep its request running.
+        if not self._cancelled:
+            return
+        self._cancelled = False
+        others = task.uncancel() > before
+        if isinstance(error, asyncio.CancelledError) and not others:
+            assert self.kind is not None  # noqa: S101
+            raise AttemptInterruptedError(self.kind) from None
--- a/quetzalcourse/coordination/human_service.py
+++ b/quetzalcourse/coordination/human_service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
+from contextlib import aclosing, contextmanager
 from typing import TYPE_CHECKING
 
 from quetzalcourse.exceptions import RefusedError
@@ -29,6 +29,8 @@
         RefusalCode.conflict,
         RefusalCode.rate_limited,
         RefusalCode.cancelled,
+        RefusalCode.already_ran,
+        RefusalCode.body_timeout,
     )
 )
 
@@ -59,15 +61,18 @@
         began = self._clock.elapsed()
         waiting = True
         with self.track(client_account):
-            async for chunk in chunks:
-                if waiting:
-                    waiting = False
-                    self._levels.observe(
-                        Indicator.human_latency,
-                        client_account,
-                        self._clock.elapsed() - began,
-                    )
-                yield chunk
+            # Were the request left open, its engine would go on for a
+            # caller who has gone.
+            async with aclosing(chunks) as request:  # type: ignore[type-var]
+                async for chunk in request:
+                    if waiting:
+                        waiting = False
+                        self._levels.observe(
+                            Indicator.human_latency,
+                            client_account,
+                            self._clock.elapsed() - began,
+                        )
+                    yield chunk
 
     @contextmanager
     def track(self, client_account: str) -> Iterator[None]:
--- a/quetzalcourse/coordination/leaving.py
+++ b/quetzalcourse/coordination/leaving.py
@@ -9,9 +9,11 @@
 from quetzalcourse.state.manifest import Manifest
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from datetime import datetime
 
     from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Vm
 
 LEAD = timedelta(seconds=60)
 
@@ -56,12 +58,12 @@
         else:
             self._noticed.discard(name)
 
-    def on_vms(self, leaving: frozenset[str]) -> None:
-        """Learn which VMs the platform lists as leaving.
-
-        :param leaving: ids and addresses of these VMs.
-        """
-        self._listed = leaving
+    def on_vms(self, vms: Iterable[Vm]) -> None:
+        """Take the platform's list of VMs; ids are upstreams' names."""
+        leaving = [vm for vm in vms if vm.leaving]
+        self._listed = frozenset(
+            known for vm in leaving for known in (vm.vm, vm.address)
+        )
 
     def is_leaving(self, name: str) -> bool:
         """Tell whether an upstream gets no new work."""
--- a/quetzalcourse/coordination/services.py
+++ b/quetzalcourse/coordination/services.py
@@ -2,45 +2,77 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.admission import (
-    Admission,
-    Grant,
-    SlotRequest,
-)
 from quetzalcourse.exceptions import RefusedError
-from quetzalcourse.state.generation import AttemptState, TrafficClass
+from quetzalcourse.state.generation import (
+    NEVER_RAN,
+    AttemptState,
+    TrafficClass,
+)
 from quetzalcourse.state.manifest import Manifest, Service
 from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.slots import Grant, SlotRequest
 
 if TYPE_CHECKING:
+    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.health import Health
+    from quetzalcourse.coordination.retries import RetryBudget
+    from quetzalcourse.coordination.routing import Router
     from quetzalcourse.state.clock import Clock
 
 SERVICE_PATIENCE = timedelta(seconds=30)
+SHORTEST_WAIT = timedelta(seconds=1)
+MAX_ATTEMPTS = 3
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ServiceCall:
-    """A call to a plain service, without its body.
+    """A call to a plain service, without its body, and its progress.
 
     :param service: name of the service in the manifest.
     :param method: HTTP method.
+    :param deadline: time since boot at which the caller stops waiting.
+    :param replayable: whether the body can be sent once more.
+    :param ran: whether an attempt may have been run.
+    :param answering: whether the caller has got a part of the answer.
+    :param state: what is known of the last attempt.
     """
 
     service: str
     method: str
     client_account: str
+    deadline: timedelta | None = None
+    replayable: bool = True
+    ran: bool = False
+    answering: bool = False
+    state: AttemptState = AttemptState.not_sent
+    attempts: int = 0
+    failed: set[str] = field(default_factory=set)
 
 
 class Services:
-    """Finds upstreams for calls to plain services."""
+    """Finds upstreams for calls to plain services.
+
+    :param health: knows which upstreams fail.
+    :param budget: bounds the retries of each account.
+    """
 
-    def __init__(self, admission: Admission, clock: Clock) -> None:
+    def __init__(
+        self,
+        admission: Admission,
+        router: Router,
+        health: Health,
+        budget: RetryBudget,
+        clock: Clock,
+    ) -> None:
         """Begin without services."""
         self._admission = admission
+        self._router = router
+        self._health = health
+        self._budget = budget
         self._clock = clock
         self._manifest = Manifest()
 
@@ -65,37 +97,118 @@
             )
         return service
 
-    async def acquire(
-        self,
-        call: ServiceCall,
-        failed: frozenset[str] = frozenset(),
-    ) -> Grant:
+    def is_repeatable(self, call: ServiceCall) -> bool:
+        """Tell whether a call may be run twice."""
+        return call.method in self.find(call.service).repeatable_methods
+
+    async def acquire(self, call: ServiceCall) -> Grant:
         """Wait for a slot of an upstream of the service.
 
-        :param failed: upstreams that just failed this call.
+        :raises RefusedError: if no upstream can be tried.
         """
-        names = self.find(call.service).upstreams
-        left = tuple(name for name in names if name not in failed)
-        candidates = tuple(sorted(left or names, key=self._admission.running))
-        return await self._admission.acquire(
-            SlotRequest(
+        if not call.attempts:
+            self._budget.earn(call.client_account)
+        while True:
+            slot = SlotRequest(
                 call.client_account,
                 TrafficClass.human,
-                candidates,
-                self._clock.elapsed() + SERVICE_PATIENCE,
+                self._rank(call),
+                call.deadline or self._clock.elapsed() + SERVICE_PATIENCE,
+                resumed=call.attempts > 0,
             )
-        )
+            try:
+                grant = await self._admission.acquire(slot)
+            except RefusedError as error:
+                raise RefusedError(correct(error.refusal, call)) from error
+            name = grant.upstream.name
+            if self._health.admits(name) and self._router.is_open(name):
+                self._begin(call, name)
+                return grant
+            self._admission.release(grant)
 
     def release(self, grant: Grant) -> None:
         """Give a slot back."""
+        self._health.on_end(grant.upstream.name)
         self._admission.release(grant)
 
-    def may_repeat(self, call: ServiceCall, state: AttemptState) -> bool:
-        """Tell whether a call may be sent once more.
+    def on_answered(self, call: ServiceCall, grant: Grant) -> None:
+        """Learn that a call got a whole answer."""
+        call.state = AttemptState.complete
+        self._health.on_success(grant.upstream.name)
+
+    def on_failed(self, call: ServiceCall, grant: Grant) -> None:
+        """Learn that an attempt failed; return if it is to be repeated.
 
-        :param state: what is known of the attempt before.
+        :raises RefusedError: if the call must not or can't be repeated.
         """
-        if state in {AttemptState.not_sent, AttemptState.refused}:
-            return True
-        service = self.find(call.service)
-        return call.method in service.repeatable_methods
+        peer = grant.upstream.name
+        connected = call.state not in NEVER_RAN
+        call.ran = call.ran or connected
+        call.failed.add(peer)
+        self._health.on_failure(peer, connected=connected)
+        if not self._may_repeat(call):
+            raise RefusedError(_refuse_failed(call, peer))
+
+    def on_unwell(self, grant: Grant) -> None:
+        """Learn that an upstream answered that it is not well."""
+        self._health.on_failure(grant.upstream.name, connected=True)
+
+    def _begin(self, call: ServiceCall, name: str) -> None:
+        call.attempts += 1
+        call.state = AttemptState.not_sent
+        self._health.on_start(name)
+
+    def _rank(self, call: ServiceCall) -> tuple[str, ...]:
+        names = self.find(call.service).upstreams
+        is_open = [name for name in names if self._router.is_open(name)]
+        admitted = [name for name in is_open if self._health.admits(name)]
+        if not admitted:
+            raise RefusedError(self._refuse_closed(call, is_open))
+        fresh = [name for name in admitted if name not in call.failed]
+        return tuple(sorted(fresh or admitted, key=self._admission.running))
+
+    def _may_repeat(self, call: ServiceCall) -> bool:
+        if call.answering or not call.replayable:
+            return False
+        if call.attempts >= MAX_ATTEMPTS or self._is_late(call):
+            return False
+        if call.state in NEVER_RAN or self.is_repeatable(call):
+            return self._budget.spend(call.client_account)
+        return False
+
+    def _is_late(self, call: ServiceCall) -> bool:
+        if call.deadline is None:
+            return False
+        return call.deadline <= self._clock.elapsed()
+
+    def _refuse_closed(self, call: ServiceCall, names: list[str]) -> Refusal:
+        wait = self._health.measure_wait(names)
+        return Refusal(
+            RefusalCode.upstream_failed,
+            'No upstream of the service can be tried now.',
+            not_run=not call.ran,
+            retry_after=max(wait, SHORTEST_WAIT),
+            step='route',
+        )
+
+
+def correct(refusal: Refusal, call: ServiceCall) -> Refusal:
+    """Make a refusal of one attempt true for the whole call.
+
+    An earlier attempt may have run, which whoever refuses the next one
+    doesn't know.
+    """
+    return replace(refusal, not_run=refusal.not_run and not call.ran)
+
+
+def _refuse_failed(call: ServiceCall, peer: str) -> Refusal:
+    code = RefusalCode.upstream_failed
+    if call.ran:
+        code = RefusalCode.outcome_unknown
+    return Refusal(
+        code,
+        'The service gave no whole answer.',
+        not_run=not call.ran,
+        step='call service',
+        peer=peer,
+    )
--- /dev/null
+++ b/quetzalcourse/coordination/work.py
@@ -0,0 +1,138 @@
+"""Progress of one request for tokens over its attempts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.generation import NEVER_RAN
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.assembly import Assembly
+    from quetzalcourse.coordination.attempt import AttemptError
+    from quetzalcourse.state.generation import GenerationRequest
+
+MAX_FRUITLESS = 4
+SHORTEST_WAIT = timedelta(seconds=1)
+
+
+def name_attempt(request_id: str, number: int) -> str:
+    """Name an attempt towards the engine.
+
+    A cancellation or a chunk that comes late from an earlier attempt must
+    not touch the one that goes on at the same engine.
+
+    :param number: counts the attempts of the request from zero.
+    """
+    return f'{request_id}.{number}' if number else request_id
+
+
+class Work:
+    """A request for tokens and what its attempts came to.
+
+    :param request: what to run.
+    :param assembly: the answer so far.
+    """
+
+    def __init__(self, request: GenerationRequest, assembly: Assembly) -> None:
+        """Begin before the first attempt."""
+        self.request = request
+        self.assembly = assembly
+        self.attempts = 0
+        self.attempt_id = request.request_id
+        self.failed: set[str] = set(request.avoid)
+        self._ran = False
+        self._fruitless = 0
+        self._length = 0
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether too many attempts came to nothing."""
+        return self._fruitless >= MAX_FRUITLESS
+
+    def begin(self) -> None:
+        """Begin an attempt under a new id towards the engine."""
+        self.attempt_id = name_attempt(self.request.request_id, self.attempts)
+        self.attempts += 1
+        self._length = len(self.assembly.tokens)
+        self.assembly.begin(self.attempt_id)
+
+    def count_fresh(self) -> int:
+        """Count the tokens that the current attempt brought."""
+        return len(self.assembly.tokens) - self._length
+
+    def on_failed(self, error: AttemptError) -> bool:
+        """Learn how an attempt ended.
+
+        :returns: whether it brought the answer forward.
+        """
+        self._ran = self._ran or error.state not in NEVER_RAN
+        progressed = self.count_fresh() > 0
+        if progressed:
+            self._fruitless = 0
+            self.failed = set(self.request.avoid)
+        else:
+            self._fruitless += 1
+        self.failed.add(error.peer)
+        return progressed
+
+    def on_interrupted(self) -> None:
+        """Learn that this daemon stopped an attempt."""
+        self._ran = True
+
+    def correct(self, error: RefusedError) -> RefusedError:
+        """Make a refusal of the next attempt true for the whole request.
+
+        An earlier attempt may have run, which whoever refuses the next one
+        doesn't know.
+        """
+        not_run = error.refusal.not_run and not self._ran
+        return RefusedError(replace(error.refusal, not_run=not_run))
+
+    def refuse_failed(self, wait: timedelta) -> RefusedError:
+        """Give up since the engines fail.
+
+        :param wait: when an engine may be tried again.
+        """
+        return self._refuse(
+            RefusalCode.upstream_failed,
+            'No engine could finish the request.',
+            'generate',
+            max(wait, SHORTEST_WAIT),
+        )
+
+    def refuse_late(self) -> RefusedError:
+        """Give up since the caller's deadline has passed."""
+        return self._refuse(
+            RefusalCode.deadline_exceeded,
+            'The answer was not whole before the deadline.',
+            'generate',
+        )
+
+    def refuse_route(self) -> RefusedError:
+        """Give up since no engine serves what was asked for."""
+        return self._refuse(
+            RefusalCode.unknown_model,
+            f'No engine serves the model {self.request.model!r}.',
+            'route',
+        )
+
+    def _refuse(
+        self,
+        code: RefusalCode,
+        message: str,
+        step: str,
+        retry_after: timedelta | None = None,
+    ) -> RefusedError:
+        return RefusedError(
+            Refusal(
+                code,
+                message,
+                not_run=not self._ran,
+                retry_after=retry_after,
+                step=step,
+            )
+        )
--- a/quetzalcourse/protocol/callers.py
+++ b/quetzalcourse/protocol/callers.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 MAX_TOKENS_DEFAULT = 256
+MAX_TOKENS_LIMIT = 1_000_000
+LONGEST_TIMEOUT = 86_400.0
+
+TokenLimit = Annotated[int, msgspec.Meta(gt=0, le=MAX_TOKENS_LIMIT)]
+TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=LONGEST_TIMEOUT)]
+ModelName = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 
 
 class CompletionBody(msgspec.Struct):
@@ -13,14 +21,14 @@
     :param timeout_seconds: how long the caller waits at most.
     """
 
-    model: str
+    model: ModelName
     prompt: str
-    max_tokens: int = MAX_TOKENS_DEFAULT
+    max_tokens: TokenLimit = MAX_TOKENS_DEFAULT
     stream: bool = False
     seed: int = 0
     adapter: str = ''
     weight_version: int | None = None
-    timeout_seconds: float = 60.0
+    timeout_seconds: TimeoutSeconds = 60.0
 
 
 class ChatMessage(msgspec.Struct):
@@ -33,14 +41,14 @@
 class ChatBody(msgspec.Struct):
     """Body of ``/v1/chat/completions``."""
 
-    model: str
-    messages: list[ChatMessage]
-    max_tokens: int = MAX_TOKENS_DEFAULT
+    model: ModelName
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
+    max_tokens: TokenLimit = MAX_TOKENS_DEFAULT
     stream: bool = False
     seed: int = 0
     adapter: str = ''
     weight_version: int | None = None
-    timeout_seconds: float = 60.0
+    timeout_seconds: TimeoutSeconds = 60.0
 
 
 class StepBody(msgspec.Struct):
--- a/quetzalcourse/protocol/completions.py
+++ b/quetzalcourse/protocol/completions.py
@@ -87,7 +87,7 @@
             choice.message = AnswerMessage(text, 'assistant')
         else:
             choice.text = text
-        versions = sorted({chunk.weight_version for chunk in chunks})
+        versions = sorted({chunk.weight_version for chunk in chunks} - {0})
         usage = Usage(prompt_tokens, generated, prompt_tokens + generated)
         return self._encode(choice, versions, usage, self._shape.value)
 
@@ -102,7 +102,8 @@
             kind = 'chat.completion.chunk'
         else:
             choice.text = text
-        return self._encode(choice, [chunk.weight_version], None, kind)
+        named = [chunk.weight_version] if chunk.weight_version else []
+        return self._encode(choice, named, None, kind)
 
     def _encode(
         self,
--- a/quetzalcourse/protocol/engines.py
+++ b/quetzalcourse/protocol/engines.py
@@ -17,6 +17,7 @@
     """Request for tokens.
 
     :param resume_tokens: tokens already generated, to go on behind them.
+    :param timeout_seconds: time after which nobody waits for the answer.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     adapter: str = ''
     weight_version: int | None = None
     resume_tokens: list[str] = msgspec.field(default_factory=list)
+    timeout_seconds: float | None = None
 
 
 class EngineChunk(msgspec.Struct):
@@ -35,7 +37,7 @@
     request_id: str
     offset: int
     tokens: list[str]
-    weight_version: int
+    weight_version: int = 0
     finish_reason: str = ''
     prompt_tokens: int = 0
 
@@ -56,6 +58,7 @@
     models: list[str]
     adapters: list[str]
     role: str = ''
+    leaving: bool = False
 
 
 class CacheEvent(msgspec.Struct):
@@ -90,8 +93,13 @@
 def build_request(
     request: GenerationRequest,
     tokens: tuple[str, ...],
+    timeout_seconds: float | None = None,
 ) -> EngineRequest:
-    """Write a request as an engine expects it; no caller's key is in it."""
+    """Write a request as an engine expects it; no caller's key is in it.
+
+    :param tokens: tokens already generated.
+    :param timeout_seconds: what is left of the caller's deadline.
+    """
     return EngineRequest(
         request_id=request.request_id,
         model=request.model,
@@ -101,9 +109,22 @@
         adapter=request.adapter,
         weight_version=request.weight_version,
         resume_tokens=list(tokens),
+        timeout_seconds=timeout_seconds,
     )
 
 
+def parse_refusal(content: bytes) -> EngineRefusal | None:
+    """Read an engine's own refusal, ``None`` if the body is none.
+
+    A gateway in front of an engine answers errors as well, after the
+    engine may have begun; only the engine's own words count.
+    """
+    try:
+        return msgspec.json.decode(content, type=EngineRefusal)
+    except msgspec.DecodeError:
+        return None
+
+
 def parse_chunk(content: bytes) -> Chunk:
     """Read one chunk of an engine's stream."""
     message = msgspec.json.decode(content, type=EngineChunk)
@@ -139,6 +160,7 @@
         tuple(message.models),
         tuple(message.adapters),
         message.role,
+        message.leaving,
     )
 
 
--- /dev/null
+++ b/quetzalcourse/tests/engines.py
@@ -0,0 +1,102 @@
+"""Engines that follow a script, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.attempt import AttemptError
+from quetzalcourse.state.generation import AttemptState, Chunk
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from quetzalcourse.state.generation import GenerationRequest
+    from quetzalcourse.state.manifest import Upstream
+
+ANSWER = ('a', 'b', 'c', 'd')
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Tokens of :data:`ANSWER` that a script sends together.
+
+    :param first: offset of the first token.
+    :param end: offset behind the last token.
+    :param request_id: another request's id, if the piece is crossed.
+    """
+
+    first: int
+    end: int
+    request_id: str = ''
+    weight_version: int = 1
+
+
+Step = Piece | AttemptState | str
+WHOLE: tuple[Step, ...] = (Piece(0, 2), Piece(2, 4))
+
+
+@dataclass(slots=True)
+class FakeEngines:
+    """Connections to engines that play one script an attempt.
+
+    A script is a row of pieces; a state ends the attempt with it, and
+    ``stall`` sends nothing until the attempt is given up. Attempts beyond
+    the scripts play the rest of the answer.
+
+    :param sent: engine, attempt id and resumed tokens of each attempt.
+    """
+
+    scripts: list[tuple[Step, ...]]
+    sent: list[tuple[str, str, tuple[str, ...]]] = field(default_factory=list)
+    ran: set[str] = field(default_factory=set)
+    cancelled: list[str] = field(default_factory=list)
+    closed: int = 0
+
+    async def generate(
+        self,
+        upstream: Upstream,
+        request: GenerationRequest,
+        tokens: tuple[str, ...],
+    ) -> AsyncIterator[Chunk]:
+        """Play the next script."""
+        self.sent.append((upstream.name, request.request_id, tokens))
+        rest = (Piece(len(tokens), len(ANSWER)),)
+        script = self.scripts.pop(0) if self.scripts else rest
+        try:
+            for step in script:
+                if isinstance(step, AttemptState):
+                    self._end(step, upstream, request)
+                self.ran.add(request.request_id)
+                if isinstance(step, Piece):
+                    yield make_chunk(request.request_id, step)
+                else:
+                    await asyncio.Event().wait()
+        finally:
+            self.closed += 1
+
+    async def cancel(self, upstream: Upstream, request_id: str) -> None:
+        """Record the cancellation."""
+        self.cancelled.append(request_id)
+
+    def _end(
+        self,
+        state: AttemptState,
+        upstream: Upstream,
+        request: GenerationRequest,
+    ) -> None:
+        if state is AttemptState.broken:
+            self.ran.add(request.request_id)
+        raise AttemptError(state, 'generate', upstream.name)
+
+
+def make_chunk(request_id: str, piece: Piece) -> Chunk:
+    """Make the chunk of a piece."""
+    return Chunk(
+        piece.request_id or request_id,
+        piece.first,
+        ANSWER[piece.first : piece.end],
+        piece.weight_version,
+        'stop' if piece.end == len(ANSWER) else '',
+    )
--- /dev/null
+++ b/quetzalcourse/tests/transport/service_call_tests.py
@@ -0,0 +1,124 @@
+"""Plain calls over real sockets, whose upstream or caller misbehaves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from quetzalcourse.application import Application
+from quetzalcourse.standins.deployment import (
+    READER_KEY,
+    SERVICE,
+    Deployment,
+    build_settings,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+PATH = f'/services/{SERVICE}/shelves'
+KEY = {'Authorization': f'Bearer {READER_KEY}'}
+
+
+@pytest_asyncio.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    """Start a small deployment."""
+    running = Deployment(engine_count=1)
+    await running.on_start()
+    yield running
+    await running.on_stop()
+
+
+async def call(
+    url: str,
+    method: str = 'POST',
+    body: Any = b'verse',
+    **headers: str,
+) -> tuple[int, Any]:
+    """Call the service; a refusal is read as JSON, an answer as bytes."""
+    async with (
+        aiohttp.ClientSession(headers=KEY | headers) as session,
+        session.request(method, f'{url}{PATH}', data=body) as answer,
+    ):
+        assert answer.headers['x-request-id']
+        if answer.status < 400:
+            return answer.status, await answer.read()
+        return answer.status, (await answer.json())['error']
+
+
+@pytest.mark.parametrize(
+    ('method', 'fault', 'runs', 'code'),
+    [
+        ('POST', 'drop_before', 0, 'outcome_unknown'),
+        ('POST', 'drop_after', 1, 'outcome_unknown'),
+        ('PUT', 'drop_after', 1, 'outcome_unknown'),
+        ('DELETE', 'drop_after', 1, 'outcome_unknown'),
+        ('GET', 'drop_before', 1, ''),
+        ('GET', 'drop_after', 2, ''),
+    ],
+)
+async def test_dropped_call_runs_once(
+    deployment: Deployment,
+    method: str,
+    fault: str,
+    runs: int,
+    code: str,
+) -> None:
+    # A service closes a connection that is in use again without an answer.
+    # HTTP clients take PUT and DELETE for repeatable and send them again,
+    # and the reservation would be made twice.
+    service = deployment.services[0]
+    body = None if method == 'GET' else b'verse'
+    await call(deployment.url, method, body)
+    service.record.calls.clear()
+    setattr(service.faults, fault, 1)
+    _, answer = await call(deployment.url, method, body)
+    assert len(service.record.calls) == runs
+    if code:
+        assert answer['code'] == code
+        assert answer['not_run'] is False
+    assert deployment.daemon.admission.running(f'{SERVICE}-0') == 0
+
+
+async def test_unreachable_service_did_not_run(deployment: Deployment) -> None:
+    # The service is gone. No byte of the call went out, so the caller may
+    # safely send it again later.
+    await deployment.services[0].stop()
+    status, error = await call(deployment.url)
+    assert status == 502
+    assert error['code'] == 'upstream_failed'
+    assert error['not_run'] is True
+
+
+async def test_key_runs_once_over_daemons(deployment: Deployment) -> None:
+    # The balancer sends a caller's second try to another daemon, which
+    # knows nothing of the first.
+    other = Application(build_settings(deployment.platform.address))
+    await other.on_start()
+    runs = deployment.services[0].record.calls
+    key = {'Idempotency-Key': 'reservation-7'}
+    status, _ = await call(deployment.url, **key)
+    assert status == 200
+    url = f'http://{other.address}'
+    _, error = await call(url, **key)
+    assert (error['code'], error['not_run']) == ('already_ran', False)
+    _, error = await call(url, body=b'prose', **key)
+    assert (error['code'], error['not_run']) == ('conflict', True)
+    await other.on_drain()
+    await other.on_stop()
+    assert len(runs) == 1
+
+
+async def test_key_without_store_is_not_run(deployment: Deployment) -> None:
+    # The store is down. Sent without its claim, the call could run again
+    # through another daemon.
+    deployment.platform.faults.down = True
+    _, error = await call(deployment.url, **{'Idempotency-Key': 'night-1'})
+    assert error['code'] == 'store_unavailable'
+    assert error['not_run'] is True
+    assert not deployment.services[0].record.calls
+    status, _ = await call(deployment.url)
+    assert status == 200
--- /dev/null
+++ b/quetzalcourse/transport/bodies.py
@@ -0,0 +1,120 @@
+"""Bodies of callers' requests: bounded in size and in patience."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sanic import Request
+
+SENDER_SECONDS = 20.0
+
+
+class BodySource:
+    """Body of a caller's request.
+
+    A small body is read before a slot is taken, so that a slow sender
+    holds none and the call can be repeated. A large one is passed on while
+    it arrives, once.
+
+    :param request: the caller's request.
+    :param limit: largest body in bytes.
+    :raises RefusedError: if the declared length is above the limit.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        limit: int,
+        patience_seconds: float = SENDER_SECONDS,
+    ) -> None:
+        """Begin before the first byte."""
+        headers = request.headers
+        declared = int(headers.get('content-length', '0'))
+        if declared > limit:
+            raise RefusedError(_refuse_large())
+        self.exists = declared > 0 or 'transfer-encoding' in headers
+        self.length = declared if 'content-length' in headers else None
+        self.touched = False
+        self.refusal: Refusal | None = None
+        self._whole: bytes | None = None
+        self._stream: Any = request.stream
+        self._limit = limit
+        self._patience = patience_seconds
+
+    @property
+    def replayable(self) -> bool:
+        """Whether the body can be sent once more."""
+        return self._whole is not None or not self.touched
+
+    async def buffer(self, limit: int) -> bytes:
+        """Read the whole body before anything is sent.
+
+        :param limit: most bytes to keep.
+        :raises RefusedError: if it is larger or comes too slowly.
+        """
+        self._limit = min(self._limit, limit)
+        pieces = [piece async for piece in self.read()]
+        self._whole = b''.join(pieces)
+        return self._whole
+
+    def open(self) -> bytes | AsyncIterator[bytes] | None:
+        """Give the body in the form that the HTTP client sends."""
+        if self._whole is not None:
+            return self._whole or None
+        return self.read() if self.exists else None
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Yield the body piece by piece.
+
+        :raises RefusedError: if it is larger than the limit, or if the
+            caller sends nothing for too long.
+        """
+        size = 0
+        while self.exists:
+            piece = await self._read_piece()
+            if piece is None:
+                return
+            self.touched = True
+            size += len(piece)
+            if size > self._limit:
+                self._fail(_refuse_large())
+            yield piece
+
+    async def _read_piece(self) -> bytes | None:
+        try:
+            async with asyncio.timeout(self._patience):
+                return await self._stream.read()
+        except TimeoutError:
+            self._fail(_refuse_slow())
+        return None
+
+    def _fail(self, refusal: Refusal) -> None:
+        # The HTTP client wraps what its body raises, so the reason is kept
+        # for whoever called it and knows whether the call was sent.
+        self.refusal = refusal
+        raise RefusedError(refusal)
+
+
+def _refuse_large() -> Refusal:
+    return Refusal(
+        RefusalCode.body_too_large,
+        'The body is larger than the limit.',
+        not_run=True,
+        step='read body',
+    )
+
+
+def _refuse_slow() -> Refusal:
+    return Refusal(
+        RefusalCode.body_timeout,
+        'The body did not arrive in time.',
+        not_run=True,
+        step='read body',
+    )
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -30,6 +30,7 @@
 
     from quetzalcourse.coordination.generation import Generation
     from quetzalcourse.coordination.human_service import HumanService
+    from quetzalcourse.coordination.idempotency import Claims
     from quetzalcourse.coordination.keys import Identity, KeyRing
     from quetzalcourse.coordination.manifest import ManifestKeeper
     from quetzalcourse.coordination.routing import Router
@@ -80,6 +81,7 @@
     steps: Steps
     service_levels: ServiceLevels
     human_service: HumanService
+    claims: Claims
 
 
 class RequestIds:
@@ -104,14 +106,11 @@
     :param ids: names the requests.
     """
 
-    async def on_request(request: Request) -> None:
-        request.ctx.request_id = ids.name_next()
+    app.ctx.request_ids = ids
 
     async def on_response(request: Request, answer: HTTPResponse) -> None:
-        request_id = getattr(request.ctx, 'request_id', '')
-        answer.headers.setdefault('x-request-id', request_id)
+        answer.headers['x-request-id'] = read_request_id(request)
 
-    app.on_request(on_request)
     app.on_response(on_response)
     app.error_handler.add(RefusedError, answer_refused)
     app.error_handler.add(sanic_errors.SanicException, answer_sanic)
@@ -123,14 +122,24 @@
 
     :raises RefusedError: if its key is missing, unknown or withdrawn.
     """
-    header = request.headers.get('authorization', '')
-    bearer = header[len(BEARER) :] if header.startswith(BEARER) else ''
-    answer = keys.authenticate(bearer)
+    answer = keys.authenticate(read_bearer(request))
     if isinstance(answer, Err):
         raise RefusedError(answer.err_value)
     return answer.ok_value
 
 
+def read_bearer(request: Request) -> str:
+    """Read the key that came with a request, empty if there is none."""
+    header = request.headers.get('authorization', '')
+    return header[len(BEARER) :] if header.startswith(BEARER) else ''
+
+
+def read_secret(request: Request) -> str:
+    """Read the secret part of the key that came with a request."""
+    bearer = read_bearer(request)
+    return bearer.partition('.')[2] or bearer
+
+
 def decode_body(content: bytes, kind: type[Body]) -> Body:
     """Read a JSON body.
 
@@ -161,8 +170,12 @@
 
 
 def read_request_id(request: Request) -> str:
-    """Tell the id of a request, empty if it had none yet."""
-    return getattr(request.ctx, 'request_id', '')
+    """Tell the id of a request, naming it at the first time."""
+    request_id = getattr(request.ctx, 'request_id', '')
+    if not request_id:
+        request_id = request.app.ctx.request_ids.name_next()
+        request.ctx.request_id = request_id
+    return request_id
 
 
 async def answer_refused(request: Request, error: Exception) -> HTTPResponse:
@@ -178,13 +191,17 @@
         code = RefusalCode.body_too_large
     elif isinstance(error, sanic_errors.NotFound):
         code = RefusalCode.not_found
+    elif isinstance(error, sanic_errors.RequestTimeout):
+        code = RefusalCode.body_timeout
     refusal = Refusal(code, str(error), not_run=True, step='read request')
     return answer_refusal(refusal, read_request_id(request))
 
 
 async def answer_internal(request: Request, error: Exception) -> HTTPResponse:
     """Answer a request that met a fault of the daemon."""
-    log.error('Request failed.', kind=type(error).__name__, reason=str(error))
+    # The text of an error may hold a part of the caller's body, which must
+    # not be logged.
+    log.error('Request failed.', kind=type(error).__name__)
     refusal = Refusal(
         RefusalCode.internal,
         'The daemon met an unexpected fault.',
--- a/quetzalcourse/transport/engine_client.py
+++ b/quetzalcourse/transport/engine_client.py
@@ -9,13 +9,18 @@
 import msgspec
 
 from quetzalcourse.coordination.attempt import Attempt, AttemptError
-from quetzalcourse.protocol.engines import build_request, parse_chunk
+from quetzalcourse.protocol.engines import (
+    build_request,
+    parse_chunk,
+    parse_refusal,
+)
 from quetzalcourse.protocol.events import END_MARKER, decode_line
 from quetzalcourse.state.generation import AttemptState
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.generation import Chunk, GenerationRequest
     from quetzalcourse.state.manifest import Upstream
 
@@ -23,6 +28,8 @@
 CONNECT_SECONDS = 2.0
 SILENCE_SECONDS = 20.0
 CANCEL_SECONDS = 2.0
+REFUSAL_BYTES = 4096
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 BROKEN_STREAM = (
     aiohttp.ClientError,
     asyncio.TimeoutError,
@@ -35,11 +42,13 @@
     """Runs requests on engines over HTTP.
 
     :param session: shared connections.
+    :param clock: tells what is left of a deadline.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(self, session: aiohttp.ClientSession, clock: Clock) -> None:
         """Keep the session that the application owns."""
         self._session = session
+        self._clock = clock
 
     async def generate(
         self,
@@ -55,11 +64,14 @@
         :raises AttemptError: with the state that the attempt ended in.
         """
         attempt = Attempt()
-        body = msgspec.json.encode(build_request(request, tokens))
+        left = request.deadline - self._clock.elapsed()
+        body = msgspec.json.encode(
+            build_request(request, tokens, left.total_seconds())
+        )
         try:
             async for chunk in self._stream(upstream, body, attempt):
                 yield chunk
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED as error:
             raise AttemptError(
                 attempt.state, 'connect', upstream.name
             ) from error
@@ -100,7 +112,7 @@
         ) as answer:
             attempt.advance(AttemptState.maybe_sent)
             if answer.status != HTTP_OK:
-                attempt.advance(AttemptState.refused)
+                await _read_refusal(answer, attempt)
                 return
             attempt.advance(AttemptState.running)
             async for line in answer.content:
@@ -110,3 +122,12 @@
                     return
                 if content is not None:
                     yield parse_chunk(content)
+
+
+async def _read_refusal(
+    answer: aiohttp.ClientResponse,
+    attempt: Attempt,
+) -> None:
+    content = await answer.content.read(REFUSAL_BYTES)
+    if parse_refusal(content) is not None:
+        attempt.advance(AttemptState.refused)
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,7 @@
     decode_body,
     read_request_id,
 )
+from quetzalcourse.transport.relay import AnswerStream
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -95,10 +97,11 @@
             wanted.client_account, self._parts.generation.run(wanted)
         )
         with self._parts.activity.track():
-            if body.stream:
-                await self._stream(request, writer, chunks)
-                return None
-            whole = [chunk async for chunk in chunks]
+            async with aclosing(chunks):  # type: ignore[type-var]
+                if body.stream:
+                    await self._stream(request, writer, chunks)
+                    return None
+                whole = [chunk async for chunk in chunks]
         return answers.raw(writer.encode_whole(whole), content_type=JSON_TYPE)
 
     async def _stream(
@@ -110,7 +113,8 @@
         # The first chunk is awaited before the answer begins, so that a
         # refusal can still have its own status.
         first = await anext(chunks)
-        stream = await request.respond(content_type='text/event-stream')
+        answer = await request.respond(content_type='text/event-stream')
+        stream = AnswerStream(request, answer)
         await stream.send(encode_event(writer.encode_piece(first)))
         try:
             async for chunk in chunks:
@@ -119,7 +123,6 @@
             # A stream that merely stopped would look whole to a caller who
             # does not wait for the end marker.
             content = encode_refusal(error.refusal, read_request_id(request))
-            await stream.send(encode_event(content))
+            await stream.send(encode_event(content), last=True)
         else:
-            await stream.send(END_EVENT)
-        await stream.eof()
+            await stream.send(END_EVENT, last=True)
--- a/quetzalcourse/transport/headers.py
+++ b/quetzalcourse/transport/headers.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from urllib.parse import unquote_plus
+
+from sanic.compat import Header
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
+
+IDEMPOTENCY_KEY = 'idempotency-key'
+TIMEOUT = 'x-timeout-seconds'
 
 HOP_BY_HOP = frozenset(
     (
@@ -20,12 +26,25 @@
         'upgrade',
     )
 )
-PRIVATE = frozenset(('authorization', 'cookie', 'host', 'x-api-key'))
-FRAMING = frozenset(('content-length', 'content-encoding', 'date', 'server'))
+PRIVATE = frozenset(
+    (
+        'authorization',
+        'cookie',
+        'expect',
+        'host',
+        'x-access-token',
+        'x-api-key',
+        'x-auth-token',
+        TIMEOUT,
+    )
+)
+PRIVATE_QUERY = frozenset(('access_token', 'api_key', 'api-key', 'apikey'))
+FRAMING = frozenset(('date', 'server', 'x-request-id'))
 
 
 def clean_request_headers(
     headers: Iterable[tuple[str, str]],
+    secret: str,
 ) -> list[tuple[str, str]]:
     """Keep the headers that an upstream may see.
 
@@ -33,20 +52,41 @@
     them, so credentials never leave this process.
 
     :param headers: headers of the caller's request.
+    :param secret: secret part of the caller's key, wherever it stands.
     """
     pairs = [(name.lower(), text) for name, text in headers]
     dropped = HOP_BY_HOP | PRIVATE | list_named(pairs)
-    return [(name, text) for name, text in pairs if name not in dropped]
+    return [
+        (name, text)
+        for name, text in pairs
+        if name not in dropped and secret not in text
+    ]
 
 
-def clean_response_headers(headers: Mapping[str, str]) -> dict[str, str]:
+def clean_query(query: str, secret: str) -> str:
+    """Keep the part of a query that an upstream may see.
+
+    :param query: query as the caller wrote it.
+    :param secret: secret part of the caller's key.
+    """
+    if not query:
+        return ''
+    kept = []
+    for pair in query.split('&'):
+        name = unquote_plus(pair.partition('=')[0]).lower()
+        if name not in PRIVATE_QUERY and secret not in unquote_plus(pair):
+            kept.append(pair)
+    return '&'.join(kept)
+
+
+def clean_response_headers(headers: Iterable[tuple[str, str]]) -> Header:
     """Keep the headers that a caller may see.
 
     :param headers: headers of the upstream's answer.
     """
-    pairs = [(name.lower(), text) for name, text in headers.items()]
+    pairs = [(name.lower(), text) for name, text in headers]
     dropped = HOP_BY_HOP | FRAMING | list_named(pairs)
-    return {name: text for name, text in pairs if name not in dropped}
+    return Header([pair for pair in pairs if pair[0] not in dropped])
 
 
 def list_named(pairs: Iterable[tuple[str, str]]) -> frozenset[str]:
--- /dev/null
+++ b/quetzalcourse/transport/relay.py
@@ -0,0 +1,83 @@
+"""Answers on their way to callers, however slowly these read."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalcourse.exceptions import QuetzalcourseError
+from quetzalcourse.transport.headers import clean_response_headers
+from quetzalcourse.transport.web import abort_connection
+
+if TYPE_CHECKING:
+    import aiohttp
+    from sanic import Request
+    from sanic.response import HTTPResponse
+
+PIECE_BYTES = 65536
+READER_SECONDS = 30.0
+
+
+class CallerLostError(QuetzalcourseError):
+    """Caller that took nothing of its answer for too long."""
+
+
+class AnswerStream:
+    """Answer that goes to a caller piece by piece.
+
+    :param request: the caller's request.
+    :param stream: the answer that was begun.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        stream: HTTPResponse,
+        patience_seconds: float = READER_SECONDS,
+    ) -> None:
+        """Keep the connection."""
+        self._request = request
+        self._stream = stream
+        self._patience = patience_seconds
+
+    async def send(self, piece: bytes, *, last: bool = False) -> None:
+        """Send a piece, waiting while the caller reads slowly.
+
+        A caller that stops reading would hold its upstream's slot for as
+        long as it likes, so its connection is cut after a while.
+
+        :raises CallerLostError: if the caller takes nothing for too long.
+        """
+        try:
+            async with asyncio.timeout(self._patience):
+                await self._stream.send(piece, end_stream=last)
+        except TimeoutError:
+            abort_connection(self._request)
+            raise CallerLostError('caller does not read') from None
+
+
+async def relay_answer(
+    request: Request,
+    answer: aiohttp.ClientResponse,
+    first: bytes,
+    *,
+    whole: bool,
+) -> None:
+    """Send an upstream's answer to the caller as it arrives.
+
+    :param first: what was read of the body already.
+    :param whole: whether that is all of it.
+    """
+    headers = clean_response_headers(answer.headers.items())
+    stream = await request.respond(
+        status=answer.status,
+        headers=headers,
+        content_type=headers.get('content-type', ''),
+    )
+    pieces = AnswerStream(request, stream)
+    await pieces.send(first, last=whole)
+    if whole:
+        return
+    async for piece in answer.content.iter_chunked(PIECE_BYTES):
+        await pieces.send(piece)
+    await pieces.send(b'', last=True)
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -3,66 +3,71 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
 
 import aiohttp
 from sanic import Request
+from yarl import URL
 
-from quetzalcourse.coordination.attempt import Attempt
-from quetzalcourse.coordination.services import ServiceCall
+from quetzalcourse.coordination.idempotency import (
+    Claim,
+    KeyedCall,
+    digest_call,
+)
+from quetzalcourse.coordination.services import ServiceCall, correct
 from quetzalcourse.exceptions import RefusedError
-from quetzalcourse.state.generation import AttemptState
+from quetzalcourse.state.generation import NEVER_RAN, AttemptState
 from quetzalcourse.state.refusal import Refusal, RefusalCode
-from quetzalcourse.transport.callers import authenticate
+from quetzalcourse.transport.bodies import BodySource
+from quetzalcourse.transport.callers import (
+    authenticate,
+    read_request_id,
+    read_secret,
+)
 from quetzalcourse.transport.headers import (
+    IDEMPOTENCY_KEY,
+    TIMEOUT,
+    clean_query,
     clean_request_headers,
-    clean_response_headers,
 )
+from quetzalcourse.transport.relay import relay_answer
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from sanic import Sanic
 
     from quetzalcourse.coordination.admission import Grant
     from quetzalcourse.transport.callers import CallerParts
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
-MAX_ATTEMPTS = 3
-PIECE_BYTES = 65536
+BUFFERED_BYTES = 65536
+KEYED_BYTES = 1_000_000
 CONNECT_SECONDS = 2.0
 SILENCE_SECONDS = 30.0
+SHORTEST_SECONDS = 0.001
+UNWELL = frozenset((502, 503, 504))
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 FAILED_CALL = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
-class BodySource:
-    """Body of a caller's request, read once.
+@dataclass(slots=True)
+class Passage:
+    """A call on its way from the caller to an upstream.
 
-    :param request: the caller's request.
-    :param limit: largest body in bytes.
+    :param path: path and query at the upstream.
+    :param keyed: idempotency key and digest, if the caller gave a key.
+    :param claim: the key's claim, once it was made.
     """
 
-    def __init__(self, request: Request, limit: int) -> None:
-        """Begin before the first byte."""
-        self.touched = False
-        self._stream: Any = request.stream
-        self._limit = limit
-
-    async def read(self) -> AsyncIterator[bytes]:
-        """Yield the body piece by piece.
-
-        :raises RefusedError: if the body is larger than the limit.
-        """
-        size = 0
-        while True:
-            piece = await self._stream.read()
-            if piece is None:
-                return
-            self.touched = True
-            size += len(piece)
-            if size > self._limit:
-                raise RefusedError(_refuse_large())
-            yield piece
+    request: Request
+    call: ServiceCall
+    path: str
+    body: BodySource
+    keyed: KeyedCall | None = None
+    claim: Claim | None = None
+    status: int = 0
 
 
 class ServiceRoutes:
@@ -95,121 +100,154 @@
 
     async def _call(self, request: Request, name: str, path: str) -> None:
         identity = authenticate(request, self._parts.keys)
-        call = ServiceCall(name, request.method, identity.client_account)
+        self._parts.services.find(name)
+        call = ServiceCall(
+            name,
+            request.method,
+            identity.client_account,
+            self._read_deadline(request),
+        )
         limit = self._parts.settings.limits.service_body_bytes
         body = BodySource(request, limit)
+        query = clean_query(request.query_string, read_secret(request))
+        target = f'/{path}?{query}' if query else f'/{path}'
+        passage = Passage(request, call, target, body)
         human = self._parts.human_service
         with self._parts.activity.track(), human.track(call.client_account):
-            await self._attempt_all(request, call, path, body)
+            await self._prepare(passage)
+            await self._pass(passage)
+
+    def _read_deadline(self, request: Request) -> timedelta | None:
+        text = request.headers.get(TIMEOUT)
+        if text is None:
+            return None
+        with suppress(ValueError, OverflowError):
+            patience = timedelta(seconds=float(text))
+            if patience > timedelta(0):
+                return self._parts.clock.elapsed() + patience
+        raise RefusedError(
+            Refusal(
+                RefusalCode.invalid_body,
+                f'{TIMEOUT} must be a number above zero.',
+                not_run=True,
+                step='read request',
+            )
+        )
 
-    async def _attempt_all(
-        self,
-        request: Request,
-        call: ServiceCall,
-        path: str,
-        body: BodySource,
-    ) -> None:
-        failed: set[str] = set()
-        for _ in range(MAX_ATTEMPTS):
-            attempt = Attempt()
-            services = self._parts.services
-            grant = await services.acquire(call, frozenset(failed))
+    async def _prepare(self, passage: Passage) -> None:
+        request = passage.request
+        key = request.headers.get(IDEMPOTENCY_KEY)
+        repeatable = self._parts.services.is_repeatable(passage.call)
+        if key and not repeatable:
+            content = await passage.body.buffer(KEYED_BYTES)
+            named = f'{passage.call.service}{passage.path}'
+            passage.keyed = KeyedCall(
+                read_request_id(request),
+                passage.call.client_account,
+                key,
+                digest_call(request.method, named, content),
+            )
+        elif passage.body.length is not None:
+            if passage.body.length <= BUFFERED_BYTES:
+                await passage.body.buffer(BUFFERED_BYTES)
+
+    async def _pass(self, passage: Passage) -> None:
+        try:
+            await self._attempt_all(passage)
+        except RefusedError as error:
+            if passage.claim is not None and error.refusal.not_run:
+                await self._parts.claims.on_not_run(passage.claim)
+            raise
+        if passage.claim is not None:
+            await self._parts.claims.on_answered(passage.claim, passage.status)
+
+    async def _attempt_all(self, passage: Passage) -> None:
+        services = self._parts.services
+        call = passage.call
+        while call.state is not AttemptState.complete:
+            grant = await services.acquire(call)
             try:
-                await self._attempt(request, grant, path, body, attempt)
+                await self._attempt(passage, grant)
             except FAILED_CALL as error:
-                self._judge(call, body, attempt, grant, error)
-                failed.add(grant.upstream.name)
-                continue
+                self._judge(passage, grant, error)
             finally:
                 services.release(grant)
-            return
-        raise RefusedError(_refuse_failed(Attempt(), ''))
 
     def _judge(
         self,
-        call: ServiceCall,
-        body: BodySource,
-        attempt: Attempt,
+        passage: Passage,
         grant: Grant,
         error: Exception,
     ) -> None:
-        # A call that may have run must not run again, and one whose body
-        # was read can't be sent again; both end here.
-        if not isinstance(error, aiohttp.ClientConnectorError):
-            attempt.advance(AttemptState.maybe_sent)
-        may_repeat = self._parts.services.may_repeat(call, attempt.state)
-        answering = attempt.state is AttemptState.running
-        if body.touched or answering or not may_repeat:
-            peer = grant.upstream.name
-            raise RefusedError(_refuse_failed(attempt, peer)) from error
-
-    async def _attempt(
-        self,
-        request: Request,
-        grant: Grant,
-        path: str,
-        body: BodySource,
-        attempt: Attempt,
-    ) -> None:
-        query = f'?{request.query_string}' if request.query_string else ''
-        has_body = 'content-length' in request.headers or (
-            'transfer-encoding' in request.headers
-        )
+        call = passage.call
+        if isinstance(error, NOT_CONNECTED):
+            call.state = AttemptState.not_sent
+        refusal = passage.body.refusal
+        if refusal is not None:
+            # The caller's own fault, so the upstream's health is untouched.
+            call.ran = call.ran or call.state not in NEVER_RAN
+            raise RefusedError(correct(refusal, call)) from error
+        call.replayable = passage.body.replayable
+        self._parts.services.on_failed(call, grant)
+        self._parts.counters.add('retries')
+
+    async def _attempt(self, passage: Passage, grant: Grant) -> None:
+        if passage.keyed is not None and passage.claim is None:
+            passage.claim = await self._parts.claims.claim(passage.keyed)
+        request = passage.request
+        call = passage.call
+        # Everything but a failed connect may have reached the upstream.
+        call.state = AttemptState.maybe_sent
         async with self._session.request(
             request.method,
-            f'http://{grant.upstream.address}/{path}{query}',
-            headers=clean_request_headers(request.headers.items()),
-            data=body.read() if has_body else None,
+            URL(f'http://{grant.upstream.address}{passage.path}', encoded=True),
+            headers=self._list_headers(request, call),
+            data=passage.body.open(),
             allow_redirects=False,
             auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_SECONDS,
-                sock_read=SILENCE_SECONDS,
-            ),
+            timeout=self._limit_time(call),
         ) as answer:
-            attempt.advance(AttemptState.maybe_sent)
-            attempt.advance(AttemptState.running)
-            await relay_answer(request, answer)
-
-
-async def relay_answer(
-    request: Request,
-    answer: aiohttp.ClientResponse,
-) -> None:
-    """Send an upstream's answer to the caller as it arrives."""
-    headers = clean_response_headers(answer.headers)
-    encoding = answer.headers.get('content-encoding')
-    if encoding:
-        headers['content-encoding'] = encoding
-    stream = await request.respond(
-        status=answer.status,
-        headers=headers,
-        content_type=headers.get('content-type', ''),
-    )
-    if request.method != 'HEAD':
-        async for piece in answer.content.iter_chunked(PIECE_BYTES):
-            await stream.send(piece)
-    await stream.eof()
-
-
-def _refuse_large() -> Refusal:
-    return Refusal(
-        RefusalCode.body_too_large,
-        'The body is larger than the limit.',
-        not_run=False,
-        step='read body',
-    )
-
-
-def _refuse_failed(attempt: Attempt, peer: str) -> Refusal:
-    code = RefusalCode.outcome_unknown
-    if attempt.never_ran:
-        code = RefusalCode.upstream_failed
-    return Refusal(
-        code,
-        'The service gave no whole answer.',
-        not_run=attempt.never_ran,
-        step='call service',
-        peer=peer,
-    )
+            call.state = AttemptState.running
+            await self._relay(passage, grant, answer)
+
+    async def _relay(
+        self,
+        passage: Passage,
+        grant: Grant,
+        answer: aiohttp.ClientResponse,
+    ) -> None:
+        passage.status = answer.status
+        length = answer.content_length
+        whole = length is not None and length <= BUFFERED_BYTES
+        if passage.request.method == 'HEAD':
+            whole = True
+        first = await answer.read() if whole else b''
+        passage.call.answering = True
+        await relay_answer(passage.request, answer, first, whole=whole)
+        self._parts.services.on_answered(passage.call, grant)
+        if answer.status in UNWELL:
+            self._parts.services.on_unwell(grant)
+
+    def _list_headers(
+        self,
+        request: Request,
+        call: ServiceCall,
+    ) -> list[tuple[str, str]]:
+        headers = clean_request_headers(
+            request.headers.items(), read_secret(request)
+        )
+        if call.deadline is not None:
+            left = call.deadline - self._parts.clock.elapsed()
+            headers.append((TIMEOUT, f'{left.total_seconds():.3f}'))
+        return headers
+
+    def _limit_time(self, call: ServiceCall) -> aiohttp.ClientTimeout:
+        total: float | None = None
+        if call.deadline is not None:
+            left = call.deadline - self._parts.clock.elapsed()
+            total = max(left.total_seconds(), SHORTEST_SECONDS)
+        return aiohttp.ClientTimeout(
+            total=total,
+            sock_connect=CONNECT_SECONDS,
+            sock_read=SILENCE_SECONDS,
+        )
--- /dev/null
+++ b/quetzalcourse/upstreams.py
@@ -0,0 +1,104 @@
+"""The parts that bring requests to upstreams, built and wired."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.generation import Generation
+from quetzalcourse.coordination.health import Health
+from quetzalcourse.coordination.idempotency import Claims
+from quetzalcourse.coordination.leaving import Leaving
+from quetzalcourse.coordination.observer import Observer
+from quetzalcourse.coordination.prefixes import PrefixHints
+from quetzalcourse.coordination.reports import EngineReports
+from quetzalcourse.coordination.retries import RetryBudget
+from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.services import Services
+from quetzalcourse.transport.engine_client import EngineClient
+from quetzalcourse.transport.engine_control import EngineControlClient
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.manifest import Manifest
+
+REPORT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamParts:
+    """Everything between a request that is let in and its upstream."""
+
+    leaving: Leaving
+    health: Health
+    router: Router
+    claims: Claims
+    services: Services
+    generation: Generation
+    observer: Observer
+
+    def on_manifest(self, manifest: Manifest) -> None:
+        """Hand a manifest that came into force to every part."""
+        self.router.on_manifest(manifest)
+        self.health.on_manifest(manifest)
+        self.observer.on_manifest(manifest)
+        self.services.on_manifest(manifest)
+
+
+def build_upstreams(
+    data_centre: str,
+    incarnation: str,
+    session: aiohttp.ClientSession,
+    table: Table,
+    admission: Admission,
+    clock: Clock,
+    counters: Counters,
+) -> UpstreamParts:
+    """Build the parts and connect them.
+
+    :param data_centre: where this daemon runs.
+    :param incarnation: name of this run of the daemon.
+    :param session: shared connections to upstreams.
+    :param table: where idempotency keys are claimed.
+    """
+    reports = EngineReports()
+    prefixes = PrefixHints()
+    leaving = Leaving(clock)
+    router = Router(data_centre, leaving, reports, prefixes)
+    health = Health(clock, counters, Random(incarnation))
+    budget = RetryBudget()
+    generation = Generation(
+        admission,
+        router,
+        health,
+        budget,
+        EngineClient(session, clock),
+        clock,
+        counters,
+    )
+    observer = Observer(
+        data_centre,
+        EngineControlClient(session, incarnation, REPORT_SECONDS),
+        leaving,
+        reports,
+        prefixes,
+        clock,
+        counters,
+        admission.running,
+    )
+    observer.on_departure(generation.on_departure)
+    return UpstreamParts(
+        leaving,
+        health,
+        router,
+        Claims(table),
+        Services(admission, router, health, budget, clock),
+        generation,
+        observer,
+    )
