--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -21,7 +21,7 @@
     MembershipPlan,
 )
 from quetzalcourse.coordination.service_levels import ServiceLevels
-from quetzalcourse.coordination.steps import Steps
+from quetzalcourse.coordination.step_assembly import build_steps
 from quetzalcourse.log import get_log
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
@@ -100,6 +100,7 @@
         self._tasks.append(loop.create_task(self._follow_seeds()))
         self._tasks.append(loop.create_task(self._clean_links()))
         self._tasks.append(loop.create_task(self.upstreams.observer.run()))
+        self._tasks.append(loop.create_task(self.steps.follow_open_steps()))
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
@@ -109,6 +110,7 @@
         log.info('Drain began.', serving=self.activity.serving)
         drain = self.settings.drain
         await self.clock.sleep(timedelta(seconds=drain.balancer_seconds))
+        await self.steps.stop()
         deadline = self.clock.elapsed() + timedelta(
             seconds=drain.deadline_seconds
         )
@@ -177,14 +179,15 @@
             self.counters,
         )
         self.generation = self.upstreams.generation
-        self.steps = Steps(
+        self.service_levels = ServiceLevels(self.clock, self.counters)
+        self.steps = build_steps(
             self.platform,
             self.generation,
             self.clock,
             self.counters,
-            self.incarnation,
+            self.service_levels,
+            self.members,
         )
-        self.service_levels = ServiceLevels(self.clock, self.counters)
         self.burn_ledger = BurnLedger(
             self.platform, self.clock, self.counters, self.incarnation
         )
--- /dev/null
+++ b/quetzalcourse/coordination/delivery_counts.py
@@ -0,0 +1,80 @@
+"""Counts of what trainers were given: on time, and how stale."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.staleness import find_oldest
+from quetzalcourse.state.service_levels import Indicator
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.coordination.service_levels import ServiceLevels
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.steps import (
+        DeliveredBatch,
+        DeliveryRecord,
+        StepSpec,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryCounts:
+    """Counts samples when they are first delivered.
+
+    :param levels: counts against the manifest's service levels.
+    """
+
+    clock: Clock
+    counters: Counters
+    levels: ServiceLevels
+
+    def on_sealed(
+        self,
+        spec: StepSpec,
+        before: DeliveryRecord,
+        after: DeliveryRecord,
+        given: Iterable[DeliveredBatch],
+    ) -> None:
+        """Count what was delivered for the first time.
+
+        :param before: record of the delivery before this reading.
+        :param given: batches that were read, earlier ones included.
+        """
+        for batch in given:
+            if batch.position >= before.sealed:
+                self._count_batch(spec, batch)
+        dropped = len(after.dropped) - len(before.dropped)
+        self.counters.add('samples_dropped_at_reading', dropped)
+        for _ in range(dropped):
+            self.levels.record(
+                Indicator.staleness, spec.client_account, good=False
+            )
+        if after.whole_at is not None and before.whole_at is None:
+            self._count_whole(spec)
+
+    def _count_batch(self, spec: StepSpec, batch: DeliveredBatch) -> None:
+        for sample in batch.samples:
+            behind = spec.weight_version - find_oldest(sample.versions)
+            self.counters.add(
+                'samples_delivered',
+                trainer=spec.trainer,
+                versions_behind=str(max(0, behind)),
+            )
+            self.levels.record(
+                Indicator.staleness, spec.client_account, good=True
+            )
+
+    def _count_whole(self, spec: StepSpec) -> None:
+        taken = self.clock.now() - spec.created
+        allowed = timedelta(seconds=spec.deadline_seconds)
+        on_time = taken <= allowed
+        outcome = 'on_time' if on_time else 'late'
+        self.counters.add('steps_whole', trainer=spec.trainer, outcome=outcome)
+        self.levels.record(
+            Indicator.steps_on_time, spec.client_account, good=on_time
+        )
--- /dev/null
+++ b/quetzalcourse/coordination/dispatch_order.py
@@ -0,0 +1,105 @@
+"""Order of dispatch: samples that should take longest begin first."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from quetzalcourse.state.steps import SampleKey
+
+REMEMBERED_PROMPTS = 8192
+NEW_SHARE = 0.3
+UNKNOWN_FACTOR = 1.5
+
+
+class LengthMemory:
+    """Lengths of samples, learnt for each trainer and prompt.
+
+    Bounded: the prompts that were seen least lately are forgotten.
+    """
+
+    def __init__(self) -> None:
+        """Begin without a length."""
+        self._prompts: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._trainers: dict[str, float] = {}
+
+    def observe(self, trainer: str, prompt: str, tokens: int) -> None:
+        """Learn from a finished sample.
+
+        :param prompt: hash of the prompt.
+        :param tokens: length of the sample.
+        """
+        key = (trainer, prompt)
+        self._prompts[key] = _blend(self._prompts.get(key), tokens)
+        self._prompts.move_to_end(key)
+        if len(self._prompts) > REMEMBERED_PROMPTS:
+            self._prompts.popitem(last=False)
+        self._trainers[trainer] = _blend(self._trainers.get(trainer), tokens)
+
+    def expect(self, trainer: str, prompt: str) -> float:
+        """Tell how many tokens a sample should have.
+
+        A prompt that was never seen counts as longer than most, so that it
+        begins early and its length is known while others still wait.
+        """
+        known = self._prompts.get((trainer, prompt))
+        if known is not None:
+            return known
+        return self._trainers.get(trainer, 0) * UNKNOWN_FACTOR
+
+
+class Backlog:
+    """Samples of a step that were not begun.
+
+    :param trainer: whose lengths to expect.
+    :param prompts: hash of the prompt of each group.
+    """
+
+    def __init__(
+        self,
+        memory: LengthMemory,
+        trainer: str,
+        prompts: tuple[str, ...],
+    ) -> None:
+        """Begin empty."""
+        self._memory = memory
+        self._trainer = trainer
+        self._prompts = prompts
+        self._groups: dict[int, list[int]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Count the samples."""
+        return self._count
+
+    def add(self, keys: Iterable[SampleKey]) -> None:
+        """Put samples in."""
+        for key in keys:
+            indices = self._groups.setdefault(key.group, [])
+            indices.append(key.index)
+            indices.sort(reverse=True)
+            self._count += 1
+
+    def pop(self) -> SampleKey:
+        """Take out the sample that should take longest.
+
+        Groups of equal expectation take turns, so that each group's length
+        is learnt early.
+        """
+        group = max(self._groups, key=self._rank)
+        indices = self._groups[group]
+        index = indices.pop()
+        if not indices:
+            self._groups.pop(group)
+        self._count -= 1
+        return SampleKey(group, index)
+
+    def _rank(self, group: int) -> tuple[float, int, int]:
+        expected = self._memory.expect(self._trainer, self._prompts[group])
+        return expected, -self._groups[group][-1], -group
+
+
+def _blend(known: float | None, tokens: int) -> float:
+    if known is None:
+        return float(tokens)
+    return known + (tokens - known) * NEW_SHARE
--- /dev/null
+++ b/quetzalcourse/coordination/dispatching.py
@@ -0,0 +1,250 @@
+"""Dispatch: keeps the samples of one step in the making, within bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.dispatch_order import Backlog, LengthMemory
+from quetzalcourse.coordination.sample_making import (
+    MakingParts,
+    SampleMaking,
+    SampleOrder,
+)
+from quetzalcourse.coordination.stragglers import (
+    Rescue,
+    RunningSample,
+    plan_rescues,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.coordination.ports import Generator
+    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.steps import Sample, SampleKey, StepSpec
+
+RescuePlan = Callable[[Sequence[RunningSample], int], list[Rescue]]
+MAX_STUCK = 16
+MAX_IN_MAKING = 1024
+RESCUE_INTERVAL = timedelta(seconds=2)
+HURRY = timedelta(seconds=60)
+HASH_LENGTH = 16
+
+
+@dataclass(slots=True)
+class MakingBudget:
+    """Samples in the making on this daemon, shared by its steps.
+
+    :param steps: steps that run here.
+    """
+
+    steps: int = 0
+
+    @property
+    def share(self) -> int:
+        """How many samples one step may have in the making."""
+        return MAX_IN_MAKING // max(1, self.steps)
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchParts:
+    """What dispatch needs of the rest of the daemon.
+
+    :param lengths: lengths learnt from every step that ran here.
+    :param budget: shared by the steps that run here.
+    :param plan: chooses the stragglers to help.
+    """
+
+    generation: Generator
+    clock: Clock
+    counters: Counters
+    newest: NewestVersions
+    lengths: LengthMemory
+    budget: MakingBudget
+    plan: RescuePlan = plan_rescues
+
+
+class Dispatcher:
+    """Makes the samples of one step.
+
+    :param deadline: time since boot by which the step should be whole.
+    :param run: name of the run, made part of request ids.
+    :param on_sample: takes each finished sample.
+    :param may_hold: whether more finished samples fit into memory.
+    """
+
+    def __init__(
+        self,
+        parts: DispatchParts,
+        spec: StepSpec,
+        prompts: tuple[str, ...],
+        deadline: timedelta,
+        run: str,
+        on_sample: Callable[[Sample], None],
+        may_hold: Callable[[], bool],
+    ) -> None:
+        """Begin with nothing to make."""
+        self.attempts: Counter[SampleKey] = Counter()
+        self._parts = parts
+        self._spec = spec
+        self._prompts = prompts
+        self._hashes = tuple(hash_prompt(prompt) for prompt in prompts)
+        self._deadline = deadline
+        self._run = run
+        self._on_sample = on_sample
+        self._may_hold = may_hold
+        self._backlog = Backlog(parts.lengths, spec.trainer, self._hashes)
+        self._makings: dict[SampleKey, SampleMaking] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._changed = asyncio.Event()
+        self._most_running = 0
+        self._failure: BaseException | None = None
+        self._making_parts = MakingParts(
+            parts.generation,
+            parts.clock,
+            parts.counters,
+            parts.newest,
+            self._changed.set,
+        )
+
+    def add(self, keys: Iterable[SampleKey]) -> None:
+        """Put samples into the backlog."""
+        self._backlog.add(keys)
+        self._changed.set()
+
+    def remake(self, keys: Iterable[SampleKey]) -> None:
+        """Make samples again that were made for nothing."""
+        wanted = list(keys)
+        self.attempts.update(wanted)
+        self.add(wanted)
+
+    @property
+    def backlog(self) -> int:
+        """Count the samples that were not begun."""
+        return len(self._backlog)
+
+    @property
+    def pending(self) -> int:
+        """Count the samples that are not finished."""
+        return len(self._backlog) + len(self._makings)
+
+    def count_waiting(self) -> int:
+        """Count the samples that wait for an engine."""
+        return sum(making.waiting for making in self._makings.values())
+
+    def count_held_up(self) -> Counter[str]:
+        """Count the samples that nothing runs for, by reason."""
+        return Counter(
+            making.held_up
+            for making in self._makings.values()
+            if making.held_up
+        )
+
+    def count_running(self) -> int:
+        """Count the samples whose tokens arrive."""
+        held_up = self.count_held_up().total()
+        return len(self._makings) - self.count_waiting() - held_up
+
+    async def dispatch(self) -> None:
+        """Begin samples for as long as the step runs.
+
+        :raises Exception: what a sample's making failed with; it would
+            otherwise be missing for ever without a trace.
+        """
+        while True:
+            while self._may_start():
+                self._start(self._backlog.pop())
+            running = self.count_running()
+            self._most_running = max(self._most_running, running)
+            self._changed.clear()
+            await self._changed.wait()
+            if self._failure is not None:
+                raise self._failure
+
+    async def rescue(self) -> None:
+        """Help stragglers for as long as the step runs."""
+        while True:
+            await self._parts.clock.sleep(RESCUE_INTERVAL)
+            self._changed.set()
+            if not self._backlog:
+                await self._rescue_once()
+
+    async def stop(self) -> None:
+        """End every stream."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _may_start(self) -> bool:
+        # Requests beyond what engines take would only wait, in an order
+        # that can no longer be changed, each with its share of memory.
+        if not self._backlog or not self._may_hold():
+            return False
+        if len(self._makings) >= self._parts.budget.share:
+            return False
+        stuck = self.count_waiting() + self.count_held_up().total()
+        return stuck < MAX_STUCK
+
+    def _start(self, key: SampleKey) -> None:
+        order = SampleOrder(
+            self._spec,
+            key,
+            self._prompts[key.group],
+            self.attempts[key],
+            self._deadline,
+            f'{self._run}-{self.attempts[key]}',
+        )
+        making = SampleMaking(order, self._making_parts)
+        self._makings[key] = making
+        task = asyncio.get_running_loop().create_task(self._make(making))
+        self._tasks.add(task)
+        task.add_done_callback(self._on_ended)
+
+    def _on_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
+            self._changed.set()
+
+    async def _make(self, making: SampleMaking) -> None:
+        key = making.order.key
+        try:
+            sample = await making.make()
+        finally:
+            self._makings.pop(key, None)
+            self._changed.set()
+        self._parts.lengths.observe(
+            self._spec.trainer, self._hashes[key.group], sample.token_count
+        )
+        self._on_sample(sample)
+
+    async def _rescue_once(self) -> None:
+        running = [
+            seen
+            for seen in map(SampleMaking.observe, self._makings.values())
+            if seen is not None
+        ]
+        for rescue in self._parts.plan(running, self._count_idle()):
+            making = self._makings.get(rescue.key)
+            if making is not None:
+                await making.rescue(rescue.kind)
+
+    def _count_idle(self) -> int:
+        streams = sum(len(making.streams) for making in self._makings.values())
+        if self._parts.clock.elapsed() >= self._deadline - HURRY:
+            return self._most_running
+        return self._most_running - streams
+
+
+def hash_prompt(prompt: str) -> str:
+    """Name a prompt for the memory of lengths."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:HASH_LENGTH]
--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -20,6 +20,7 @@
     from quetzalcourse.state.members import Member, Topic, Vm
     from quetzalcourse.state.rows import (
         Commit,
+        FaultKind,
         Row,
         StoreFault,
         Transaction,
@@ -123,11 +124,33 @@
 class Scorer(Protocol):
     """The platform's scoring service."""
 
-    async def score(self, sample_id: str, text: str) -> Result[float, str]:
+    async def score(
+        self,
+        sample_id: str,
+        text: str,
+    ) -> Result[float, FaultKind]:
         """Score one sample.
 
         :param sample_id: idempotency key of the call.
         :param text: what the engine generated.
+        :returns: the score, or what is known of a call that failed.
+        """
+
+
+class WeightStore(Protocol):
+    """The platform's store of weight versions, which limits its rate."""
+
+    async def newest(self, model: str) -> Result[int, StoreFault]:
+        """Tell the newest published version of a model, zero for none."""
+
+
+class Generator(Protocol):
+    """Part of the daemon that runs requests for tokens."""
+
+    def run(self, request: GenerationRequest) -> AsyncIterator[Chunk]:
+        """Yield the tokens of a request, each offset once and in order.
+
+        :raises RefusedError: when no engine finishes the request.
         """
 
 
--- /dev/null
+++ b/quetzalcourse/coordination/scoring.py
@@ -0,0 +1,118 @@
+"""Scoring: each sample is scored once before it is committed."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+from dataclasses import replace
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.step_rows import decode, encode, name_claims
+from quetzalcourse.state.rows import FaultKind
+from quetzalcourse.state.steps import SampleKey
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.coordination.leased_rows import LeasedRows
+    from quetzalcourse.coordination.ports import Scorer, Table
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.rows import StoreFault
+    from quetzalcourse.state.steps import Sample, StepSpec
+
+MAX_CALLS = 32
+FIRST_WAIT = timedelta(milliseconds=500)
+LONGEST_WAIT = timedelta(seconds=15)
+DIGEST_LENGTH = 16
+
+
+class StepScoring:
+    """Scores the samples of one step.
+
+    A call that may not be repeated is claimed in the table first. A holder
+    that finds a claim without a committed sample can't know whether the
+    call was made, and makes the sample again with another seed, so that
+    the call for the old text is never sent a second time.
+
+    :param rows: writes under the lease on the step.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        rows: LeasedRows,
+        scorer: Scorer,
+        clock: Clock,
+        counters: Counters,
+        spec: StepSpec,
+    ) -> None:
+        """Begin with no claim loaded."""
+        self.claims: Counter[SampleKey] = Counter()
+        self._table = table
+        self._rows = rows
+        self._scorer = scorer
+        self._clock = clock
+        self._counters = counters
+        self._spec = spec
+        self._positions = 0
+        self._calls = asyncio.Semaphore(MAX_CALLS)
+
+    async def load(self) -> Result[None, StoreFault]:
+        """Read the claims of earlier holders."""
+        if self._spec.scoring_repeatable:
+            return Ok(None)
+        prefix = name_claims(self._spec.trainer, self._spec.step)
+        answer = await self._table.scan(prefix)
+        if isinstance(answer, Err):
+            return answer
+        for row in answer.ok_value:
+            self.claims.update(decode(row, list[SampleKey]))
+        self._positions = len(answer.ok_value)
+        return Ok(None)
+
+    async def claim(self, samples: Sequence[Sample]) -> None:
+        """Write down that these samples are about to be scored.
+
+        :raises StepLostError: if another holder took over.
+        """
+        if self._spec.scoring_repeatable:
+            return
+        prefix = name_claims(self._spec.trainer, self._spec.step)
+        keys = [sample.key for sample in samples]
+        await self._rows.put(f'{prefix}{self._positions:08d}', encode(keys))
+        self._positions += 1
+        self.claims.update(keys)
+
+    async def score(self, sample: Sample, attempt: int) -> Sample | None:
+        """Score a sample, however long the service is down.
+
+        :param attempt: how often the sample was made before.
+        :returns: the sample with its score, or ``None`` if its call may
+            have been made and may not be repeated.
+        """
+        name = self._name_call(sample, attempt)
+        wait = FIRST_WAIT
+        while True:
+            async with self._calls:
+                answer = await self._scorer.score(name, sample.text)
+            if isinstance(answer, Ok):
+                return replace(sample, score=answer.ok_value)
+            self._counters.add('scorings_failed', kind=answer.err_value.value)
+            sent = answer.err_value is FaultKind.unanswered
+            if sent and not self._spec.scoring_repeatable:
+                return None
+            await self._clock.sleep(wait)
+            wait = min(wait * 2, LONGEST_WAIT)
+
+    def _name_call(self, sample: Sample, attempt: int) -> str:
+        # The text is part of the name: a service that remembers calls by
+        # their name would give a sample made again the old text's score.
+        digest = hashlib.sha256(sample.text.encode()).hexdigest()
+        spec = self._spec
+        place = f'{spec.trainer}/{spec.step}/{sample.group}/{sample.index}'
+        return f'{place}/{attempt}/{digest[:DIGEST_LENGTH]}'
--- /dev/null
+++ b/quetzalcourse/coordination/step_delivery.py
@@ -0,0 +1,297 @@
+"""Delivery: a trainer reads by cursor and acknowledges what it has."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.staleness import (
+    find_oldest_allowed,
+    is_deliverable,
+)
+from quetzalcourse.coordination.step_rows import (
+    decode,
+    encode,
+    expect_row,
+    name_batch,
+    name_claims,
+    name_delivery,
+    name_log,
+    refuse_store,
+    refuse_unknown,
+)
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.rows import Transaction, Write
+from quetzalcourse.state.steps import (
+    DeliveredBatch,
+    DeliveryRecord,
+    DroppedSample,
+    StepBatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from quetzalcourse.coordination.delivery_counts import DeliveryCounts
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.state.rows import Row
+    from quetzalcourse.state.steps import StepSpec
+
+READ_BATCHES = 8
+MAX_TRIES = 5
+
+
+class StepDelivery:
+    """Reads and changes what a trainer was given of a step.
+
+    Which samples of a batch are new enough is decided when the batch is
+    first read, and written down before the trainer sees it: it reads the
+    same bytes again, and a sample that was left out may be made again.
+
+    :param newest: tells the newest weight versions.
+    :param counts: told of everything that is delivered.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        newest: NewestVersions,
+        counts: DeliveryCounts,
+    ) -> None:
+        """Keep the parts that a reading needs."""
+        self._table = table
+        self._newest = newest
+        self._counts = counts
+
+    async def find(
+        self,
+        spec: StepSpec,
+    ) -> Result[DeliveryRecord, Refusal]:
+        """Read what the trainer was given so far."""
+        return (await self._load(spec)).map(
+            lambda row: decode(row, DeliveryRecord)
+        )
+
+    async def read(
+        self,
+        spec: StepSpec,
+        cursor: int,
+    ) -> Result[list[DeliveredBatch], Refusal]:
+        """Read the batches of a step from a cursor on.
+
+        :param cursor: position of the first batch wanted.
+        :returns: the same batches however often they are read.
+        """
+        for _ in range(MAX_TRIES):
+            answer = await self._load(spec)
+            if isinstance(answer, Err):
+                return answer
+            row = answer.ok_value
+            record = decode(row, DeliveryRecord)
+            refusal = check_cursor(record, cursor)
+            if refusal is not None:
+                return Err(refusal)
+            scanned = await self._scan(spec, cursor)
+            if isinstance(scanned, Err):
+                return scanned
+            batches = scanned.ok_value
+            judged = await self._seal(spec, record, batches)
+            if isinstance(judged, Err):
+                return judged
+            sealed = judged.ok_value
+            given = [present(batch, sealed) for batch in batches]
+            if sealed is record:
+                return Ok(given)
+            if await self._replace(row, sealed):
+                self._counts.on_sealed(spec, record, sealed, given)
+                return Ok(given)
+        return Err(refuse_store())
+
+    async def acknowledge(
+        self,
+        spec: StepSpec,
+        cursor: int,
+    ) -> Result[DeliveryRecord, Refusal]:
+        """Note that the trainer keeps the batches before a cursor.
+
+        :param cursor: position of the first batch not acknowledged.
+        """
+
+        def change(record: DeliveryRecord) -> Result[DeliveryRecord, Refusal]:
+            if cursor > record.sealed:
+                return Err(_refuse_beyond(cursor, record.sealed))
+            if record.cancelled:
+                return Err(_refuse_cancelled())
+            reached = max(cursor, record.acknowledged)
+            return Ok(replace(record, acknowledged=reached))
+
+        changed = await self._change(spec, change)
+        if isinstance(changed, Ok) and changed.ok_value.finished:
+            await self.clear(spec)
+        return changed
+
+    async def cancel(self, spec: StepSpec) -> Result[DeliveryRecord, Refusal]:
+        """Give the step up; nothing of it is read any more."""
+        return await self._change(
+            spec, lambda record: Ok(replace(record, cancelled=True))
+        )
+
+    async def clear(self, spec: StepSpec) -> None:
+        """Delete the batches and claims that nobody reads any more.
+
+        What is left after a fault is deleted by the next call.
+        """
+        for name in (name_log, name_claims):
+            rows = await self._table.scan(name(spec.trainer, spec.step))
+            if isinstance(rows, Ok) and rows.ok_value:
+                writes = [Write(row.key, None) for row in rows.ok_value]
+                await self._table.transact(Transaction((), tuple(writes)))
+
+    async def _change(
+        self,
+        spec: StepSpec,
+        change: Callable[[DeliveryRecord], Result[DeliveryRecord, Refusal]],
+    ) -> Result[DeliveryRecord, Refusal]:
+        for _ in range(MAX_TRIES):
+            answer = await self._load(spec)
+            if isinstance(answer, Err):
+                return answer
+            record = decode(answer.ok_value, DeliveryRecord)
+            changed = change(record)
+            if isinstance(changed, Err) or changed.ok_value == record:
+                return changed
+            if await self._replace(answer.ok_value, changed.ok_value):
+                return changed
+        return Err(refuse_store())
+
+    async def _load(self, spec: StepSpec) -> Result[Row, Refusal]:
+        answer = await self._table.read(name_delivery(spec.trainer, spec.step))
+        if isinstance(answer, Err):
+            return Err(refuse_store(answer.err_value))
+        if answer.ok_value is None:
+            return Err(refuse_unknown(spec.trainer, spec.step))
+        return Ok(answer.ok_value)
+
+    async def _scan(
+        self,
+        spec: StepSpec,
+        cursor: int,
+    ) -> Result[list[StepBatch], Refusal]:
+        trainer, step = spec.trainer, spec.step
+        after = name_batch(trainer, step, cursor - 1) if cursor else ''
+        answer = await self._table.scan(
+            name_log(trainer, step), after, READ_BATCHES
+        )
+        if isinstance(answer, Err):
+            return Err(refuse_store(answer.err_value))
+        return Ok([decode(row, StepBatch) for row in answer.ok_value])
+
+    async def _seal(
+        self,
+        spec: StepSpec,
+        record: DeliveryRecord,
+        batches: Sequence[StepBatch],
+    ) -> Result[DeliveryRecord, Refusal]:
+        fresh = [batch for batch in batches if batch.position >= record.sealed]
+        if not fresh:
+            return Ok(record)
+        # Without knowing the newest version, a sample could be delivered
+        # that is too old already; the trainer is asked to come back.
+        newest = await self._newest.find(spec.model)
+        if isinstance(newest, Err):
+            return Err(refuse_store(newest.err_value))
+        oldest = find_oldest_allowed(spec, newest.ok_value)
+        sealed = record
+        for batch in fresh:
+            sealed = seal_batch(sealed, batch, oldest, spec.total)
+        return Ok(sealed)
+
+    async def _replace(self, row: Row, record: DeliveryRecord) -> bool:
+        answer = await self._table.transact(
+            Transaction(
+                (expect_row(row.key, row),),
+                (Write(row.key, encode(record)),),
+            )
+        )
+        return isinstance(answer, Ok) and answer.ok_value.applied
+
+
+def seal_batch(
+    record: DeliveryRecord,
+    batch: StepBatch,
+    oldest_allowed: int,
+    total: int,
+) -> DeliveryRecord:
+    """Decide what the trainer gets of a batch.
+
+    :param oldest_allowed: samples with older tokens are dropped.
+    :param total: samples that make the step whole.
+    """
+    dropped = tuple(
+        DroppedSample(batch.position, sample.group, sample.index)
+        for sample in batch.samples
+        if not is_deliverable(sample, oldest_allowed)
+    )
+    delivered = record.delivered + len(batch.samples) - len(dropped)
+    whole_at = record.whole_at
+    if whole_at is None and delivered == total:
+        whole_at = batch.position
+    return replace(
+        record,
+        sealed=batch.position + 1,
+        delivered=delivered,
+        dropped=record.dropped + dropped,
+        whole_at=whole_at,
+    )
+
+
+def present(batch: StepBatch, record: DeliveryRecord) -> DeliveredBatch:
+    """Leave out what was dropped from a batch."""
+    dropped = {
+        sample.key
+        for sample in record.dropped
+        if sample.position == batch.position
+    }
+    return DeliveredBatch(
+        batch.position,
+        tuple(sample for sample in batch.samples if sample.key not in dropped),
+        whole=record.whole_at == batch.position,
+    )
+
+
+def check_cursor(record: DeliveryRecord, cursor: int) -> Refusal | None:
+    """Refuse a cursor that was never given out, or is acknowledged."""
+    if record.cancelled:
+        return _refuse_cancelled()
+    if cursor > record.sealed:
+        return _refuse_beyond(cursor, record.sealed)
+    if cursor >= record.acknowledged:
+        return None
+    return Refusal(
+        RefusalCode.conflict,
+        f'Batches before {record.acknowledged} are acknowledged '
+        'and not delivered again.',
+        not_run=True,
+        step='read cursor',
+    )
+
+
+def _refuse_beyond(cursor: int, sealed: int) -> Refusal:
+    return Refusal(
+        RefusalCode.invalid_body,
+        f'Cursor {cursor} lies beyond {sealed}, the last one given out.',
+        not_run=True,
+        step='read cursor',
+    )
+
+
+def _refuse_cancelled() -> Refusal:
+    return Refusal(
+        RefusalCode.cancelled,
+        'The step was cancelled.',
+        not_run=True,
+        step='read cursor',
+    )
--- /dev/null
+++ b/quetzalcourse/coordination/step_log.py
@@ -0,0 +1,117 @@
+"""The log of a step: batches by position, each written by one holder."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.step_rows import (
+    decode,
+    encode,
+    name_batch,
+    name_log,
+    name_open,
+)
+from quetzalcourse.state.rows import Write
+from quetzalcourse.state.steps import (
+    DroppedSample,
+    Sample,
+    SampleKey,
+    StepBatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.coordination.leased_rows import LeasedRows
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.rows import StoreFault
+    from quetzalcourse.state.steps import RunReport, StepSpec
+
+SCAN_LIMIT = 64
+
+
+class StepLog:
+    """Log of one step, as the holder of its lease writes it.
+
+    The holder loads the whole log before it writes, and every write
+    requires the lease's row, so that no two holders commit one sample.
+
+    :param rows: writes under the lease on the step.
+    """
+
+    def __init__(self, table: Table, rows: LeasedRows, spec: StepSpec) -> None:
+        """Begin with nothing loaded."""
+        self.positions = 0
+        self.committed: dict[SampleKey, int] = {}
+        self._table = table
+        self._rows = rows
+        self._spec = spec
+
+    async def load(self) -> Result[None, StoreFault]:
+        """Read every batch that earlier holders committed."""
+        prefix = name_log(self._spec.trainer, self._spec.step)
+        after = ''
+        while True:
+            answer = await self._table.scan(prefix, after, SCAN_LIMIT)
+            if isinstance(answer, Err):
+                return answer
+            for row in answer.ok_value:
+                self._take(decode(row, StepBatch))
+                after = row.key
+            if len(answer.ok_value) < SCAN_LIMIT:
+                return Ok(None)
+
+    def drop(self, dropped: Iterable[DroppedSample]) -> list[SampleKey]:
+        """Forget samples that were too old when they were read.
+
+        :returns: those that have to be made again.
+        """
+        missing = [
+            sample.key
+            for sample in dropped
+            if self.committed.get(sample.key) == sample.position
+        ]
+        for key in missing:
+            self.committed.pop(key)
+        return missing
+
+    async def append(
+        self,
+        samples: tuple[Sample, ...],
+        report: RunReport,
+    ) -> None:
+        """Commit samples, however long the store takes to answer.
+
+        :param report: what to say of the run in the same transaction.
+        :raises StepLostError: if another holder took over.
+        """
+        batch = StepBatch(self.positions, samples)
+        await self._rows.put(*self._name(batch), self._write_report(report))
+        self._take(batch)
+
+    async def try_append(
+        self,
+        samples: tuple[Sample, ...],
+        report: RunReport,
+    ) -> bool:
+        """Commit samples with one try, before the run ends."""
+        batch = StepBatch(self.positions, samples)
+        return await self._rows.try_put(
+            *self._name(batch), self._write_report(report)
+        )
+
+    def _name(self, batch: StepBatch) -> tuple[str, bytes]:
+        spec = self._spec
+        key = name_batch(spec.trainer, spec.step, batch.position)
+        return key, encode(batch)
+
+    def _write_report(self, report: RunReport) -> Write:
+        key = name_open(self._spec.trainer, self._spec.step)
+        return Write(key, encode(report))
+
+    def _take(self, batch: StepBatch) -> None:
+        self.positions = batch.position + 1
+        for sample in batch.samples:
+            self.committed[sample.key] = batch.position
--- /dev/null
+++ b/quetzalcourse/coordination/step_rows.py
@@ -0,0 +1,107 @@
+"""Names and contents of the rows that keep a step."""
+
+from __future__ import annotations
+
+import hashlib
+from datetime import timedelta
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from quetzalcourse.exceptions import QuetzalcourseError
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.state.rows import ABSENT, Condition
+
+if TYPE_CHECKING:
+    from quetzalcourse.state.rows import Row, StoreFault
+
+Content = TypeVar('Content')
+OPEN_PREFIX = 'steps-open/'
+STORE_RETRY = timedelta(seconds=2)
+
+
+class StepLostError(QuetzalcourseError):
+    """End of a run whose step another daemon has taken over."""
+
+
+def name_step(trainer: str, step: int) -> str:
+    """Name the row of a step."""
+    return f'step/{trainer}/{step:012d}'
+
+
+def name_open(trainer: str, step: int) -> str:
+    """Name the row that lists a step among the open ones."""
+    return f'{OPEN_PREFIX}{trainer}/{step:012d}'
+
+
+def parse_open(key: str) -> tuple[str, int]:
+    """Read trainer and step from the name of an open step's row."""
+    trainer, _, step = key.removeprefix(OPEN_PREFIX).rpartition('/')
+    return trainer, int(step)
+
+
+def name_lease(trainer: str, step: int) -> str:
+    """Name the row of the lease on a step."""
+    return f'lease/step/{trainer}/{step:012d}'
+
+
+def name_delivery(trainer: str, step: int) -> str:
+    """Name the row that says what the trainer was given."""
+    return f'step-delivery/{trainer}/{step:012d}'
+
+
+def name_log(trainer: str, step: int) -> str:
+    """Name what the rows of a step's log begin with."""
+    return f'step-log/{trainer}/{step:012d}/'
+
+
+def name_batch(trainer: str, step: int, position: int) -> str:
+    """Name the row of a batch of a step's log."""
+    return f'{name_log(trainer, step)}{position:08d}'
+
+
+def name_claims(trainer: str, step: int) -> str:
+    """Name what the rows of a step's scoring claims begin with."""
+    return f'step-claim/{trainer}/{step:012d}/'
+
+
+def name_prompts(content: bytes) -> str:
+    """Name the object that holds prompts, by their hash."""
+    return f'prompts/{hashlib.sha256(content).hexdigest()}'
+
+
+def encode(content: object) -> bytes:
+    """Write the content of a row."""
+    return msgspec.json.encode(content)
+
+
+def decode(row: Row, kind: type[Content]) -> Content:
+    """Read the content of a row."""
+    return msgspec.json.decode(row.content, type=kind)
+
+
+def expect_row(key: str, row: Row | None) -> Condition:
+    """Require that a row is still as it was read."""
+    return Condition(key, row.version if row else ABSENT)
+
+
+def refuse_store(fault: StoreFault | None = None) -> Refusal:
+    """Refuse because the platform's store gave no answer."""
+    return Refusal(
+        RefusalCode.store_unavailable,
+        "The platform's store gave no answer; ask again.",
+        not_run=False,
+        retry_after=STORE_RETRY,
+        step=fault.step if fault else 'step',
+        peer=fault.peer if fault else 'table',
+    )
+
+
+def refuse_unknown(trainer: str, step: int) -> Refusal:
+    """Refuse because there is no such step."""
+    return Refusal(
+        RefusalCode.not_found,
+        f'Trainer {trainer!r} has no step {step}.',
+        not_run=True,
+        step='find step',
+    )
--- a/quetzalcourse/coordination/steps.py
+++ b/quetzalcourse/coordination/steps.py
@@ -1,10 +1,10 @@
-"""Training steps: created once, run by a lease holder, delivered once."""
+"""Training steps: created once, found again and run by some daemon."""
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -12,286 +12,297 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.exceptions import RefusedError
-from quetzalcourse.state.generation import (
-    Chunk,
-    GenerationRequest,
-    TrafficClass,
+from quetzalcourse.coordination.step_lease import StepLease
+from quetzalcourse.coordination.step_rows import (
+    OPEN_PREFIX,
+    StepLostError,
+    decode,
+    encode,
+    name_delivery,
+    name_lease,
+    name_open,
+    name_prompts,
+    name_step,
+    parse_open,
+    refuse_store,
+    refuse_unknown,
 )
+from quetzalcourse.coordination.step_runner import StepRunner, cancel_all
+from quetzalcourse.coordination.watchers import is_watcher
+from quetzalcourse.log import get_log
 from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
-from quetzalcourse.state.steps import Sample, StepSpec, VersionRange
+from quetzalcourse.state.steps import (
+    DeliveredBatch,
+    DeliveryRecord,
+    RunReport,
+    StepProgress,
+    StepSpec,
+)
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.generation import Generation
-    from quetzalcourse.coordination.ports import Table
-    from quetzalcourse.state.clock import Clock
-    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.coordination.ports import MemberView, Objects
+    from quetzalcourse.coordination.step_runner import RunParts
+    from quetzalcourse.state.rows import Commit, StoreFault
 
-BATCH_SIZE = 64
-COMMIT_INTERVAL = timedelta(milliseconds=200)
 STEP_TERMS = LeaseTerms(timedelta(seconds=10), timedelta(seconds=2))
-
-
-@dataclass(frozen=True, slots=True)
-class StepBatch:
-    """Samples that were committed together.
-
-    :param position: place of the batch in the step's log.
-    :param whole: whether the log ends with this batch.
-    """
-
-    position: int
-    samples: tuple[Sample, ...]
-    whole: bool
-
-
-def name_step(trainer: str, step: int) -> str:
-    """Name the row of a step."""
-    return f'step/{trainer}/{step:012d}'
-
-
-def name_batch(trainer: str, step: int, position: int) -> str:
-    """Name the row of a batch of a step's log."""
-    return f'step-log/{trainer}/{step:012d}/{position:08d}'
-
-
-def digest_spec(spec: StepSpec) -> str:
-    """Hash what a trainer asked for, to tell a repeat from a conflict."""
-    return hashlib.sha256(msgspec.json.encode(spec)).hexdigest()
+SCAN_INTERVAL = timedelta(seconds=2)
+WATCH_INTERVAL = timedelta(seconds=2)
+REMEMBERED_STEPS = 1024
+SCANNED = 'open steps'
+log = get_log('steps')
 
 
 class Steps:
-    """Creates steps, runs them and reads their samples.
+    """Creates steps, runs them, and answers for any daemon's.
 
-    :param table: holds the steps and their logs.
-    :param generation: makes the samples.
-    :param incarnation: name of this process as a lease holder.
+    :param parts: what runs need.
+    :param objects: holds the prompts.
+    :param members: tells which daemons look for steps without a runner.
     """
 
     def __init__(
         self,
-        table: Table,
-        generation: Generation,
-        clock: Clock,
-        counters: Counters,
-        incarnation: str,
+        parts: RunParts,
+        objects: Objects,
+        members: MemberView,
     ) -> None:
         """Begin with no step running."""
-        self._table = table
-        self._generation = generation
-        self._clock = clock
-        self._counters = counters
-        self._incarnation = incarnation
+        self._parts = parts
+        self._table = parts.table
+        self._objects = objects
+        self._members = members
+        self._clock = parts.dispatch.clock
+        self._delivery = parts.delivery
+        self._specs: OrderedDict[str, StepSpec] = OrderedDict()
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._stopping = False
 
-    async def create(self, spec: StepSpec) -> Result[StepSpec, Refusal]:
+    async def create(
+        self,
+        spec: StepSpec,
+        prompts: tuple[str, ...],
+    ) -> Result[StepSpec, Refusal]:
         """Create a step, or find it if the same was created before.
 
-        :param spec: what the trainer asked for.
+        :param spec: the step; the name of its prompts is filled in.
+        :param prompts: a prompt for each group.
         :returns: the step as it is stored.
         """
-        key = name_step(spec.trainer, spec.step)
-        written = await self._table.transact(
-            Transaction(
-                (Condition(key, ABSENT),),
-                (Write(key, msgspec.json.encode(spec)),),
-            )
-        )
-        if isinstance(written, Err) or not written.ok_value.applied:
-            stored = await self._table.read(key)
-            if isinstance(stored, Err) or stored.ok_value is None:
-                return Err(_refuse_store())
-            found = msgspec.json.decode(stored.ok_value.content, type=StepSpec)
-            if digest_spec(found) != digest_spec(spec):
-                return Err(_refuse_conflict(spec))
-        self.start(spec)
+        content = encode(prompts)
+        spec = replace(spec, prompts_name=name_prompts(content))
+        stored = await self._objects.put(spec.prompts_name, content)
+        if isinstance(stored, Err):
+            return Err(refuse_store(stored.err_value))
+        written = await self._write_step(spec)
+        if isinstance(written, Ok) and written.ok_value.applied:
+            self._start(spec)
+            return Ok(spec)
+        # Either the step was there before, or the answer was lost and the
+        # step may be there now: what is stored decides.
+        found = await self.find(spec.trainer, spec.step)
+        if isinstance(found, Err):
+            return Err(refuse_store())
+        if found.ok_value.body_digest != spec.body_digest:
+            return Err(_refuse_conflict(spec))
+        if isinstance(written, Err):
+            self._start(found.ok_value)
+        return found
+
+    async def find(
+        self,
+        trainer: str,
+        step: int,
+    ) -> Result[StepSpec, Refusal]:
+        """Read a step, which never changes once it was created."""
+        key = name_step(trainer, step)
+        known = self._specs.get(key)
+        if known is not None:
+            return Ok(known)
+        answer = await self._table.read(key)
+        if isinstance(answer, Err):
+            return Err(refuse_store(answer.err_value))
+        if answer.ok_value is None:
+            return Err(refuse_unknown(trainer, step))
+        spec = decode(answer.ok_value, StepSpec)
+        self._specs[key] = spec
+        if len(self._specs) > REMEMBERED_STEPS:
+            self._specs.popitem(last=False)
         return Ok(spec)
 
-    def start(self, spec: StepSpec) -> None:
-        """Run a step in the background, once."""
-        key = name_step(spec.trainer, spec.step)
-        if key in self._running:
-            return
-        task = asyncio.get_running_loop().create_task(self._run(spec))
-        self._running[key] = task
-        task.add_done_callback(lambda _: self._running.pop(key, None))
-
     async def read(
         self,
         trainer: str,
         step: int,
         cursor: int,
-    ) -> Result[list[StepBatch], Refusal]:
+    ) -> Result[list[DeliveredBatch], Refusal]:
         """Read the batches of a step from a cursor on.
 
         :param cursor: position of the first batch wanted.
-        :returns: the same batches however often they are read.
         """
-        prefix = f'step-log/{trainer}/{step:012d}/'
-        after = name_batch(trainer, step, cursor - 1) if cursor else ''
-        answer = await self._table.scan(prefix, after)
-        if isinstance(answer, Err):
-            return Err(_refuse_store())
+        found = await self.find(trainer, step)
+        if isinstance(found, Err):
+            return found
+        return await self._delivery.read(found.ok_value, cursor)
+
+    async def acknowledge(
+        self,
+        trainer: str,
+        step: int,
+        cursor: int,
+    ) -> Result[DeliveryRecord, Refusal]:
+        """Note that the trainer keeps the batches before a cursor."""
+        found = await self.find(trainer, step)
+        if isinstance(found, Err):
+            return found
+        return await self._delivery.acknowledge(found.ok_value, cursor)
+
+    async def cancel(
+        self,
+        trainer: str,
+        step: int,
+    ) -> Result[DeliveryRecord, Refusal]:
+        """Give a step up; its runner ends it within seconds."""
+        found = await self.find(trainer, step)
+        if isinstance(found, Err):
+            return found
+        return await self._delivery.cancel(found.ok_value)
+
+    async def observe(
+        self,
+        trainer: str,
+        step: int,
+    ) -> Result[StepProgress, Refusal]:
+        """Tell how far a step is, whichever daemon runs it."""
+        found = await self.find(trainer, step)
+        if isinstance(found, Err):
+            return found
+        spec = found.ok_value
+        delivery = await self._delivery.find(spec)
+        if isinstance(delivery, Err):
+            return delivery
+        run = await self._table.read(name_open(trainer, step))
+        if isinstance(run, Err):
+            return Err(refuse_store(run.err_value))
         return Ok(
-            [
-                msgspec.json.decode(row.content, type=StepBatch)
-                for row in answer.ok_value
-            ]
+            StepProgress(
+                trainer,
+                step,
+                spec.total,
+                spec.created,
+                delivery.ok_value,
+                decode(run.ok_value, RunReport) if run.ok_value else None,
+            )
         )
 
+    async def follow_open_steps(self) -> None:
+        """Take over steps that nobody runs, for as long as it is awaited."""
+        while True:
+            if is_watcher(self._members, SCANNED):
+                await self._scan()
+            await self._clock.sleep(SCAN_INTERVAL)
+
     async def stop(self) -> None:
         """End the steps that run here; another daemon goes on with them."""
-        tasks = tuple(self._running.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self._stopping = True
+        await cancel_all(tuple(self._running.values()))
 
-    async def _run(self, spec: StepSpec) -> None:
-        lease = Lease(
-            self._table,
-            self._clock,
-            f'lease/{name_step(spec.trainer, spec.step)}',
-            self._incarnation,
-            STEP_TERMS,
+    async def _write_step(self, spec: StepSpec) -> Result[Commit, StoreFault]:
+        trainer, step = spec.trainer, spec.step
+        key = name_step(trainer, step)
+        return await self._table.transact(
+            Transaction(
+                (Condition(key, ABSENT),),
+                (
+                    Write(key, encode(spec)),
+                    Write(
+                        name_delivery(trainer, step), encode(DeliveryRecord())
+                    ),
+                    Write(name_open(trainer, step), encode(RunReport())),
+                ),
+            )
         )
-        while not await lease.pursue():
-            await self._clock.sleep(STEP_TERMS.margin)
-        try:
-            await self._fill(spec, lease)
-        finally:
-            await lease.release()
 
-    async def _fill(self, spec: StepSpec, lease: Lease) -> None:
-        finished: asyncio.Queue[Sample] = asyncio.Queue()
-        done = await self._load_done(spec)
-        wanted = [
-            (group, index)
-            for group in range(len(spec.prompts))
-            for index in range(spec.samples_per_group)
-            if (group, index) not in done
-        ]
-        tasks = [
-            asyncio.create_task(self._make(spec, group, index, finished))
-            for group, index in wanted
-        ]
-        try:
-            await self._commit_all(spec, lease, finished, len(wanted))
-        finally:
-            for task in tasks:
-                task.cancel()
-
-    async def _load_done(self, spec: StepSpec) -> set[tuple[int, int]]:
-        batches = await self.read(spec.trainer, spec.step, 0)
-        if isinstance(batches, Err):
-            return set()
-        return {
-            (sample.group, sample.index)
-            for batch in batches.ok_value
-            for sample in batch.samples
-        }
-
-    async def _make(
-        self,
-        spec: StepSpec,
-        group: int,
-        index: int,
-        finished: asyncio.Queue[Sample],
-    ) -> None:
-        request = GenerationRequest(
-            request_id=f'{spec.trainer}-{spec.step}-{group}-{index}',
-            client_account=spec.trainer,
-            traffic_class=TrafficClass.training,
-            model=spec.model,
-            prompt=spec.prompts[group],
-            max_tokens=spec.max_tokens,
-            deadline=self._clock.elapsed()
-            + timedelta(seconds=spec.deadline_seconds),
-            seed=index,
-        )
-        chunks = []
-        try:
-            async for chunk in self._generation.run(request):
-                chunks.append(chunk)
-        except RefusedError:
-            self._counters.add('samples_failed')
+    async def _scan(self) -> None:
+        answer = await self._table.scan(OPEN_PREFIX)
+        if isinstance(answer, Err):
+            return
+        for row in answer.ok_value:
+            trainer, step = parse_open(row.key)
+            if name_step(trainer, step) in self._running:
+                continue
+            found = await self.find(trainer, step)
+            if isinstance(found, Ok):
+                self._start(found.ok_value)
+
+    def _start(self, spec: StepSpec) -> None:
+        key = name_step(spec.trainer, spec.step)
+        if key in self._running or self._stopping:
             return
-        finished.put_nowait(assemble_sample(group, index, chunks))
+        task = asyncio.get_running_loop().create_task(self._run(spec))
+        self._running[key] = task
+        task.add_done_callback(lambda _: self._running.pop(key, None))
 
-    async def _commit_all(
-        self,
-        spec: StepSpec,
-        lease: Lease,
-        finished: asyncio.Queue[Sample],
-        missing: int,
-    ) -> None:
-        position = 0
-        while missing:
-            samples = [await finished.get()]
-            await self._clock.sleep(COMMIT_INTERVAL)
-            while not finished.empty() and len(samples) < BATCH_SIZE:
-                samples.append(finished.get_nowait())
-            missing -= len(samples)
-            batch = StepBatch(position, tuple(samples), whole=not missing)
-            await self._commit(spec, lease, batch)
-            position += 1
+    async def _run(self, spec: StepSpec) -> None:
+        line = log.bind(trainer=spec.trainer, step=spec.step)
+        lease = self._build_lease(spec)
+        try:
+            if not await self._pursue(spec, lease):
+                return
+            line.info('Step is run here.', token=lease.token)
+            await self._run_held(spec, lease)
+            line.info('Step is closed.')
+        except StepLostError as error:
+            line.warning('Step is run elsewhere.', reason=str(error))
+        except Exception as error:
+            kind = type(error).__name__
+            line.error('Run of step failed.', kind=kind, reason=str(error))
+            await self._clock.sleep(SCAN_INTERVAL)
+
+    async def _pursue(self, spec: StepSpec, lease: Lease) -> bool:
+        while not await lease.pursue():
+            await self._clock.sleep(WATCH_INTERVAL)
+            row = await self._table.read(name_open(spec.trainer, spec.step))
+            if isinstance(row, Ok) and row.ok_value is None:
+                return False
+        return True
+
+    async def _run_held(self, spec: StepSpec, lease: Lease) -> None:
+        held = StepLease(self._table, lease)
+        budget = self._parts.dispatch.budget
+        budget.steps += 1
+        try:
+            prompts = await self._load_prompts(spec, held)
+            await StepRunner(self._parts, spec, prompts, held).run()
+        finally:
+            budget.steps -= 1
+            await held.release()
 
-    async def _commit(
+    async def _load_prompts(
         self,
         spec: StepSpec,
-        lease: Lease,
-        batch: StepBatch,
-    ) -> None:
-        key = name_batch(spec.trainer, spec.step, batch.position)
-        await self._table.transact(
-            Transaction(
-                (lease.require(), Condition(key, ABSENT)),
-                (Write(key, msgspec.json.encode(batch)),),
-            )
+        lease: StepLease,
+    ) -> tuple[str, ...]:
+        while True:
+            answer = await self._objects.get(spec.prompts_name)
+            if isinstance(answer, Ok) and answer.ok_value is not None:
+                return msgspec.json.decode(
+                    answer.ok_value, type=tuple[str, ...]
+                )
+            await self._clock.sleep(SCAN_INTERVAL)
+            await lease.renew()
+
+    def _build_lease(self, spec: StepSpec) -> Lease:
+        return Lease(
+            self._table,
+            self._clock,
+            name_lease(spec.trainer, spec.step),
+            self._parts.incarnation,
+            STEP_TERMS,
         )
 
 
-def assemble_sample(group: int, index: int, chunks: list[Chunk]) -> Sample:
-    """Join the chunks of a sample with the versions that made them.
-
-    :param chunks: chunks in the order of their offsets.
-    """
-    tokens = [token for chunk in chunks for token in chunk.tokens]
-    return Sample(
-        group=group,
-        index=index,
-        text=''.join(tokens),
-        token_count=len(tokens),
-        finish_reason=chunks[-1].finish_reason,
-        versions=join_versions(chunks),
-    )
-
-
-def join_versions(chunks: list[Chunk]) -> tuple[VersionRange, ...]:
-    """List which weight version made which tokens."""
-    ranges: list[VersionRange] = []
-    for chunk in chunks:
-        end = chunk.offset + len(chunk.tokens)
-        if ranges and ranges[-1].weight_version == chunk.weight_version:
-            before = ranges.pop()
-            ranges.append(VersionRange(chunk.weight_version, before.start, end))
-        elif chunk.tokens:
-            ranges.append(VersionRange(chunk.weight_version, chunk.offset, end))
-    return tuple(ranges)
-
-
-def _refuse_store() -> Refusal:
-    return Refusal(
-        RefusalCode.store_unavailable,
-        "The platform's table gave no answer.",
-        not_run=False,
-        retry_after=timedelta(seconds=2),
-        step='step',
-        peer='table',
-    )
-
-
 def _refuse_conflict(spec: StepSpec) -> Refusal:
     return Refusal(
         RefusalCode.conflict,
--- a/quetzalcourse/protocol/callers.py
+++ b/quetzalcourse/protocol/callers.py
@@ -13,6 +13,9 @@
 TokenLimit = Annotated[int, msgspec.Meta(gt=0, le=MAX_TOKENS_LIMIT)]
 TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=LONGEST_TIMEOUT)]
 ModelName = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+STEP_LIMIT = 10**12
+SAMPLE_LIMIT = 65536
+DEADLINE_LIMIT = 86400
 
 
 class CompletionBody(msgspec.Struct):
@@ -67,6 +70,17 @@
     deadline_seconds: float = 660.0
 
 
+class StepAnswer(msgspec.Struct):
+    """Answer to the creation of a step.
+
+    :param total: samples that make the step whole.
+    """
+
+    trainer: str
+    step: int
+    total: int
+
+
 class AcknowledgeBody(msgspec.Struct):
     """Body that acknowledges the batches before a cursor."""
 
@@ -78,3 +92,28 @@
     lines = [f'{message.role}: {message.content}' for message in messages]
     lines.append('assistant:')
     return '\n'.join(lines)
+
+
+def find_step_faults(body: StepBody) -> list[str]:
+    """List what is wrong with a step that a trainer asked for."""
+    rules = (
+        (body.step >= 0, 'step: must not be negative'),
+        (body.step < STEP_LIMIT, f'step: must be below {STEP_LIMIT}'),
+        (bool(body.prompts), 'prompts: must not be empty'),
+        (body.samples_per_group > 0, 'samples_per_group: must be above 0'),
+        (
+            len(body.prompts) * body.samples_per_group <= SAMPLE_LIMIT,
+            f'samples_per_group: at most {SAMPLE_LIMIT} samples a step',
+        ),
+        (body.max_tokens > 0, 'max_tokens: must be above 0'),
+        (body.weight_version >= 0, 'weight_version: must not be negative'),
+        (
+            body.staleness_bound is None or body.staleness_bound >= 0,
+            'staleness_bound: must not be negative',
+        ),
+        (
+            0 < body.deadline_seconds <= DEADLINE_LIMIT,
+            f'deadline_seconds: must be above 0 and up to {DEADLINE_LIMIT}',
+        ),
+    )
+    return [fault for holds, fault in rules if not holds]
--- a/quetzalcourse/settings/manifest.py
+++ b/quetzalcourse/settings/manifest.py
@@ -43,6 +43,7 @@
     model: str
     staleness_bound: int = Field(default=1, ge=0)
     scored: bool = False
+    scoring_repeatable: bool = True
 
 
 class UpstreamModel(SettingsModel):
--- /dev/null
+++ b/quetzalcourse/standins/virtual_time.py
@@ -0,0 +1,76 @@
+"""Event loop whose time jumps to the next timer, for trials in seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING, Any, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+Outcome = TypeVar('Outcome')
+EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+BOOT = timedelta(seconds=1000)
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Selector that adds up the time it should have waited."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.skipped = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Return at once what is ready."""
+        if timeout is None:
+            raise RuntimeError('Every task waits and no timer is set.')
+        self.skipped += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop that never waits, for code without sockets."""
+
+    def __init__(self) -> None:
+        """Begin at time zero."""
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Tell the virtual time in seconds."""
+        return self._jumping.skipped
+
+
+class VirtualClock:
+    """Clock of a process on the virtual loop.
+
+    :param ahead: by how much it is ahead of other processes' clocks.
+    """
+
+    def __init__(self, ahead: timedelta = timedelta(0)) -> None:
+        """Keep the difference."""
+        self._ahead = ahead
+
+    def elapsed(self) -> timedelta:
+        """Tell the time since boot."""
+        seconds = asyncio.get_running_loop().time()
+        return BOOT + self._ahead + timedelta(seconds=seconds)
+
+    def now(self) -> datetime:
+        """Tell the calendar time."""
+        return EPOCH + self.elapsed()
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Let the loop's time pass."""
+        await asyncio.sleep(max(0.0, duration.total_seconds()))
+
+
+def run_virtual(main: Coroutine[Any, Any, Outcome]) -> Outcome:
+    """Run a coroutine on a new virtual loop.
+
+    :param main: what to run; it must not wait for a socket.
+    """
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
--- a/quetzalcourse/state/manifest.py
+++ b/quetzalcourse/state/manifest.py
@@ -51,6 +51,8 @@
 
     :param staleness_bound: how many weight versions a sample may lag.
     :param scored: whether samples are scored before delivery.
+    :param scoring_repeatable: whether a scoring call may be sent again
+        under the same idempotency key.
     """
 
     name: str
@@ -58,6 +60,7 @@
     model: str
     staleness_bound: int
     scored: bool = False
+    scoring_repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/quetzalcourse/tests/coordination/step_delivery_tests.py
@@ -0,0 +1,77 @@
+"""Two readers of one batch are told the same, whatever each knows."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from quetzalcourse.coordination.delivery_counts import DeliveryCounts
+from quetzalcourse.coordination.service_levels import ServiceLevels
+from quetzalcourse.coordination.staleness import NewestVersions
+from quetzalcourse.coordination.step_delivery import StepDelivery
+from quetzalcourse.coordination.step_rows import (
+    encode,
+    name_batch,
+    name_delivery,
+)
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.rows import Transaction, Write
+from quetzalcourse.state.steps import (
+    DeliveryRecord,
+    Sample,
+    StepBatch,
+    VersionRange,
+)
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.step_world import (
+    MODEL,
+    TRAINER,
+    FakePlatform,
+    build_spec,
+)
+
+SPEC = build_spec(groups=1, samples_per_group=2, staleness_bound=1)
+
+
+async def build_platform() -> FakePlatform:
+    platform = FakePlatform()
+    samples = tuple(
+        Sample(0, index, 'a', 1, 'stop', (VersionRange(index + 1, 0, 1),))
+        for index in range(2)
+    )
+    writes = (
+        Write(name_delivery(TRAINER, 1), encode(DeliveryRecord())),
+        Write(name_batch(TRAINER, 1, 0), encode(StepBatch(0, samples))),
+    )
+    await platform.transact(Transaction((), writes))
+    platform.writes = 0
+    return platform
+
+
+def build_delivery(platform: FakePlatform, newest: int) -> StepDelivery:
+    clock, counters = FakeClock(), Counters()
+    known = NewestVersions(platform, clock)
+    known.learn(MODEL, newest)
+    levels = ServiceLevels(clock, counters)
+    counts = DeliveryCounts(clock, counters, levels)
+    return StepDelivery(platform, known, counts)
+
+
+@pytest.mark.parametrize('versions', [(1, 3), (3, 1), (3, 3), (1, 1)])
+@pytest.mark.parametrize('fault', ['', 'lost_before', 'lost_after'])
+async def test_readers_are_told_the_same(
+    versions: tuple[int, int],
+    fault: str,
+) -> None:
+    # A trainer's two workers read a batch through two daemons, of which one
+    # has heard of newer weights. If one got a sample that the other was
+    # told is too old, it would come a second time when it is made again.
+    platform = await build_platform()
+    platform.write_faults.append(fault)
+    readers = [build_delivery(platform, newest) for newest in versions]
+    readings = [reader.read(SPEC, 0) for reader in readers]
+    first, second = await asyncio.gather(*readings)
+    assert first.unwrap() == second.unwrap()
+    again = await build_delivery(platform, 9).read(SPEC, 0)
+    assert again.unwrap() == first.unwrap()
--- /dev/null
+++ b/quetzalcourse/tests/coordination/step_log_tests.py
@@ -0,0 +1,91 @@
+"""A holder that was paused commits nothing over its successor."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.lease import Lease
+from quetzalcourse.coordination.leased_rows import LeasedRows
+from quetzalcourse.coordination.step_lease import StepLease
+from quetzalcourse.coordination.step_log import StepLog
+from quetzalcourse.coordination.step_rows import StepLostError, name_lease
+from quetzalcourse.coordination.steps import STEP_TERMS
+from quetzalcourse.state.steps import RunReport, Sample, VersionRange
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.step_world import TRAINER, build_spec
+from quetzalcourse.tests.tables import FakeStore
+
+PAUSE = STEP_TERMS.term + STEP_TERMS.margin
+REPORT = RunReport()
+SPEC = build_spec()
+
+
+def make_sample(index: int) -> Sample:
+    versions = (VersionRange(1, 0, 1),)
+    return Sample(0, index, 'a', 1, 'stop', versions)
+
+
+class Holder:
+    """A daemon that wants to write the log."""
+
+    def __init__(self, store: FakeStore, name: str) -> None:
+        self.clock = FakeClock()
+        self.lease = Lease(
+            store, self.clock, name_lease(TRAINER, 1), name, STEP_TERMS
+        )
+        self._store = store
+
+    async def begin(self) -> StepLog:
+        while not await self.lease.pursue():
+            self.clock.move(PAUSE)
+        held = StepLease(self._store, self.lease)
+        rows = LeasedRows(self._store, held, self.clock)
+        log = StepLog(self._store, rows, SPEC)
+        (await log.load()).unwrap()
+        return log
+
+
+@pytest.mark.parametrize('fault', ['', 'lost_before', 'lost_after'])
+@pytest.mark.parametrize('position', [0, 1])
+async def test_paused_holder_commits_nothing(
+    fault: str,
+    position: int,
+) -> None:
+    # A daemon is paused past its term, another takes the step over, and the
+    # first wakes up in the middle of a commit. If that still took effect,
+    # the trainer would get a sample from each of them.
+    store = FakeStore()
+    old, new = Holder(store, 'old'), Holder(store, 'new')
+    old_log = await old.begin()
+    for index in range(position):
+        await old_log.append((make_sample(index),), REPORT)
+    old.clock.move(PAUSE)
+    new_log = await new.begin()
+    await new_log.append((make_sample(2),), REPORT)
+    store.write_faults.append(fault)
+    with pytest.raises(StepLostError):
+        await old_log.append((make_sample(2), make_sample(3)), REPORT)
+    again = await Holder(store, 'third').begin()
+    assert sorted(key.index for key in again.committed) == [
+        *range(position),
+        2,
+    ]
+
+
+async def test_commit_outlasts_own_renewal() -> None:
+    # A renewal took effect but its answer was lost, so that the holder
+    # requires a row version that is gone. Its next commit must find its way
+    # without giving the step up.
+    store = FakeStore()
+    holder = Holder(store, 'holder')
+    log = await holder.begin()
+    store.write_faults.append('lost_after')
+    await holder.lease.pursue()
+    append = log.append((make_sample(0),), REPORT)
+    task = asyncio.ensure_future(append)
+    await holder.clock.advance(timedelta(seconds=3))
+    await task
+    assert len(log.committed) == 1
--- /dev/null
+++ b/quetzalcourse/tests/coordination/steps_tests.py
@@ -0,0 +1,211 @@
+"""Steps as trainers and operators see them, with faults around them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from result import Err
+
+from quetzalcourse.coordination.step_rows import name_open, name_step
+from quetzalcourse.standins.rollouts import ScriptedEngine
+from quetzalcourse.standins.virtual_time import run_virtual
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.tests.step_schedules import Schedule, plan_length
+from quetzalcourse.tests.step_world import (
+    TRAINER,
+    StepWorld,
+    TrainerFake,
+    build_spec,
+    list_prompts,
+)
+
+SPEC = build_spec()
+PROMPTS = list_prompts(SPEC)
+
+
+def build_world(seed: int = 1, engines: int = 3) -> StepWorld:
+    return StepWorld(
+        seed,
+        [ScriptedEngine(f'engine-{index}', 4) for index in range(engines)],
+        plan_length,
+    )
+
+
+async def run_schedule(seed: int) -> tuple[str, ...]:
+    return (await Schedule(seed).run()).faults
+
+
+@pytest.mark.parametrize('seed', range(1, 31))
+def test_no_schedule_breaks_a_step(seed: int) -> None:
+    # Daemons die and freeze, the store is down or loses answers, engines
+    # crash and hide their versions, weights change and scorings fail while
+    # a step runs. A trainer would learn twice from a sample, miss one, or
+    # learn from weights that it did not ask for.
+    assert run_virtual(run_schedule(seed)) == ()
+
+
+@pytest.mark.parametrize('fault', ['lost_before', 'lost_after', 'not_applied'])
+@pytest.mark.parametrize('writes', [0, 1, 2, 3])
+def test_lost_answers_change_nothing(fault: str, writes: int) -> None:
+    # The store's answer to the creation or to one of the first commits is
+    # lost. A commit repeated at another place would be read twice.
+    async def run() -> tuple[list[str], int]:
+        world = build_world()
+        world.start_daemon()
+        world.platform.write_faults.extend([''] * writes + [fault])
+        trainer = TrainerFake(world, SPEC)
+        await trainer.run()
+        await world.stop()
+        return trainer.faults, len(trainer.samples)
+
+    assert run_virtual(run()) == ([], SPEC.total)
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [('body', None), ('other body', RefusalCode.conflict)],
+)
+def test_creation_again(body: str, expected: RefusalCode | None) -> None:
+    # A trainer that got no answer asks again through another daemon. The
+    # same body must be the same step, and another must not replace it.
+    async def run() -> RefusalCode | None:
+        world = build_world()
+        first, second = world.start_daemon(), world.start_daemon()
+        (await first.steps.create(SPEC, PROMPTS)).unwrap()
+        again = replace(SPEC, body_digest=body)
+        answer = await second.steps.create(again, PROMPTS)
+        await world.stop()
+        return answer.err_value.code if isinstance(answer, Err) else None
+
+    assert run_virtual(run()) == expected
+
+
+def test_progress_is_read_from_any_daemon() -> None:
+    async def run() -> None:
+        world = build_world()
+        first, second = world.start_daemon(), world.start_daemon()
+        (await first.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(6)
+        progress = (await second.steps.observe(TRAINER, 1)).unwrap()
+        assert progress.run is not None
+        assert progress.run.holder == first.member.incarnation
+        assert 0 < progress.run.committed < progress.total
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_cancelled_step_ends_everywhere() -> None:
+    # A trainer gives a step up. Engines that went on with it would keep
+    # other trainers waiting.
+    async def run() -> None:
+        world = build_world()
+        first, second = world.start_daemon(), world.start_daemon()
+        (await first.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(3)
+        (await second.steps.cancel(TRAINER, 1)).unwrap()
+        await asyncio.sleep(5)
+        assert all(engine.running == 0 for engine in world.engines)
+        assert set(world.platform.table.rows) == {
+            name_step(TRAINER, 1),
+            f'step-delivery/{TRAINER}/{1:012d}',
+        }
+        answer = await first.steps.read(TRAINER, 1, 0)
+        assert answer.unwrap_err().code is RefusalCode.cancelled
+        await world.stop()
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ('cursor', 'code'),
+    [
+        (0, RefusalCode.conflict),
+        (99, RefusalCode.invalid_body),
+    ],
+)
+def test_bad_cursor_is_refused(cursor: int, code: RefusalCode) -> None:
+    # A trainer restarts with a cursor of its own making. It must not get
+    # samples again that it said it keeps, nor skip any in silence.
+    async def run() -> RefusalCode:
+        world = build_world()
+        daemon = world.start_daemon()
+        (await daemon.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(8)
+        batches = (await daemon.steps.read(TRAINER, 1, 0)).unwrap()
+        assert batches
+        (await daemon.steps.acknowledge(TRAINER, 1, 1)).unwrap()
+        answer = await daemon.steps.read(TRAINER, 1, cursor)
+        await world.stop()
+        return answer.unwrap_err().code
+
+    assert run_virtual(run()) is code
+
+
+def test_acknowledged_step_leaves_no_batches() -> None:
+    async def run() -> list[str]:
+        world = build_world()
+        daemon = world.start_daemon()
+        await TrainerFake(world, SPEC).run()
+        whole = (await daemon.steps.observe(TRAINER, 1)).unwrap()
+        for _ in range(2):
+            (
+                await daemon.steps.acknowledge(
+                    TRAINER, 1, whole.delivery.sealed
+                )
+            ).unwrap()
+        await asyncio.sleep(5)
+        await world.stop()
+        return sorted(world.platform.table.rows)
+
+    rows = run_virtual(run())
+    assert name_open(TRAINER, 1) not in rows
+    assert not [row for row in rows if row.startswith('step-log/')]
+
+
+def test_weights_that_move_on_cause_new_samples() -> None:
+    # Nobody reads a finished step while the weights move on twice. Its
+    # samples are then too old, and a trainer that got them would learn from
+    # a policy that it has left behind.
+    async def run() -> tuple[list[str], set[int], float]:
+        world = build_world()
+        daemon = world.start_daemon()
+        (await daemon.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(60)
+        for _ in range(2):
+            version = world.platform.publish()
+        for engine in world.engines:
+            engine.weight_version = version
+        await asyncio.sleep(5)
+        trainer = TrainerFake(world, SPEC)
+        await trainer.run()
+        await world.stop()
+        ages = set(trainer.ages)
+        dropped = world.count('samples_dropped_at_reading')
+        return trainer.faults, ages, dropped
+
+    faults, ages, dropped = run_virtual(run())
+    assert faults == []
+    assert ages == {0}
+    assert dropped == SPEC.total
+
+
+def test_no_weight_store_delivers_nothing() -> None:
+    # The weight store does not answer, so that nobody knows whether samples
+    # became too old. The trainer is asked to come back.
+    async def run() -> None:
+        world = build_world()
+        daemon = world.start_daemon()
+        (await daemon.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(60)
+
+        world.platform.weights_down = True
+        await asyncio.sleep(5)
+        refusal = (await daemon.steps.read(TRAINER, 1, 0)).unwrap_err()
+        assert refusal.code is RefusalCode.store_unavailable
+        assert refusal.retry_after is not None
+        await world.stop()
+
+    run_virtual(run())
--- /dev/null
+++ b/quetzalcourse/tests/step_schedules.py
@@ -0,0 +1,169 @@
+"""Seeded schedules of faults for one step."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from quetzalcourse.standins.rollouts import ScriptedEngine
+from quetzalcourse.state.rows import FaultKind
+from quetzalcourse.tests.step_world import (
+    StepWorld,
+    TrainerFake,
+    build_spec,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from quetzalcourse.state.generation import GenerationRequest
+
+FAULTS = 8
+FAULT_SPAN = 50.0
+WRITE_FAULTS = ('not_applied', 'lost_before', 'lost_after')
+
+
+@dataclass(frozen=True, slots=True)
+class ScheduleOutcome:
+    """What came of a schedule.
+
+    :param faults: everything that must never happen but did.
+    :param dropped: samples that were too old when they were read.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    log: tuple[str, ...]
+    seconds: float
+    dropped: float
+
+
+class Schedule:
+    """Faults that come at random moments while a step runs.
+
+    :param seed: decides which come, and when.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Build the world."""
+        self.log: list[str] = []
+        self._world = StepWorld(
+            seed,
+            [ScriptedEngine(f'engine-{index}', 4) for index in range(3)],
+            plan_length,
+            chunk_tokens=20,
+        )
+        self._random = self._world.random
+        self._kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._kill_daemon,
+            self._pause_daemon,
+            self._stop_store,
+            self._lose_writes,
+            self._crash_engine,
+            self._refuse,
+            self._publish,
+            self._hide_versions,
+            self._fail_scoring,
+        )
+
+    async def run(self) -> ScheduleOutcome:
+        """Run the step with its faults, and say what came of it."""
+        world = self._world
+        for _ in range(3):
+            world.start_daemon()
+        scored = self._random.random() < 0.4
+        spec = build_spec(
+            staleness_bound=self._random.choice((1, 1, 2)),
+            scored=scored,
+            scoring_repeatable=self._random.random() < 0.5,
+        )
+        trainer = TrainerFake(world, spec)
+        loop = asyncio.get_running_loop()
+        faults = [
+            loop.create_task(self._break())
+            for _ in range(self._random.randint(1, FAULTS))
+        ]
+        await trainer.run()
+        await asyncio.gather(*faults)
+        await world.stop()
+        scorings = world.platform.scorings
+        if not spec.scoring_repeatable and len(set(scorings)) < len(scorings):
+            trainer.faults.append('a scoring call was repeated')
+        return ScheduleOutcome(
+            world.seed,
+            tuple(trainer.faults),
+            tuple(self.log),
+            loop.time(),
+            world.count('samples_dropped_at_reading'),
+        )
+
+    async def _break(self) -> None:
+        await asyncio.sleep(self._random.uniform(0, FAULT_SPAN))
+        kind = self._random.choice(self._kinds)
+        moment = asyncio.get_running_loop().time()
+        self.log.append(f'{moment:.1f} {kind.__name__}')
+        await kind()
+
+    async def _kill_daemon(self) -> None:
+        if self._world.daemons:
+            self._world.kill(self._random.choice(self._world.daemons))
+        await asyncio.sleep(self._random.uniform(0, 20))
+        self._world.start_daemon()
+
+    async def _pause_daemon(self) -> None:
+        if not self._world.daemons:
+            return
+        daemon = self._random.choice(self._world.daemons)
+        daemon.link.open.clear()
+        await asyncio.sleep(self._random.uniform(1, 40))
+        if daemon in self._world.daemons:
+            daemon.link.open.set()
+
+    async def _stop_store(self) -> None:
+        self._world.platform.down = True
+        await asyncio.sleep(self._random.uniform(1, 40))
+        self._world.platform.down = False
+
+    async def _lose_writes(self) -> None:
+        for _ in range(self._random.randint(1, 6)):
+            fault = self._random.choice(WRITE_FAULTS)
+            self._world.platform.write_faults.append(fault)
+            await asyncio.sleep(self._random.uniform(0, 1))
+
+    async def _crash_engine(self) -> None:
+        engine = self._random.choice(self._world.engines)
+        engine.up = False
+        await asyncio.sleep(self._random.uniform(1, 30))
+        engine.up = True
+        await self._world.generation.wake()
+
+    async def _refuse(self) -> None:
+        self._world.generation.refuse_next += self._random.randint(1, 20)
+
+    async def _publish(self) -> None:
+        version = self._world.platform.publish()
+        for engine in self._world.engines:
+            await asyncio.sleep(self._random.uniform(0, 4))
+            engine.weight_version = max(engine.weight_version, version)
+            await self._world.generation.wake()
+
+    async def _hide_versions(self) -> None:
+        engine = self._random.choice(self._world.engines)
+        engine.names_versions = False
+        await asyncio.sleep(self._random.uniform(1, 10))
+        engine.names_versions = True
+
+    async def _fail_scoring(self) -> None:
+        for _ in range(self._random.randint(1, 6)):
+            fault = self._random.choice(tuple(FaultKind))
+            self._world.platform.scoring_faults.append(fault)
+
+
+def plan_length(request: GenerationRequest) -> int:
+    """Give most samples 50 to 250 tokens, and a few of them 900."""
+    name = f'{request.prompt} {request.seed}'
+    chance = xxhash.xxh32_intdigest(name.encode())
+    return 900 if chance % 20 == 0 else 50 + chance % 200
--- /dev/null
+++ b/quetzalcourse/tests/step_world.py
@@ -0,0 +1,342 @@
+"""Daemons, a trainer and faults around one store, on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.service_levels import ServiceLevels
+from quetzalcourse.coordination.step_assembly import build_steps
+from quetzalcourse.standins.rollouts import ScriptedEngine, ScriptedGeneration
+from quetzalcourse.standins.virtual_time import VirtualClock
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.members import Member
+from quetzalcourse.state.rows import FaultKind, StoreFault
+from quetzalcourse.state.steps import StepSpec
+from quetzalcourse.tests.peers import FakeMembers
+from quetzalcourse.tests.tables import FakeStore, make_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.coordination.steps import Steps
+    from quetzalcourse.state.generation import GenerationRequest
+    from quetzalcourse.state.steps import DeliveredBatch, Sample
+
+MODEL = 'verse'
+TRAINER = 'drill'
+NEWEST_KNOWN = timedelta(seconds=3)
+
+
+class FakePlatform(FakeStore):
+    """Store, weight store and scoring service with faults.
+
+    :ivar published: when each weight version came out.
+    """
+
+    def __init__(self) -> None:
+        """Begin with version one."""
+        super().__init__()
+        self.published: list[tuple[float, int]] = [(0.0, 1)]
+        self.weights_down = False
+        self.scorings: list[str] = []
+        self.scoring_faults: list[FaultKind] = []
+
+    async def newest(self, model: str) -> Result[int, StoreFault]:
+        """Tell the newest version."""
+        if self.down or self.weights_down:
+            return Err(make_fault(FaultKind.not_applied))
+        return Ok(self.published[-1][1])
+
+    async def score(
+        self, sample_id: str, text: str
+    ) -> Result[float, FaultKind]:
+        """Score by the length of the text."""
+        fault = self.scoring_faults.pop() if self.scoring_faults else None
+        if fault is FaultKind.not_applied:
+            return Err(fault)
+        self.scorings.append(sample_id)
+        return Err(fault) if fault else Ok(float(len(text)))
+
+    def publish(self) -> int:
+        """Publish the next weight version."""
+        version = self.published[-1][1] + 1
+        self.published.append((asyncio.get_running_loop().time(), version))
+        return version
+
+    def find_newest_at(self, moment: float) -> int:
+        """Tell the newest version as it was at a moment."""
+        return max(
+            (version for at, version in self.published if at <= moment),
+            default=1,
+        )
+
+
+class DaemonLink:
+    """One daemon's way to the platform, which can be cut or held.
+
+    :param latency: seconds that a request takes.
+    """
+
+    def __init__(self, platform: FakePlatform, latency: float) -> None:
+        """Begin connected."""
+        self._platform = platform
+        self._latency = latency
+        self.open = asyncio.Event()
+        self.open.set()
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        """Pass a request on once the link is open."""
+        call = getattr(self._platform, name)
+
+        async def pass_on(*args: Any) -> Any:
+            await self.open.wait()
+            await asyncio.sleep(self._latency)
+            return await call(*args)
+
+        return pass_on
+
+
+@dataclass(eq=False)
+class DaemonFake:
+    """One daemon's steps with its link."""
+
+    member: Member
+    link: DaemonLink
+    steps: Steps
+    counters: Counters
+    scan: asyncio.Task[None]
+
+
+@dataclass(eq=False)
+class StepWorld:
+    """Everything around the steps.
+
+    :param seed: decides everything that is left to chance.
+    """
+
+    seed: int
+    engines: list[ScriptedEngine]
+    plan_length: Callable[[GenerationRequest], int]
+    latency: float = 0.01
+    chunk_tokens: int = 50
+    platform: FakePlatform = field(default_factory=FakePlatform)
+    daemons: list[DaemonFake] = field(default_factory=list)
+    counters: list[Counters] = field(default_factory=list)
+    started: int = 0
+
+    def __post_init__(self) -> None:
+        """Prepare generation and chance."""
+        self.random = random.Random(self.seed)
+        self.generation = ScriptedGeneration(
+            self.engines, self.plan_length, self.chunk_tokens
+        )
+        self._members: list[FakeMembers] = []
+        self._dying: list[asyncio.Task[None]] = []
+
+    def start_daemon(self, **changes: Any) -> DaemonFake:
+        """Start a daemon.
+
+        :param changes: parts of dispatch that differ.
+        """
+        self.started += 1
+        name = f'daemon-{self.started}'
+        member = Member(name, name, 'hall', '127.0.0.1:1')
+        members = FakeMembers(member, [])
+        self._members.append(members)
+        link = DaemonLink(self.platform, self.latency)
+        clock = VirtualClock(timedelta(seconds=100 * self.started))
+        counters = Counters()
+        steps = build_steps(
+            link,  # type: ignore[arg-type]
+            self.generation,
+            clock,
+            counters,
+            ServiceLevels(clock, counters),
+            members,
+            **changes,
+        )
+        scan = asyncio.get_running_loop().create_task(steps.follow_open_steps())
+        daemon = DaemonFake(member, link, steps, counters, scan)
+        self.daemons.append(daemon)
+        self.counters.append(counters)
+        self._tell_members()
+        return daemon
+
+    def kill(self, daemon: DaemonFake) -> None:
+        """Let a daemon die: its streams end and it writes nothing more."""
+        daemon.link.open.clear()
+        daemon.scan.cancel()
+        self.daemons.remove(daemon)
+        self._tell_members()
+        loop = asyncio.get_running_loop()
+        self._dying.append(loop.create_task(daemon.steps.stop()))
+
+    async def stop(self) -> None:
+        """Stop every daemon."""
+        for daemon in self.daemons:
+            daemon.scan.cancel()
+            daemon.link.open.set()
+            await daemon.steps.stop()
+
+    def count(self, name: str, **labels: str) -> float:
+        """Add a count up over every daemon that ever ran."""
+        return sum(one.read(name, **labels) for one in self.counters)
+
+    def _tell_members(self) -> None:
+        live = [daemon.member for daemon in self.daemons]
+        for members in self._members:
+            members.change(live)
+
+
+def build_spec(**changes: Any) -> StepSpec:
+    """Build a step of four groups of eight samples."""
+    fields: dict[str, Any] = {
+        'trainer': TRAINER,
+        'step': 1,
+        'client_account': 'trainers',
+        'model': MODEL,
+        'prompts_name': '',
+        'groups': 4,
+        'samples_per_group': 8,
+        'max_tokens': 4000,
+        'weight_version': 1,
+        'staleness_bound': 1,
+        'deadline_seconds': 600.0,
+        'body_digest': 'body',
+        'created': datetime(2026, 1, 1, tzinfo=UTC),
+    }
+    return StepSpec(**fields | changes)
+
+
+def list_prompts(spec: StepSpec) -> tuple[str, ...]:
+    """Give a step's groups their prompts."""
+    return tuple(f'prompt-{group}' for group in range(spec.groups))
+
+
+class TrainerFake:
+    """Reads a step from whichever daemon, and checks what it is given.
+
+    :ivar faults: everything that must never happen but did.
+    """
+
+    def __init__(self, world: StepWorld, spec: StepSpec) -> None:
+        """Begin at the first batch."""
+        self.samples: dict[tuple[int, int], Sample] = {}
+        self.faults: list[str] = []
+        self.ages: list[int] = []
+        self._world = world
+        self._spec = spec
+        self._seen: dict[int, DeliveredBatch] = {}
+        self._cursor = 0
+
+    async def run(self, limit: float = 3000.0, poll: float = 1.0) -> None:
+        """Create the step and read until it is whole.
+
+        :param limit: seconds after which samples count as lost.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit
+        while not await self._create():
+            await asyncio.sleep(poll)
+        while not await self._read():
+            if loop.time() > end:
+                missing = self._spec.total - len(self.samples)
+                self.faults.append(f'{missing} samples lost')
+                return
+            await asyncio.sleep(poll)
+
+    def _choose(self) -> Steps | None:
+        reachable = [
+            daemon.steps
+            for daemon in self._world.daemons
+            if daemon.link.open.is_set()
+        ]
+        return self._world.random.choice(reachable) if reachable else None
+
+    async def _create(self) -> bool:
+        steps = self._choose()
+        if steps is None:
+            return False
+        created = steps.create(self._spec, list_prompts(self._spec))
+        try:
+            answer = await asyncio.wait_for(created, 5)
+        except asyncio.TimeoutError:
+            return False
+        return isinstance(answer, Ok)
+
+    async def _read(self) -> bool:
+        steps = self._choose()
+        if steps is None:
+            return False
+        spec = self._spec
+        reading = steps.read(spec.trainer, spec.step, self._cursor)
+        try:
+            answer = await asyncio.wait_for(reading, 5)
+        except asyncio.TimeoutError:
+            return False
+        if isinstance(answer, Err):
+            return False
+        for batch in answer.ok_value:
+            self._check(batch)
+        if self._world.random.random() < 0.2:
+            return False
+        for batch in answer.ok_value:
+            self._take(batch)
+        acknowledged = steps.acknowledge(spec.trainer, spec.step, self._cursor)
+        if self._world.random.random() < 0.5 and answer.ok_value:
+            try:
+                await asyncio.wait_for(acknowledged, 5)
+            except asyncio.TimeoutError:
+                return False
+        else:
+            acknowledged.close()
+        return any(batch.whole for batch in answer.ok_value)
+
+    def _check(self, batch: DeliveredBatch) -> None:
+        known = self._seen.setdefault(batch.position, batch)
+        if known != batch:
+            self.faults.append(f'batch {batch.position} differs')
+        if known is batch:
+            for sample in batch.samples:
+                self._check_sample(sample)
+
+    def _check_sample(self, sample: Sample) -> None:
+        spec = self._spec
+        now = asyncio.get_running_loop().time()
+        heard = now - NEWEST_KNOWN.total_seconds()
+        newest = self._world.platform.find_newest_at(heard)
+        versions = read_versions(sample.text)
+        listed = [
+            part.weight_version
+            for part in sample.versions
+            for _ in range(part.start, part.end)
+        ]
+        if versions != listed:
+            self.faults.append(f'{sample.key} mislabelled')
+        age = max(newest, spec.weight_version) - min(versions)
+        self.ages.append(max(0, age))
+        if age > spec.staleness_bound:
+            self.faults.append(f'{sample.key} is {age} versions old')
+        if spec.scored and sample.score != len(sample.text):
+            self.faults.append(f'{sample.key} has no score')
+
+    def _take(self, batch: DeliveredBatch) -> None:
+        if batch.position < self._cursor:
+            return
+        for sample in batch.samples:
+            place = (sample.group, sample.index)
+            if place in self.samples:
+                self.faults.append(f'{place} delivered twice')
+            self.samples[place] = sample
+        self._cursor = batch.position + 1
+
+
+def read_versions(text: str) -> list[int]:
+    """Read from a text which version made each token."""
+    return [int(token.partition('@')[2]) for token in text.split()]
--- a/quetzalcourse/transport/platform_client.py
+++ b/quetzalcourse/transport/platform_client.py
@@ -158,13 +158,28 @@
             ]
         )
 
-    async def score(self, sample_id: str, text: str) -> Result[float, str]:
+    async def newest(self, model: str) -> Result[int, StoreFault]:
+        """Tell the newest published weight version of a model."""
+        path = f'/weights/{quote(model)}'
+        answer = await self.request('GET', path)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status != HTTP_OK:
+            fault = FaultKind.not_applied
+            return Err(StoreFault(fault, f'GET {path}', self._address))
+        return Ok(msgspec.json.decode(answer.ok_value.content, type=int))
+
+    async def score(
+        self,
+        sample_id: str,
+        text: str,
+    ) -> Result[float, FaultKind]:
         """Score one sample."""
         body = msgspec.json.encode(ScoreRequest(sample_id, text))
         answer = await self.request('POST', '/scoring', body)
         if isinstance(answer, Err):
-            return Err(answer.err_value.kind.value)
+            return Err(answer.err_value.kind)
         if answer.ok_value.status != HTTP_OK:
-            return Err(f'status {answer.ok_value.status}')
+            return Err(FaultKind.unanswered)
         found = msgspec.json.decode(answer.ok_value.content, type=ScoreAnswer)
         return Ok(found.score)
--- a/quetzalcourse/transport/step_routes.py
+++ b/quetzalcourse/transport/step_routes.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import hashlib
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
-from result import Err
+from result import Err, Result
 from sanic import Request
 from sanic import response as answers
 
 from quetzalcourse.exceptions import RefusedError
-from quetzalcourse.protocol.callers import StepBody
+from quetzalcourse.protocol.callers import (
+    AcknowledgeBody,
+    StepAnswer,
+    StepBody,
+    find_step_faults,
+)
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.steps import StepSpec
 from quetzalcourse.transport.callers import (
@@ -20,12 +26,17 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from sanic import Sanic
     from sanic.response import HTTPResponse
 
     from quetzalcourse.state.manifest import Trainer
     from quetzalcourse.transport.callers import CallerParts
 
+Found = TypeVar('Found')
+STEP_PATH = '/v1/steps/<trainer:str>/<step:int>'
+
 
 class StepRoutes:
     """Serves trainers.
@@ -36,33 +47,53 @@
     def __init__(self, app: Sanic, parts: CallerParts) -> None:
         """Add the routes to the application."""
         self._parts = parts
+        self._steps = parts.steps
         app.add_route(self._create, '/v1/steps', methods=['POST'])
-        app.add_route(self._read, '/v1/steps/<trainer:str>/<step:int>/samples')
+        app.add_route(self._observe, STEP_PATH, methods=['GET'])
+        app.add_route(self._cancel, STEP_PATH, methods=['DELETE'])
+        app.add_route(self._read, f'{STEP_PATH}/samples', methods=['GET'])
+        app.add_route(
+            self._acknowledge, f'{STEP_PATH}/acknowledge', methods=['POST']
+        )
 
     async def _create(self, request: Request) -> HTTPResponse:
         body = decode_body(request.body, StepBody)
         trainer = self._find_trainer(request, body.trainer)
-        bound = trainer.staleness_bound
-        if body.staleness_bound is not None:
-            bound = min(bound, body.staleness_bound)
-        spec = StepSpec(
-            trainer=trainer.name,
-            step=body.step,
-            model=trainer.model,
-            prompts=tuple(body.prompts),
-            samples_per_group=body.samples_per_group,
-            max_tokens=body.max_tokens,
-            weight_version=body.weight_version,
-            staleness_bound=bound,
-            deadline_seconds=body.deadline_seconds,
+        faults = find_step_faults(body)
+        if faults:
+            raise RefusedError(
+                Refusal(
+                    RefusalCode.invalid_body,
+                    '; '.join(faults),
+                    not_run=True,
+                    step='read body',
+                )
+            )
+        spec = self._build_spec(body, trainer)
+        created = self._steps.create(spec, tuple(body.prompts))
+        await self._wait(created)
+        return encode_answer(StepAnswer(spec.trainer, spec.step, spec.total))
+
+    async def _observe(
+        self,
+        request: Request,
+        trainer: str,
+        step: int,
+    ) -> HTTPResponse:
+        self._find_trainer(request, trainer)
+        return encode_answer(
+            await self._wait(self._steps.observe(trainer, step))
         )
-        with self._parts.activity.track():
-            created = await self._parts.steps.create(spec)
-        if isinstance(created, Err):
-            raise RefusedError(created.err_value)
-        return answers.raw(
-            msgspec.json.encode({'trainer': spec.trainer, 'step': spec.step}),
-            content_type=JSON_TYPE,
+
+    async def _cancel(
+        self,
+        request: Request,
+        trainer: str,
+        step: int,
+    ) -> HTTPResponse:
+        self._find_trainer(request, trainer)
+        return encode_answer(
+            await self._wait(self._steps.cancel(trainer, step))
         )
 
     async def _read(
@@ -72,14 +103,48 @@
         step: int,
     ) -> HTTPResponse:
         self._find_trainer(request, trainer)
-        cursor = int(request.args.get('cursor', '0'))
+        cursor = read_cursor(request.args.get('cursor', '0'))
+        batches = await self._wait(self._steps.read(trainer, step, cursor))
+        return encode_answer({'batches': batches})
+
+    async def _acknowledge(
+        self,
+        request: Request,
+        trainer: str,
+        step: int,
+    ) -> HTTPResponse:
+        self._find_trainer(request, trainer)
+        body = decode_body(request.body, AcknowledgeBody)
+        acknowledged = self._steps.acknowledge(trainer, step, body.cursor)
+        return encode_answer(await self._wait(acknowledged))
+
+    async def _wait(self, work: Awaitable[Result[Found, Refusal]]) -> Found:
         with self._parts.activity.track():
-            batches = await self._parts.steps.read(trainer, step, cursor)
-        if isinstance(batches, Err):
-            raise RefusedError(batches.err_value)
-        return answers.raw(
-            msgspec.json.encode({'batches': batches.ok_value}),
-            content_type=JSON_TYPE,
+            answer = await work
+        if isinstance(answer, Err):
+            raise RefusedError(answer.err_value)
+        return answer.ok_value
+
+    def _build_spec(self, body: StepBody, trainer: Trainer) -> StepSpec:
+        bound = trainer.staleness_bound
+        if body.staleness_bound is not None:
+            bound = min(bound, body.staleness_bound)
+        return StepSpec(
+            trainer=trainer.name,
+            step=body.step,
+            client_account=trainer.client_account,
+            model=trainer.model,
+            prompts_name='',
+            groups=len(body.prompts),
+            samples_per_group=body.samples_per_group,
+            max_tokens=body.max_tokens,
+            weight_version=body.weight_version,
+            staleness_bound=bound,
+            deadline_seconds=body.deadline_seconds,
+            body_digest=hash_body(body),
+            created=self._parts.clock.now(),
+            scored=trainer.scored,
+            scoring_repeatable=trainer.scoring_repeatable,
         )
 
     def _find_trainer(self, request: Request, name: str) -> Trainer:
@@ -95,5 +160,32 @@
         return trainer
 
 
+def hash_body(body: StepBody) -> str:
+    """Hash what a trainer asked for, to tell a repeat from a conflict."""
+    return hashlib.sha256(msgspec.json.encode(body)).hexdigest()
+
+
+def read_cursor(text: str) -> int:
+    """Read a cursor from a query.
+
+    :raises RefusedError: if it is no whole number from zero on.
+    """
+    if text.isascii() and text.isdigit():
+        return int(text)
+    raise RefusedError(
+        Refusal(
+            RefusalCode.invalid_body,
+            f'Cursor {text!r} is no whole number from 0 on.',
+            not_run=True,
+            step='read cursor',
+        )
+    )
+
+
+def encode_answer(message: object) -> HTTPResponse:
+    """Answer with a message as JSON."""
+    return answers.raw(msgspec.json.encode(message), content_type=JSON_TYPE)
+
+
 def _refuse(code: RefusalCode, message: str) -> Refusal:
     return Refusal(code, message, not_run=True, step='find trainer')
