End requests of callers that stop sending or reading

Cause: a body of which the rest never came was waited for without end, with a slot held if it went to a service, since the HTTP server times out only the head of a request.

Small bodies are read before a slot is taken. Callers that close, half-close or stop reading leave no slot and no running request on the engine. Ruled out: the server's request timeout, which covers the head only.

--- a/quetzalcourse/settings/process.py
+++ b/quetzalcourse/settings/process.py
@@ -66,10 +66,14 @@
 
     :param body_bytes: largest body of a request to a model or a step.
     :param service_body_bytes: largest body of a call to a plain service.
+    :param sender_seconds: how long a caller may send nothing of a body.
+    :param reader_seconds: how long a caller may take nothing of an answer.
     """
 
     body_bytes: int = Field(default=8_000_000, gt=0)
     service_body_bytes: int = Field(default=64_000_000, gt=0)
+    sender_seconds: float = Field(default=20.0, gt=0)
+    reader_seconds: float = Field(default=30.0, gt=0)
 
 
 class LogSettings(SettingsModel):
--- a/quetzalcourse/standins/deployment.py
+++ b/quetzalcourse/standins/deployment.py
@@ -120,6 +120,7 @@
 
     :param engine_count: how many engines to start.
     :param callers: address that the daemon listens on for callers.
+    :param changes: sections of the daemon's settings that differ.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         engine_count: int = 2,
         callers: str = '127.0.0.1:0',
         token_seconds: float = 0.0005,
+        **changes: Any,
     ) -> None:
         """Open every socket."""
         self.platform = PlatformStandin()
@@ -143,6 +145,7 @@
         settings = build_settings(
             self.platform.address,
             listen={'callers': callers, 'peers': '127.0.0.1:0'},
+            **changes,
         )
         self.daemon = Application(settings)
 
--- a/quetzalcourse/standins/engine.py
+++ b/quetzalcourse/standins/engine.py
@@ -48,6 +48,9 @@
     :param swap_fails: ignore orders to load a version.
     :param report_lag_seconds: age of the load report.
     :param lose_cache_events: lose so many of the next cache events.
+    :param leaving: give notice in the load report.
+    :param gateway_status: answer as a gateway in front of the engine does.
+    :param padding: make every token longer by so many characters.
     """
 
     refuse: bool = False
@@ -58,6 +61,9 @@
     swap_fails: bool = False
     report_lag_seconds: float = 0.0
     lose_cache_events: int = 0
+    leaving: bool = False
+    gateway_status: int = 0
+    padding: int = 0
 
 
 @dataclass(slots=True)
@@ -139,6 +145,7 @@
             list(self.models),
             list(self.adapters),
             self.role,
+            self.faults.leaving,
         )
 
     def _add_routes(self, app: Sanic) -> None:
@@ -159,6 +166,8 @@
     async def _complete(self, request: Request) -> HTTPResponse | None:
         self.record.bodies.append(request.body)
         self.record.headers.append(dict(request.headers))
+        if self.faults.gateway_status:
+            return answers.text('upstream', status=self.faults.gateway_status)
         wanted = msgspec.json.decode(request.body, type=EngineRequest)
         if self.faults.refuse or wanted.model not in self.models:
             return refuse('refused')
@@ -239,6 +248,7 @@
         last = offset + 1 == length
         reason = 'length' if length == wanted.max_tokens else 'stop'
         token = make_token(wanted.prompt, wanted.seed, offset)
+        token += 'x' * self.faults.padding
         self._saved.setdefault(wanted.request_id, []).append(token)
         chunk = EngineChunk(
             request_id,
--- a/quetzalcourse/standins/service.py
+++ b/quetzalcourse/standins/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from sanic import Request
 from sanic import response as answers
@@ -70,6 +70,7 @@
         listener = open_listener(address)
         self.address = read_address(listener)
         app = build_app(f'service-{name}', BODY_BYTES)
+        app.add_route(echo, '/echo/<path:path>', methods=('POST',), stream=True)
         app.add_route(self._answer, '/<path:path>', methods=METHODS)
         self._server = WebServer(app, listener)
 
@@ -105,3 +106,15 @@
             status=self.faults.status,
             content_type='text/plain',
         )
+
+
+async def echo(request: Request, path: str) -> None:
+    """Send each piece of a body back as soon as it arrives."""
+    stream = await request.respond(content_type='text/plain')
+    source: Any = request.stream
+    while True:
+        piece = await source.read()
+        if piece is None:
+            break
+        await stream.send(piece)
+    await stream.eof()
--- /dev/null
+++ b/quetzalcourse/tests/transport/callers_tests.py
@@ -0,0 +1,292 @@
+"""Callers that misbehave get a clear error and leave nothing behind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from structlog.testing import capture_logs
+
+from quetzalcourse.standins.deployment import (
+    MODEL,
+    READER_KEY,
+    SERVICE,
+    Deployment,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+PROMPT = 'a prompt that nobody else may read'
+SECRET = READER_KEY.partition('.')[2]
+KEY = f'Authorization: Bearer {READER_KEY}'
+COMPLETIONS = '/v1/completions'
+CALL = f'/services/{SERVICE}/shelves'
+PATIENCE = 0.2
+LIMIT = 4000
+POLLS = 400
+LONG_SEED = 2
+LIMITS = {
+    'body_bytes': LIMIT,
+    'service_body_bytes': LIMIT,
+    'sender_seconds': PATIENCE,
+    'reader_seconds': PATIENCE,
+}
+
+
+@pytest_asyncio.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    """Start a deployment whose limits are soon reached."""
+    running = Deployment(engine_count=1, limits=LIMITS)
+    await running.on_start()
+    yield running
+    await running.on_stop()
+
+
+async def exchange(deployment: Deployment, *lines: str, body: str = '') -> str:
+    """Send a request as it stands and read until the connection ends."""
+    reader, writer = await connect(deployment)
+    head = '\r\n'.join((*lines, 'Host: x', 'Connection: close', '', ''))
+    writer.write((head + body).encode())
+    answer = await asyncio.wait_for(reader.read(), 20)
+    writer.close()
+    return answer.decode()
+
+
+async def connect(
+    deployment: Deployment,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to the daemon."""
+    host, _, port = deployment.daemon.address.partition(':')
+    return await asyncio.open_connection(host, int(port), limit=1024)
+
+
+def read_error(answer: str) -> dict[str, Any]:
+    """Read the refusal out of an answer."""
+    head, _, body = answer.partition('\r\n\r\n')
+    assert 'x-request-id: ' in head.lower()
+    error: dict[str, Any] = json.loads(body)['error']
+    assert error['request_id'] in head
+    return error
+
+
+async def expect_nothing_left(deployment: Deployment) -> None:
+    """Wait until no request is served and no slot is held."""
+    daemon = deployment.daemon
+    for _ in range(POLLS):
+        held = [
+            daemon.admission.running(name)
+            for name in daemon.manifest.current.upstreams
+        ]
+        engine = deployment.engines[0].report_load().running
+        if not any((daemon.activity.serving, engine, *held)):
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError((daemon.activity.serving, engine, held))
+
+
+def write_body(**changes: Any) -> str:
+    """Write the body of a request for tokens."""
+    return json.dumps({'model': MODEL, 'prompt': PROMPT} | changes)
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'body', 'status', 'code'),
+    [
+        (COMPLETIONS, [KEY], write_body(max_tokens=0), 400, 'invalid_body'),
+        (
+            COMPLETIONS,
+            [KEY],
+            write_body(timeout_seconds=-1),
+            400,
+            'invalid_body',
+        ),
+        (COMPLETIONS, [KEY], '{"model": "verse"', 400, 'invalid_body'),
+        (COMPLETIONS, [KEY], write_body(model='prose'), 404, 'unknown_model'),
+        (COMPLETIONS, [], write_body(), 401, 'unauthenticated'),
+        (COMPLETIONS, [KEY], 'x' * 5000, 413, 'body_too_large'),
+        (CALL, [KEY], 'x' * 5000, 413, 'body_too_large'),
+        (CALL, [], 'x', 401, 'unauthenticated'),
+        (CALL, [KEY, 'X-Timeout-Seconds: soon'], 'x', 400, 'invalid_body'),
+        ('/services/none/a', [KEY], 'x', 404, 'unknown_service'),
+    ],
+)
+async def test_bad_request_is_refused(
+    deployment: Deployment,
+    path: str,
+    headers: list[str],
+    body: str,
+    status: int,
+    code: str,
+) -> None:
+    # A caller's program sends something that can't be served. Its author
+    # has to see what is wrong, and that nothing ran.
+    answer = await exchange(
+        deployment,
+        f'POST {path} HTTP/1.1',
+        *headers,
+        f'Content-Length: {len(body)}',
+        body=body,
+    )
+    assert answer.startswith(f'HTTP/1.1 {status} ')
+    error = read_error(answer)
+    assert (error['code'], error['not_run']) == (code, True)
+    assert not deployment.services[0].record.calls
+    await expect_nothing_left(deployment)
+
+
+@pytest.mark.parametrize(
+    ('path', 'framing', 'body', 'not_run'),
+    [
+        (COMPLETIONS, 'Content-Length: 90', '{"model"', True),
+        (CALL, 'Content-Length: 90', 'half', True),
+        (CALL, 'Transfer-Encoding: chunked', '4\r\nhalf\r\n', False),
+    ],
+)
+async def test_slow_sender_is_told(
+    deployment: Deployment,
+    path: str,
+    framing: str,
+    body: str,
+    not_run: bool,
+) -> None:
+    # A caller's network stalls in mid-request. Were it waited for, a few
+    # such callers would hold every slot of a service.
+    answer = await exchange(
+        deployment, f'POST {path} HTTP/1.1', KEY, framing, body=body
+    )
+    assert answer.startswith('HTTP/1.1 408 ')
+    error = read_error(answer)
+    assert (error['code'], error['not_run']) == ('body_timeout', not_run)
+    await expect_nothing_left(deployment)
+
+
+async def test_large_chunked_body_is_cut(deployment: Deployment) -> None:
+    # The size of a chunked body shows only while it arrives. Passed on
+    # without a limit it could fill the memory of a service.
+    piece = f'{2000:x}\r\n{"x" * 2000}\r\n'
+    answer = await exchange(
+        deployment,
+        f'POST {CALL} HTTP/1.1',
+        KEY,
+        'Transfer-Encoding: chunked',
+        body=f'{piece * 3}0\r\n\r\n',
+    )
+    error = read_error(answer)
+    assert (error['code'], error['not_run']) == ('body_too_large', False)
+    assert not deployment.services[0].record.calls
+    await expect_nothing_left(deployment)
+
+
+@pytest.mark.parametrize('way', ['close', 'half-close', 'stop reading'])
+async def test_caller_goes_away(deployment: Deployment, way: str) -> None:
+    # A reader closes the page, or its laptop, in the middle of a long
+    # stream. An engine that went on would keep a slot from the next reader.
+    engine = deployment.engines[0]
+    reader, writer = await connect(deployment)
+    transport = writer.transport
+    if way == 'stop reading':
+        engine.faults.padding = 200_000
+    body = write_body(max_tokens=2000, stream=True, seed=LONG_SEED)
+    head = f'POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\n{KEY}\r\n'
+    writer.write(f'{head}Content-Length: {len(body)}\r\n\r\n{body}'.encode())
+    await reader.readline()
+    if way == 'close':
+        transport.abort()
+    elif way == 'half-close':
+        writer.write_eof()
+    else:
+        transport.pause_reading()  # type: ignore[attr-defined]
+    await expect_nothing_left(deployment)
+    assert engine.record.cancelled
+    assert not engine.record.completed
+    transport.abort()
+
+
+@pytest.mark.parametrize(
+    ('method', 'status', 'body'),
+    [('HEAD', 200, ''), ('OPTIONS', 200, 'OPTIONS shelves')],
+)
+async def test_methods_pass(
+    deployment: Deployment,
+    method: str,
+    status: int,
+    body: str,
+) -> None:
+    answer = await exchange(deployment, f'{method} {CALL} HTTP/1.1', KEY)
+    assert answer.startswith(f'HTTP/1.1 {status} ')
+    assert answer.partition('\r\n\r\n')[2] == body
+    assert f'content-length: {len(f"{method} shelves")}' in answer.lower()
+    assert deployment.services[0].record.calls[0].method == method
+
+
+async def test_chunks_pass_both_ways(deployment: Deployment) -> None:
+    # A catalogue answers before it has the whole request. Whoever gathered
+    # the bodies first would make both sides wait for each other.
+    reader, writer = await connect(deployment)
+    path = f'/services/{SERVICE}/echo/verses'
+    head = f'POST {path} HTTP/1.1\r\nHost: x\r\n{KEY}\r\n'
+    writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+    for piece in (b'first', b'second'):
+        writer.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        await asyncio.wait_for(reader.readuntil(piece), 20)
+    writer.write(b'0\r\n\r\n')
+    await asyncio.wait_for(reader.readuntil(b'0\r\n\r\n'), 20)
+    writer.close()
+
+
+async def test_upstream_sees_no_credentials(deployment: Deployment) -> None:
+    # A key can come in many places. In any of them it would end up in the
+    # logs of a service, whose readers could use it.
+    await exchange(
+        deployment,
+        f'GET {CALL}?api_key={READER_KEY}&page=2&x=a%2D{SECRET} HTTP/1.1',
+        KEY,
+        'Cookie: session=7',
+        f'X-Anything: {SECRET}',
+        'Keep-Alive: 5',
+        'TE: trailers',
+        'Proxy-Authorization: Basic abc',
+        'X-Kept: kept',
+    )
+    (call,) = deployment.services[0].record.calls
+    assert call.query == 'page=2'
+    assert call.headers['x-kept'] == 'kept'
+    assert SECRET not in repr(call)
+    dropped = {'cookie', 'keep-alive', 'te', 'proxy-authorization'}
+    assert not dropped & call.headers.keys()
+
+
+async def test_logs_hold_no_prompt(
+    deployment: Deployment,
+    caplog: pytest.LogCaptureFixture,
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    # Whoever reads the logs may read neither what callers ask nor the keys
+    # that they ask with, also when something fails.
+    caplog.set_level('DEBUG')
+    deployment.engines[0].faults.break_after = 1
+    headers = {'Authorization': f'Bearer {READER_KEY}'}
+    with capture_logs() as logged:
+        async with aiohttp.ClientSession(headers=headers) as session:
+            for body in (write_body(), write_body(max_tokens=0), f'"{PROMPT}'):
+                url = f'{deployment.url}{COMPLETIONS}'
+                async with session.post(url, data=body) as answer:
+                    await answer.read()
+        deployment.daemon.generation.run = None  # type: ignore[assignment]
+        answer_text = await exchange(
+            deployment,
+            f'POST {COMPLETIONS} HTTP/1.1',
+            KEY,
+            f'Content-Length: {len(write_body())}',
+            body=write_body(),
+        )
+    assert read_error(answer_text)['code'] == 'internal'
+    assert any(entry['event'] == 'Request failed.' for entry in logged)
+    seen = f'{logged}{caplog.text}{capfd.readouterr()}'
+    assert PROMPT not in seen
+    assert SECRET not in seen
--- a/quetzalcourse/transport/bodies.py
+++ b/quetzalcourse/transport/bodies.py
@@ -13,7 +13,7 @@
 
     from sanic import Request
 
-SENDER_SECONDS = 20.0
+    from quetzalcourse.settings.process import LimitSettings
 
 
 class BodySource:
@@ -25,6 +25,7 @@
 
     :param request: the caller's request.
     :param limit: largest body in bytes.
+    :param patience_seconds: how long the caller may send nothing.
     :raises RefusedError: if the declared length is above the limit.
     """
 
@@ -32,7 +33,7 @@
         self,
         request: Request,
         limit: int,
-        patience_seconds: float = SENDER_SECONDS,
+        patience_seconds: float,
     ) -> None:
         """Begin before the first byte."""
         headers = request.headers
@@ -92,9 +93,16 @@
             async with asyncio.timeout(self._patience):
                 return await self._stream.read()
         except TimeoutError:
+            self._hang_up()
             self._fail(_refuse_slow())
         return None
 
+    def _hang_up(self) -> None:
+        # The server would wait for the rest of the body before it closes
+        # the connection, and the caller for the close.
+        self._stream.keep_alive = False
+        self._stream.request_body = None
+
     def _fail(self, refusal: Refusal) -> None:
         # The HTTP client wraps what its body raises, so the reason is kept
         # for whoever called it and knows whether the call was sent.
@@ -102,6 +110,15 @@
         raise RefusedError(refusal)
 
 
+async def read_body(request: Request, limits: LimitSettings) -> bytes:
+    """Read the body of a request that is not passed on.
+
+    :raises RefusedError: if it is larger than the limit or comes slowly.
+    """
+    body = BodySource(request, limits.body_bytes, limits.sender_seconds)
+    return await body.buffer(limits.body_bytes)
+
+
 def _refuse_large() -> Refusal:
     return Refusal(
         RefusalCode.body_too_large,
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -19,6 +19,7 @@
 from quetzalcourse.protocol.events import END_EVENT, encode_event
 from quetzalcourse.protocol.refusals import encode_refusal
 from quetzalcourse.state.generation import GenerationRequest, TrafficClass
+from quetzalcourse.transport.bodies import read_body
 from quetzalcourse.transport.callers import (
     JSON_TYPE,
     authenticate,
@@ -47,18 +48,33 @@
     def __init__(self, app: Sanic, parts: CallerParts) -> None:
         """Add the routes to the application."""
         self._parts = parts
-        app.add_route(self._complete, '/v1/completions', methods=['POST'])
-        app.add_route(self._chat, '/v1/chat/completions', methods=['POST'])
+
+        # Sanic marks a streaming handler by an attribute, which a bound
+        # method can't carry. Other handlers wait for a body without end.
+        async def complete(request: Request) -> HTTPResponse | None:
+            return await self._complete(request)
+
+        async def chat(request: Request) -> HTTPResponse | None:
+            return await self._chat(request)
+
+        app.add_route(
+            complete, '/v1/completions', methods=['POST'], stream=True
+        )
+        app.add_route(
+            chat, '/v1/chat/completions', methods=['POST'], stream=True
+        )
 
     async def _complete(self, request: Request) -> HTTPResponse | None:
         identity = authenticate(request, self._parts.keys)
-        body = decode_body(request.body, CompletionBody)
+        content = await read_body(request, self._parts.settings.limits)
+        body = decode_body(content, CompletionBody)
         wanted = self._build(request, identity, body, body.prompt)
         return await self._serve(request, wanted, body, AnswerShape.text)
 
     async def _chat(self, request: Request) -> HTTPResponse | None:
         identity = authenticate(request, self._parts.keys)
-        body = decode_body(request.body, ChatBody)
+        content = await read_body(request, self._parts.settings.limits)
+        body = decode_body(content, ChatBody)
         prompt = render_chat(body.messages)
         wanted = self._build(request, identity, body, prompt)
         return await self._serve(request, wanted, body, AnswerShape.chat)
@@ -114,7 +130,8 @@
         # refusal can still have its own status.
         first = await anext(chunks)
         answer = await request.respond(content_type='text/event-stream')
-        stream = AnswerStream(request, answer)
+        patience = self._parts.settings.limits.reader_seconds
+        stream = AnswerStream(request, answer, patience)
         await stream.send(encode_event(writer.encode_piece(first)))
         try:
             async for chunk in chunks:
--- a/quetzalcourse/transport/relay.py
+++ b/quetzalcourse/transport/relay.py
@@ -15,7 +15,6 @@
     from sanic.response import HTTPResponse
 
 PIECE_BYTES = 65536
-READER_SECONDS = 30.0
 
 
 class CallerLostError(QuetzalcourseError):
@@ -27,13 +26,14 @@
 
     :param request: the caller's request.
     :param stream: the answer that was begun.
+    :param patience_seconds: how long the caller may take nothing.
     """
 
     def __init__(
         self,
         request: Request,
         stream: HTTPResponse,
-        patience_seconds: float = READER_SECONDS,
+        patience_seconds: float,
     ) -> None:
         """Keep the connection."""
         self._request = request
@@ -62,11 +62,13 @@
     first: bytes,
     *,
     whole: bool,
+    patience_seconds: float,
 ) -> None:
     """Send an upstream's answer to the caller as it arrives.
 
     :param first: what was read of the body already.
     :param whole: whether that is all of it.
+    :param patience_seconds: how long the caller may take nothing.
     """
     headers = clean_response_headers(answer.headers.items())
     stream = await request.respond(
@@ -74,7 +76,7 @@
         headers=headers,
         content_type=headers.get('content-type', ''),
     )
-    pieces = AnswerStream(request, stream)
+    pieces = AnswerStream(request, stream, patience_seconds)
     await pieces.send(first, last=whole)
     if whole:
         return
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -107,8 +107,10 @@
             identity.client_account,
             self._read_deadline(request),
         )
-        limit = self._parts.settings.limits.service_body_bytes
-        body = BodySource(request, limit)
+        limits = self._parts.settings.limits
+        body = BodySource(
+            request, limits.service_body_bytes, limits.sender_seconds
+        )
         query = clean_query(request.query_string, read_secret(request))
         target = f'/{path}?{query}' if query else f'/{path}'
         passage = Passage(request, call, target, body)
@@ -223,7 +225,13 @@
             whole = True
         first = await answer.read() if whole else b''
         passage.call.answering = True
-        await relay_answer(passage.request, answer, first, whole=whole)
+        await relay_answer(
+            passage.request,
+            answer,
+            first,
+            whole=whole,
+            patience_seconds=self._parts.settings.limits.reader_seconds,
+        )
         self._parts.services.on_answered(passage.call, grant)
         if answer.status in UNWELL:
             self._parts.services.on_unwell(grant)
