Bound the bench's own time and memory

Cause: the bench has to stay within ten minutes and half of the machine's memory, and nothing would show that it had grown past them. Change: a run of all suites ends with its own seconds and memory, bounded.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,16 @@
 import argparse
 import importlib
 import json
+import os
 import pkgutil
+import resource
 import sys
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from bench import suites
+from bench.figure import Figure, at_most
 from quetzalcourse.commands.output import write_line, write_table
 from quetzalcourse.log import configure_log
 from quetzalcourse.loop import run_loop
@@ -19,8 +22,10 @@
 if TYPE_CHECKING:
     from types import ModuleType
 
-    from bench.figure import Figure
 
+LONGEST_SECONDS = 600.0
+LARGEST_SHARE = 0.5
+KILOBYTE = 1024
 RESULTS = Path(__file__).with_name('results.json')
 HEADER = ('figure', 'value', 'unit', 'baseline', 'bound', 'verdict', 'detail')
 
@@ -53,16 +58,45 @@
     :returns: 0 if every bound holds.
     """
     figures: list[Figure] = []
+    started = time.monotonic()
     for suite in chosen:
         began = time.monotonic()
         figures.extend(await suite.measure())
         seconds = time.monotonic() - began
         write_line(f'{suite.__name__}: {seconds:.1f} s')
+    if len(chosen) == len(load_suites()):
+        figures.extend(measure_run(started))
     write_table(HEADER, [format_figure(figure) for figure in figures])
     save_figures(figures)
     return 0 if all(figure.ok for figure in figures) else 1
 
 
+def measure_run(began: float) -> list[Figure]:
+    """Measure the bench itself against its own limits.
+
+    :param began: monotonic time at its start.
+    """
+    own = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    largest = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss
+    machine = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
+    share = (own + largest) * KILOBYTE / machine
+    return [
+        Figure(
+            'bench_seconds',
+            time.monotonic() - began,
+            's',
+            at_most(LONGEST_SECONDS),
+        ),
+        Figure(
+            'bench_memory_share',
+            share,
+            'of the machine',
+            at_most(LARGEST_SHARE),
+            detail='bench and its largest process',
+        ),
+    ]
+
+
 def format_figure(figure: Figure) -> tuple[str, ...]:
     """Write a figure as a row of the table."""
     baseline = '-' if figure.baseline is None else f'{figure.baseline:.4g}'
