Say on the burn page what its lines mean

Cause: looked at in a browser, the plots stood without heading and their dashed lines without meaning. Change: a heading and a line of text below each plot. Conclusion: the page explains itself.

--- a/quetzalcourse/commands/burn_page.py
+++ b/quetzalcourse/commands/burn_page.py
@@ -69,7 +69,17 @@
         for name, text in rows
     )
     title = html.escape(burn.service_level)
-    return f'<h2>{title}</h2><table>{cells}</table>{plot_rates(burn)}'
+    return (
+        f'<h2>{title}</h2><table>{cells}</table>'
+        f'<h3>Burn rate by window</h3>{plot_rates(burn)}'
+        f'<p>{describe_limits()}</p>'
+    )
+
+
+def describe_limits() -> str:
+    """Say what the dashed lines of a plot mean."""
+    limits = [f'{rule.alert.value} at {rule.rate:g}' for rule in ALERT_RULES]
+    return f'Dashed lines: {", ".join(limits)}.'
 
 
 def plot_rates(burn: LevelBurn) -> str:
