--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -11,7 +11,6 @@
 import aiohttp
 from result import Err, Ok
 
-from quetzalcourse.coordination.admission import Admission
 from quetzalcourse.coordination.burn_ledger import BurnLedger
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
@@ -23,6 +22,7 @@
 from quetzalcourse.coordination.service_levels import ServiceLevels
 from quetzalcourse.coordination.step_assembly import build_steps
 from quetzalcourse.log import get_log
+from quetzalcourse.slot_parts import SlotParts
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
 from quetzalcourse.transport.callers import (
@@ -126,6 +126,7 @@
         await self.burn_ledger.flush()
         await self.steps.stop()
         await self.generation.stop()
+        await self.slots.on_stop()
         await self._server.stop()
         await self._session.close()
         self.members.announce_gone()
@@ -168,7 +169,15 @@
         )
         self.keys = KeyRing()
         self.manifest = ManifestKeeper(self.platform, self.platform)
-        self.admission = Admission(self.clock)
+        self.slots = SlotParts(
+            self.members,
+            self.peers,
+            self._session,
+            self.clock,
+            self.counters,
+        )
+        self.admission = self.slots.admission
+        self.slots.on_start()
         self.upstreams = build_upstreams(
             self.settings.data_centre,
             self.incarnation,
@@ -196,7 +205,7 @@
     def on_manifest(self, manifest: Manifest) -> None:
         """Hand a manifest that came into force to every part."""
         self.keys.replace_grants(manifest.keys.values())
-        self.admission.on_manifest(manifest)
+        self.slots.on_manifest(manifest)
         self.upstreams.on_manifest(manifest)
         self.service_levels.on_manifest(manifest)
         self.activity.ready = True
--- a/quetzalcourse/coordination/admission.py
+++ b/quetzalcourse/coordination/admission.py
@@ -3,29 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import itertools
-from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.account_limits import AccountLimits
+from quetzalcourse.coordination.deadlines import DeadlineWatch
+from quetzalcourse.coordination.fair_queue import FairQueue
+from quetzalcourse.coordination.held_slots import HeldSlots
+from quetzalcourse.coordination.lone import build_lone
+from quetzalcourse.coordination.ownership import hash_name
 from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.refusal import Refusal, RefusalCode
-from quetzalcourse.state.slots import Grant, SlotRequest
+from quetzalcourse.state.slots import (
+    Grant,
+    LoadKey,
+    SlotRequest,
+    SlotWaiter,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
+    from quetzalcourse.coordination.ports import SlotPolicy
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.manifest import Manifest, Upstream
 
-
-@dataclass(order=True, slots=True)
-class _Waiter:
-    rank: int
-    order: int
-    request: SlotRequest = field(compare=False)
-    granted: asyncio.Future[Grant] = field(compare=False)
+MAX_WAITING = 4096
+OVERLOAD_RETRY = timedelta(seconds=5)
+CLASSES = (TrafficClass.human, TrafficClass.training)
 
 
 class Admission:
@@ -35,98 +41,231 @@
     order of arrival and a human would wait there behind training.
 
     :param clock: tells when a deadline has passed.
+    :param policy: tells how much this daemon may run on each upstream; left
+        out, this daemon has them for itself.
+    :param max_waiting: requests that may wait here at once.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        policy: SlotPolicy | None = None,
+        counters: Counters | None = None,
+        max_waiting: int = MAX_WAITING,
+    ) -> None:
         """Begin without upstreams."""
+        self.limits = AccountLimits()
         self._clock = clock
+        self._policy = policy or build_lone(clock)
+        self._counters = counters or Counters()
+        self._max_waiting = max_waiting
         self._upstreams: dict[str, Upstream] = {}
-        self._running: dict[str, int] = {}
-        self._waiters: list[_Waiter] = []
+        self._names: dict[int, str] = {}
+        self._queue = FairQueue()
+        self._held = HeldSlots()
         self._orders = itertools.count()
+        self._deadlines = DeadlineWatch(clock, self._expire)
+        self._policy.listen(self.on_free, self.on_revoked)
 
     def on_manifest(self, manifest: Manifest) -> None:
-        """Take the upstreams of a manifest that came into force."""
+        """Take the upstreams and accounts that came into force."""
         self._upstreams = dict(manifest.upstreams)
-        self._hand_out()
+        accounts = manifest.client_accounts
+        self._names = {hash_name(name): name for name in accounts}
+        self._queue.weights = {
+            hash_name(account.name): account.weight
+            for account in accounts.values()
+        }
+        self.limits.on_manifest(accounts)
+        self._policy.on_manifest(manifest)
+        for name in self._upstreams:
+            self.on_free(name)
+
+    def on_stop(self) -> None:
+        """End the watch on deadlines."""
+        self._deadlines.stop()
 
     def running(self, upstream: str) -> int:
         """Count the requests that hold a slot of an upstream."""
-        return self._running.get(upstream, 0)
+        return self._held.running(upstream)
 
     def waiting(self) -> int:
         """Count the requests that wait for a slot."""
-        return len(self._waiters)
+        return len(self._queue)
 
     async def acquire(self, request: SlotRequest) -> Grant:
         """Wait for a slot.
 
         :param request: what wants to run.
         :returns: the slot, to be given back by :meth:`release`.
-        :raises RefusedError: when the deadline passes first.
+        :raises RefusedError: if a limit is reached, the queue is full or
+            the deadline passes first; it has not run then.
         """
-        loop = asyncio.get_running_loop()
-        waiter = _Waiter(
-            0 if request.traffic_class is TrafficClass.human else 1,
-            next(self._orders),
-            request,
-            loop.create_future(),
-        )
-        heapq.heappush(self._waiters, waiter)
-        self._hand_out()
-        left = request.deadline - self._clock.elapsed()
+        now = self._clock.elapsed()
+        refusal = self.limits.check(request, now)
+        if request.deadline <= now:
+            refusal = _refuse_late()
+        if refusal is not None:
+            self._count_refusal(request, refusal)
+            raise RefusedError(refusal)
+        waiter = self._enqueue(request, now)
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(waiter.granted), left.total_seconds()
-            )
-        except TimeoutError:
-            raise RefusedError(_refuse_late()) from None
-        finally:
-            self._forget(waiter)
+            return await waiter.granted
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
 
     def release(self, grant: Grant, tokens: int = 0) -> None:
-        """Give a slot back.
+        """Give a slot back; a second time does nothing.
 
         :param tokens: how many were generated while it was held.
         """
-        self._running[grant.upstream.name] -= 1
-        self._hand_out()
-
-    def _forget(self, waiter: _Waiter) -> None:
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
-            waiter.granted.cancel()
-
-    def _hand_out(self) -> None:
-        kept = []
-        while self._waiters:
-            waiter = heapq.heappop(self._waiters)
-            upstream = self._find_free(waiter.request)
-            if upstream is None:
-                kept.append(waiter)
-                continue
-            self._running[upstream.name] = self.running(upstream.name) + 1
-            request = waiter.request
-            grant = Grant(
-                upstream, request.traffic_class, request.client_account
-            )
-            waiter.granted.set_result(grant)
-        self._waiters = kept
-        heapq.heapify(self._waiters)
-
-    def _find_free(self, request: SlotRequest) -> Upstream | None:
-        for upstream in self._known(request.candidates):
-            usable = upstream.slots
-            if request.traffic_class is TrafficClass.training:
-                usable -= upstream.human_headroom
-            if self.running(upstream.name) < usable:
-                return upstream
-        return None
-
-    def _known(self, names: Iterable[str]) -> Iterable[Upstream]:
-        found = (self._upstreams.get(name) for name in names)
-        return (upstream for upstream in found if upstream is not None)
+        charged = self._held.remove(grant)
+        if charged is None:
+            return
+        upstream = grant.upstream.name
+        key = make_key(grant.client_account, grant.traffic_class)
+        self.limits.on_left(grant)
+        self._queue.charge_end(key, charged, tokens)
+        self._policy.on_released(upstream, key, tokens)
+        self.on_free(upstream)
+
+    def on_free(self, upstream: str) -> None:
+        """Hand out what an upstream has free, humans first."""
+        if upstream not in self._upstreams:
+            return
+        for traffic_class in CLASSES:
+            while self._policy.may_start(upstream, traffic_class):
+                waiter = self._queue.find_next(upstream, traffic_class)
+                if waiter is None:
+                    break
+                self._unqueue(waiter)
+                # A caller that went away stays in the queue until its task
+                # has run; a slot granted to it would never come back.
+                if not waiter.granted.done():
+                    self._grant(waiter, upstream)
+
+    def on_revoked(self, upstream: str, count: int) -> None:
+        """Take slots back from training.
+
+        :param count: how many must be on their way back in all.
+        """
+        revoked = self._held.revoke_training(upstream, count)
+        if revoked:
+            self._counters.add('slots_revoked', revoked, upstream=upstream)
+
+    def _enqueue(self, request: SlotRequest, now: timedelta) -> SlotWaiter:
+        waiter = SlotWaiter(
+            next(self._orders),
+            make_key(request.client_account, request.traffic_class),
+            request,
+            now,
+            asyncio.get_running_loop().create_future(),
+        )
+        self._queue.push(waiter)
+        self.limits.on_arrived(request)
+        self.limits.on_queued(request)
+        for upstream in request.candidates:
+            if self._policy.may_start(upstream, request.traffic_class):
+                self.on_free(upstream)
+            if waiter.granted.done():
+                return waiter
+        self._hold(waiter)
+        return waiter
+
+    def _hold(self, waiter: SlotWaiter) -> None:
+        refusal = self.limits.check_queue(waiter.request)
+        if refusal is not None:
+            self._drop(waiter, refusal)
+            return
+        # Without a bound, a flood would take the daemon's memory and every
+        # request in the queue would be served too late.
+        if len(self._queue) > self._max_waiting:
+            self._drop(self._queue.choose_victim(), _refuse_full())
+        if waiter.granted.done():
+            return
+        self._deadlines.add(waiter.request.deadline)
+        self._show_queue(waiter.key)
+        self._policy.on_queued(waiter)
+
+    def _grant(self, waiter: SlotWaiter, upstream: str) -> None:
+        request = waiter.request
+        grant = Grant(
+            self._upstreams[upstream],
+            request.traffic_class,
+            request.client_account,
+        )
+        self.limits.on_arrived(grant)
+        self._held.add(grant, self._queue.charge_start(waiter.key))
+        self._policy.on_started(upstream, waiter.key)
+        waiter.granted.set_result(grant)
+        wait = self._clock.elapsed() - waiter.queued
+        name = request.traffic_class.value
+        self._counters.add('slots_granted', traffic_class=name)
+        self._counters.observe(
+            'slot_wait', wait.total_seconds(), traffic_class=name
+        )
+
+    def _abandon(self, waiter: SlotWaiter) -> None:
+        # A caller may go away in the same step of the loop in which its
+        # slot was granted. Nobody would release that slot, and the engine
+        # would stay one short until the daemon restarts.
+        if self._unqueue(waiter):
+            return
+        granted = waiter.granted
+        if granted.cancelled() or granted.exception() is not None:
+            return
+        self.release(granted.result())
+
+    def _unqueue(self, waiter: SlotWaiter) -> bool:
+        if not self._queue.remove(waiter):
+            return False
+        self.limits.on_unqueued(waiter.request)
+        self.limits.on_left(waiter.request)
+        self._policy.on_unqueued(waiter)
+        self._show_queue(waiter.key)
+        return True
+
+    def _drop(self, waiter: SlotWaiter, refusal: Refusal) -> None:
+        self._unqueue(waiter)
+        self._count_refusal(waiter.request, refusal)
+        if not waiter.granted.done():
+            waiter.granted.set_exception(RefusedError(refusal))
+
+    def _expire(self) -> timedelta | None:
+        now = self._clock.elapsed()
+        late = [
+            waiter
+            for waiter in self._queue.walk()
+            if waiter.request.deadline <= now
+        ]
+        for waiter in sorted(late, key=_find_deadline):
+            self._drop(waiter, _refuse_late())
+        return min(map(_find_deadline, self._queue.walk()), default=None)
+
+    def _show_queue(self, key: LoadKey) -> None:
+        self._counters.set(
+            'queue_length',
+            self._queue.count(key),
+            traffic_class=key.traffic_class.value,
+            client_account=self._names.get(key.account_id, 'other'),
+        )
+
+    def _count_refusal(self, request: SlotRequest, refusal: Refusal) -> None:
+        self._counters.add(
+            'slots_refused',
+            code=refusal.code.value,
+            traffic_class=request.traffic_class.value,
+        )
+
+
+def make_key(client_account: str, traffic_class: TrafficClass) -> LoadKey:
+    """Name the queue of an account's requests."""
+    return LoadKey(traffic_class, hash_name(client_account))
+
+
+def _find_deadline(waiter: SlotWaiter) -> timedelta:
+    return waiter.request.deadline
 
 
 def _refuse_late() -> Refusal:
@@ -136,3 +275,13 @@
         not_run=True,
         step='wait for a slot',
     )
+
+
+def _refuse_full() -> Refusal:
+    return Refusal(
+        RefusalCode.overloaded,
+        'Too many requests wait for a slot.',
+        not_run=True,
+        retry_after=OVERLOAD_RETRY,
+        step='wait for a slot',
+    )
--- /dev/null
+++ b/quetzalcourse/coordination/deadlines.py
@@ -0,0 +1,57 @@
+"""Watch on the deadlines of requests that wait."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.state.clock import Clock
+
+SHORTEST_PAUSE = timedelta(milliseconds=10)
+
+
+class DeadlineWatch:
+    """One task that sleeps until the earliest deadline.
+
+    :param expire: ends what is past its deadline and returns the earliest
+        deadline that is left, if there is one.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        expire: Callable[[], timedelta | None],
+    ) -> None:
+        """Begin without a task."""
+        self._clock = clock
+        self._expire = expire
+        self._task: asyncio.Task[None] | None = None
+        self._next = timedelta.max
+
+    def add(self, deadline: timedelta) -> None:
+        """Wake up at a deadline unless an earlier one is awaited."""
+        if self._task is not None and not self._task.done():
+            if deadline >= self._next:
+                return
+            self._task.cancel()
+        self._next = deadline
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._run())
+
+    def stop(self) -> None:
+        """End the task."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            pause = self._next - self._clock.elapsed()
+            await self._clock.sleep(max(pause, SHORTEST_PAUSE))
+            following = self._expire()
+            if following is None:
+                return
+            self._next = following
--- /dev/null
+++ b/quetzalcourse/coordination/division.py
@@ -0,0 +1,212 @@
+"""Division of an upstream's slots among classes, accounts and daemons."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeVar
+
+from quetzalcourse.state.generation import TrafficClass
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from datetime import timedelta
+
+    from quetzalcourse.state.slots import LoadKey
+
+Name = TypeVar('Name')
+LEAST_FACTOR = 0.5
+MOST_FACTOR = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What one account could use through one daemon.
+
+    :param wanted: requests that run or wait.
+    :param oldest: how long the first waiting one has waited.
+    """
+
+    requester: str
+    key: LoadKey
+    wanted: int
+    oldest: timedelta
+
+
+@dataclass(slots=True)
+class Target:
+    """Slots that a daemon should come to have."""
+
+    human: int = 0
+    training: int = 0
+
+    @property
+    def total(self) -> int:
+        """Slots for both classes."""
+        return self.human + self.training
+
+
+@dataclass(frozen=True, slots=True)
+class Accounts:
+    """What makes a division fair.
+
+    :param weights: weights of the accounts in the manifest, else one.
+    :param served: recent tokens by class and account.
+    """
+
+    weights: Mapping[int, float] = field(default_factory=dict)
+    served: Mapping[LoadKey, float] = field(default_factory=dict)
+
+    def weigh(self, key: LoadKey) -> float:
+        """Tell the weight of an account."""
+        return self.weights.get(key.account_id, 1.0)
+
+
+def fill_fairly(
+    capacity: float,
+    wanted: Mapping[Name, int],
+    weights: Mapping[Name, float],
+) -> dict[Name, float]:
+    """Share a capacity by weight; nobody gets more than it wants.
+
+    :param capacity: how much there is.
+    :param wanted: most that each can use.
+    :param weights: claim of each on what is scarce.
+    """
+    shares: dict[Name, float] = {}
+    left = dict(wanted)
+    while left:
+        total = sum(weights[name] for name in left)
+        offers = {
+            name: max(capacity, 0) * weights[name] / total for name in left
+        }
+        full = [name for name, offer in offers.items() if left[name] <= offer]
+        if not full:
+            return shares | offers
+        for name in full:
+            shares[name] = float(left.pop(name))
+            capacity -= shares[name]
+    return shares
+
+
+def round_shares(
+    shares: Mapping[Name, float],
+    wanted: Mapping[Name, int],
+    order: Mapping[Name, float],
+) -> dict[Name, int]:
+    """Round shares to whole slots without changing their sum.
+
+    :param order: who gets the slots that are left, lowest first.
+    """
+    whole = {name: int(share) for name, share in shares.items()}
+    left = round(sum(shares.values())) - sum(whole.values())
+    for name in sorted(whole, key=order.__getitem__):
+        if left > 0 and whole[name] < wanted[name]:
+            whole[name] += 1
+            left -= 1
+    return whole
+
+
+def divide_slots(
+    slots: int,
+    headroom: int,
+    claims: list[Claim],
+    accounts: Accounts,
+) -> dict[str, Target]:
+    """Say how many slots each daemon should have.
+
+    Humans come first; training shares what is left but for the headroom.
+
+    :param slots: requests that the upstream runs at once.
+    :param headroom: slots that training leaves free.
+    """
+    targets: dict[str, Target] = defaultdict(Target)
+    humans = _select(claims, TrafficClass.human)
+    for requester, human in _divide_class(slots, humans, accounts).items():
+        targets[requester].human = human
+    used = sum(target.human for target in targets.values())
+    training = _select(claims, TrafficClass.training)
+    capacity = max(slots - used - headroom, 0)
+    divided = _divide_class(capacity, training, accounts)
+    for requester, count in divided.items():
+        targets[requester].training = count
+    return targets
+
+
+def _select(claims: list[Claim], traffic_class: TrafficClass) -> list[Claim]:
+    return [
+        claim for claim in claims if claim.key.traffic_class is traffic_class
+    ]
+
+
+def _divide_class(
+    capacity: int,
+    claims: list[Claim],
+    accounts: Accounts,
+) -> dict[str, int]:
+    by_account: dict[LoadKey, list[Claim]] = defaultdict(list)
+    for claim in claims:
+        by_account[claim.key].append(claim)
+    wanted = {
+        key: sum(claim.wanted for claim in group)
+        for key, group in by_account.items()
+    }
+    if sum(wanted.values()) <= capacity:
+        seats = wanted
+    else:
+        seats = _divide_accounts(capacity, wanted, accounts)
+    totals: dict[str, int] = defaultdict(int)
+    for account, group in by_account.items():
+        for requester, count in _divide_daemons(seats[account], group).items():
+            totals[requester] += count
+    return totals
+
+
+def _divide_accounts(
+    capacity: int,
+    wanted: Mapping[LoadKey, int],
+    accounts: Accounts,
+) -> dict[LoadKey, int]:
+    weights = _correct_weights(wanted, accounts)
+    shares = fill_fairly(capacity, wanted, weights)
+    debts = {
+        key: accounts.served.get(key, 0.0) / accounts.weigh(key)
+        for key in wanted
+    }
+    return round_shares(shares, wanted, debts)
+
+
+def _correct_weights(
+    wanted: Mapping[LoadKey, int],
+    accounts: Accounts,
+) -> dict[LoadKey, float]:
+    # A slot makes fewer tokens for an account whose prompts are long, so
+    # equal slots are not equal tokens. Whoever got less than its share of
+    # the recent tokens weighs more until it has caught up.
+    weights = {key: accounts.weigh(key) for key in wanted}
+    served = sum(accounts.served.get(key, 0.0) for key in wanted)
+    if not served:
+        return weights
+    scale = served / sum(weights.values())
+    return {
+        key: weight * _find_factor(accounts.served.get(key, 0.0), weight, scale)
+        for key, weight in weights.items()
+    }
+
+
+def _find_factor(served: float, weight: float, scale: float) -> float:
+    if served <= 0:
+        return MOST_FACTOR
+    return min(max(weight * scale / served, LEAST_FACTOR), MOST_FACTOR)
+
+
+def _divide_daemons(seats: int, group: list[Claim]) -> dict[str, int]:
+    wanted = {claim.requester: claim.wanted for claim in group}
+    total = sum(wanted.values())
+    if seats >= total:
+        return wanted
+    shares = {name: seats * count / total for name, count in wanted.items()}
+    # With fewer slots than daemons the one whose request has waited longest
+    # is next; without that a daemon that keeps its slot busy would keep it.
+    ages = {claim.requester: -claim.oldest.total_seconds() for claim in group}
+    return round_shares(shares, wanted, ages)
--- /dev/null
+++ b/quetzalcourse/coordination/lone.py
@@ -0,0 +1,61 @@
+"""A daemon by itself, for embedders that run only one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.state.members import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.slots import Allowance, SlotReport
+
+LONE = Member('lone', 'lone', '', '')
+
+
+class LoneMembers:
+    """Port ``MemberView`` with this daemon only, in every data centre."""
+
+    def __init__(self) -> None:
+        """Begin, and never change."""
+        self.own = LONE
+
+    def list_live(self, data_centre: str = '') -> list[Member]:
+        """List this daemon."""
+        return [self.own]
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Take no note: nothing changes."""
+
+
+class LoneLink:
+    """Port ``SlotLink`` to nobody."""
+
+    def send_reports(
+        self,
+        owner: Member,
+        reports: tuple[SlotReport, ...],
+    ) -> None:
+        """Lose reports."""
+
+    def send_allowances(
+        self,
+        requester: Member,
+        allowances: tuple[Allowance, ...],
+    ) -> None:
+        """Lose allowances."""
+
+    def subscribe(
+        self,
+        on_reports: Callable[[Member, tuple[SlotReport, ...]], None],
+        on_allowances: Callable[[Member, tuple[Allowance, ...]], None],
+    ) -> None:
+        """Take no note: nothing is ever received."""
+
+
+def build_lone(clock: Clock) -> OwnerGrants:
+    """Build the policy of a daemon that owns every upstream."""
+    return OwnerGrants(LoneMembers(), LoneLink(), clock)
--- /dev/null
+++ b/quetzalcourse/coordination/ownership.py
@@ -0,0 +1,57 @@
+"""Ownership: which daemon grants the slots of an upstream."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.state.members import Member
+
+FALLBACK_DIVISOR = 4
+
+
+def hash_name(name: str) -> int:
+    """Shorten a name to the 32 bits that messages carry."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+def rank_members(upstream: str, members: Sequence[Member]) -> list[Member]:
+    """Sort members by rendezvous hashing, the owner first.
+
+    Daemons with the same list agree without a message, and a change of the
+    list moves only the upstreams of the daemon that came or went. A leaving
+    member owns nothing unless all are leaving.
+
+    :param members: live members of the upstream's data centre.
+    """
+    return sorted(members, key=partial(_rank, upstream))
+
+
+def find_owner(upstream: str, members: Sequence[Member]) -> Member | None:
+    """Name the owner of an upstream, ``None`` if there is no member."""
+    return min(members, key=partial(_rank, upstream), default=None)
+
+
+def count_fallback(slots: int, rank: int, members: int) -> int:
+    """Count the slots that a daemon may use while no owner answers.
+
+    All shares together stay below a quarter of the slots (but for upstreams
+    of less than four), which bounds how far an engine is overfilled when
+    the last owner's allowances are still in use.
+
+    :param rank: place of the daemon in :func:`rank_members`.
+    :param members: how many daemons share.
+    """
+    shared = max(1, slots // FALLBACK_DIVISOR)
+    each, rest = divmod(shared, max(members, 1))
+    return each + int(rank < rest)
+
+
+def _rank(upstream: str, member: Member) -> tuple[bool, int]:
+    name = f'{upstream}/{member.incarnation}'
+    return member.leaving, xxhash.xxh3_64_intdigest(name.encode())
--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -15,8 +15,12 @@
         EngineReport,
         OrderProblem,
     )
-    from quetzalcourse.state.generation import Chunk, GenerationRequest
-    from quetzalcourse.state.manifest import Upstream
+    from quetzalcourse.state.generation import (
+        Chunk,
+        GenerationRequest,
+        TrafficClass,
+    )
+    from quetzalcourse.state.manifest import Manifest, Upstream
     from quetzalcourse.state.members import Member, Topic, Vm
     from quetzalcourse.state.rows import (
         Commit,
@@ -25,6 +29,12 @@
         StoreFault,
         Transaction,
     )
+    from quetzalcourse.state.slots import (
+        Allowance,
+        LoadKey,
+        SlotReport,
+        SlotWaiter,
+    )
 
 
 class Table(Protocol):
@@ -197,3 +207,65 @@
 
     async def list_vms(self) -> Result[list[Vm], StoreFault]:
         """List the VMs that run daemons, live and leaving."""
+
+
+class SlotPolicy(Protocol):
+    """Rule by which a daemon knows how much it may run on an upstream."""
+
+    def listen(
+        self,
+        on_free: Callable[[str], None],
+        on_revoked: Callable[[str, int], None],
+    ) -> None:
+        """Say whom to tell of changes.
+
+        :param on_free: called with an upstream that may have room.
+        :param on_revoked: called with an upstream and how many training
+            requests must be giving their slot back.
+        """
+
+    def on_manifest(self, manifest: Manifest) -> None:
+        """Take the upstreams and accounts that came into force."""
+
+    def may_start(self, upstream: str, traffic_class: TrafficClass) -> bool:
+        """Tell whether one more request may run on an upstream."""
+
+    def on_started(self, upstream: str, key: LoadKey) -> None:
+        """Count a request that begins to run."""
+
+    def on_released(self, upstream: str, key: LoadKey, tokens: int) -> None:
+        """Count a request that runs no more.
+
+        :param tokens: generated since it began to run.
+        """
+
+    def on_queued(self, waiter: SlotWaiter) -> None:
+        """Take note of a request for which there was no room."""
+
+    def on_unqueued(self, waiter: SlotWaiter) -> None:
+        """Take note that a request waits no more."""
+
+
+class SlotLink(Protocol):
+    """Messages between owners and users of slots; they may be lost."""
+
+    def send_reports(
+        self,
+        owner: Member,
+        reports: tuple[SlotReport, ...],
+    ) -> None:
+        """Send reports to the owner of their upstreams."""
+
+    def send_allowances(
+        self,
+        requester: Member,
+        allowances: tuple[Allowance, ...],
+    ) -> None:
+        """Send allowances to a daemon."""
+
+    def subscribe(
+        self,
+        on_reports: Callable[[Member, tuple[SlotReport, ...]], None],
+        on_allowances: Callable[[Member, tuple[Allowance, ...]], None],
+    ) -> None:
+        """Hand what other daemons send to handlers."""
--- /dev/null
+++ b/quetzalcourse/protocol/slots.py
@@ -0,0 +1,198 @@
+"""Messages between owners and users of slots.
+
+Names travel as 32-bit hashes and structures as arrays: these messages are
+most of what daemons send one another.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quetzalcourse.state.generation import TrafficClass
+from quetzalcourse.state.slots import (
+    AccountLoad,
+    Allowance,
+    LoadKey,
+    SlotReport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+TENTH = timedelta(milliseconds=100)
+
+
+class LoadMessage(msgspec.Struct, array_like=True):
+    """What one account has at one daemon.
+
+    :param oldest: age of the first waiting request, in tenths of a second.
+    """
+
+    human: bool
+    account_id: int
+    running: int
+    waiting: int
+    oldest: int
+    tokens: int
+
+
+class ReportMessage(msgspec.Struct, array_like=True):
+    """Report on one upstream, named by its hash."""
+
+    upstream: int
+    sequence: int
+    applied: int
+    held: int
+    held_training: int
+    spares: int
+    loads: list[LoadMessage]
+
+
+class AllowanceMessage(msgspec.Struct, array_like=True):
+    """Allowance on one upstream, named by its hash."""
+
+    upstream: int
+    number: int
+    answers: int
+    human: int
+    training: int
+    revoke: int
+    contended: bool
+
+
+class SlotMessage(msgspec.Struct, array_like=True):
+    """Everything that one daemon tells another at once."""
+
+    reports: list[ReportMessage]
+    allowances: list[AllowanceMessage]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(SlotMessage)
+
+
+def encode_reports(
+    reports: tuple[SlotReport, ...],
+    ids: Mapping[str, int],
+) -> bytes:
+    """Write reports.
+
+    :param ids: upstreams' names to their hashes.
+    """
+    messages = [
+        ReportMessage(
+            ids[report.upstream],
+            report.sequence,
+            report.applied,
+            report.held,
+            report.held_training,
+            report.spares,
+            [_pack_load(load) for load in report.loads],
+        )
+        for report in reports
+    ]
+    return _encoder.encode(SlotMessage(messages, []))
+
+
+def encode_allowances(
+    allowances: tuple[Allowance, ...],
+    ids: Mapping[str, int],
+) -> bytes:
+    """Write allowances.
+
+    :param ids: upstreams' names to their hashes.
+    """
+    messages = [
+        AllowanceMessage(
+            ids[allowance.upstream],
+            allowance.number,
+            allowance.answers,
+            allowance.human,
+            allowance.training,
+            allowance.revoke,
+            allowance.contended,
+        )
+        for allowance in allowances
+    ]
+    return _encoder.encode(SlotMessage([], messages))
+
+
+def decode_slots(content: bytes) -> SlotMessage:
+    """Read a message.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    return _decoder.decode(content)
+
+
+def list_reports(
+    message: SlotMessage,
+    names: Mapping[int, str],
+) -> tuple[SlotReport, ...]:
+    """List the reports on upstreams that are known here.
+
+    :param names: hashes to upstreams' names.
+    """
+    return tuple(
+        SlotReport(
+            names[report.upstream],
+            report.sequence,
+            report.applied,
+            report.held,
+            report.held_training,
+            report.spares,
+            tuple(_unpack_load(load) for load in report.loads),
+        )
+        for report in message.reports
+        if report.upstream in names
+    )
+
+
+def list_allowances(
+    message: SlotMessage,
+    names: Mapping[int, str],
+) -> tuple[Allowance, ...]:
+    """List the allowances on upstreams that are known here.
+
+    :param names: hashes to upstreams' names.
+    """
+    return tuple(
+        Allowance(
+            names[allowance.upstream],
+            allowance.number,
+            allowance.answers,
+            allowance.human,
+            allowance.training,
+            allowance.revoke,
+            allowance.contended,
+        )
+        for allowance in message.allowances
+        if allowance.upstream in names
+    )
+
+
+def _pack_load(load: AccountLoad) -> LoadMessage:
+    return LoadMessage(
+        load.key.traffic_class is TrafficClass.human,
+        load.key.account_id,
+        load.running,
+        load.waiting,
+        load.oldest // TENTH,
+        load.tokens,
+    )
+
+
+def _unpack_load(load: LoadMessage) -> AccountLoad:
+    traffic_class = TrafficClass.training
+    if load.human:
+        traffic_class = TrafficClass.human
+    return AccountLoad(
+        LoadKey(traffic_class, load.account_id),
+        load.running,
+        load.waiting,
+        load.oldest * TENTH,
+        load.tokens,
+    )
--- /dev/null
+++ b/quetzalcourse/slot_parts.py
@@ -0,0 +1,73 @@
+"""The parts of a daemon that hand out slots, built and ended together."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.admission import Admission
+from quetzalcourse.coordination.load_watch import LoadWatch
+from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.transport.engine_control import EngineControlClient
+from quetzalcourse.transport.slot_link import PeerSlotLink
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from quetzalcourse.coordination.ports import MemberView, Peers
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.manifest import Manifest
+
+OBSERVE_SECONDS = 1.0
+
+
+class SlotParts:
+    """Admission with its policy, their messages and the watch on engines.
+
+    :param members: daemons that are live.
+    :param peers: messages to them.
+    :param session: connections to the engines, for their reports.
+    """
+
+    def __init__(
+        self,
+        members: MemberView,
+        peers: Peers,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Build the parts."""
+        self._members = members
+        self._link = PeerSlotLink(peers, counters)
+        self._grants = OwnerGrants(members, self._link, clock)
+        self.admission = Admission(clock, self._grants, counters)
+        control = EngineControlClient(
+            session, members.own.incarnation, OBSERVE_SECONDS
+        )
+        self._watch = LoadWatch(control, self._grants.owned, clock, counters)
+        self._task: asyncio.Task[None] | None = None
+        members.on_change(self._on_members)
+
+    def on_start(self) -> None:
+        """Begin to renew allowances and to watch the engines."""
+        self._grants.on_start()
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._watch.run())
+
+    def on_manifest(self, manifest: Manifest) -> None:
+        """Take the upstreams and accounts that came into force."""
+        self._link.on_manifest(manifest)
+        self._watch.on_manifest(manifest)
+        self.admission.on_manifest(manifest)
+
+    async def on_stop(self) -> None:
+        """End every task."""
+        self.admission.on_stop()
+        await self._grants.on_stop()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _on_members(self) -> None:
+        self.admission.limits.daemons = len(self._members.list_live())
--- /dev/null
+++ b/quetzalcourse/tests/coordination/slot_owner_tests.py
@@ -0,0 +1,191 @@
+"""The owner's decisions, message by message."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.division import (
+    Accounts,
+    Claim,
+    divide_slots,
+)
+from quetzalcourse.coordination.slot_owner import SlotOwner
+from quetzalcourse.protocol.slots import (
+    decode_slots,
+    encode_allowances,
+    encode_reports,
+    list_allowances,
+    list_reports,
+)
+from quetzalcourse.state.generation import TrafficClass
+from quetzalcourse.state.slots import (
+    AccountLoad,
+    Allowance,
+    LoadKey,
+    SlotReport,
+    SlotTerms,
+)
+from quetzalcourse.tests.slots import make_upstream
+
+ZERO = timedelta(0)
+TERMS = SlotTerms()
+SHARES = {'a': 1, 'b': 1}
+
+
+def make_key(account: int, *, human: bool = False) -> LoadKey:
+    """Name an account's training, or its humans."""
+    traffic_class = TrafficClass.human if human else TrafficClass.training
+    return LoadKey(traffic_class, account)
+
+
+def make_report(
+    sequence: int,
+    running: int,
+    waiting: int,
+    applied: int = 0,
+    **changes: int,
+) -> SlotReport:
+    """Make a report of one account's training, or its humans."""
+    human = bool(changes.get('human', 0))
+    held = changes.get('held', 0)
+    load = AccountLoad(make_key(1, human=human), running, waiting, ZERO, 0)
+    return SlotReport(
+        'engine',
+        sequence,
+        applied,
+        held,
+        0 if human else held,
+        0,
+        (load,),
+    )
+
+
+def make_owner(settles: timedelta = ZERO) -> SlotOwner:
+    """Make the owner of four slots."""
+    return SlotOwner(make_upstream(), TERMS, settles, SHARES)
+
+
+def grant(
+    owner: SlotOwner,
+    name: str,
+    report: SlotReport,
+    now: timedelta = ZERO,
+) -> dict[str, int]:
+    """Hand a report over and tell who is allowed how much."""
+    if not owner.on_report(name, report, now):
+        return {}
+    sent = owner.decide(now, frozenset((name,)))
+    return {one: allowance.total for one, allowance in sent.items()}
+
+
+@pytest.mark.parametrize('human', [0, 1])
+def test_lowered_allowance_counts_until_confirmed(human: int) -> None:
+    # The message that lowers an allowance is lost. The daemon still uses
+    # the slots, and whoever got them too would wait inside the engine.
+    owner = make_owner()
+    first = make_report(1, 0, 4, human=human)
+    assert grant(owner, 'a', first) == {'a': 4}
+    assert grant(owner, 'b', first) == {'a': 2, 'b': 0}
+    later = timedelta(seconds=1)
+    again = make_report(2, 0, 4, human=human)
+    assert grant(owner, 'b', again, later)['b'] == 0
+    confirmed = make_report(2, 2, 2, 2, human=human)
+    assert grant(owner, 'a', confirmed, later)['b'] == 2
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'allowed'),
+    [(1.0, 0), (5.9, 0), (8.0, 4)],
+)
+def test_silent_daemon_is_forgotten_after_its_term(
+    seconds: float,
+    allowed: int,
+) -> None:
+    # A daemon dies with slots in use and says nothing. They are free for
+    # the others once its allowance has lapsed for sure.
+    owner = make_owner()
+    grant(owner, 'a', make_report(1, 0, 4))
+    now = timedelta(seconds=seconds)
+    assert grant(owner, 'b', make_report(1, 0, 4), now)['b'] == allowed
+
+
+@pytest.mark.parametrize(
+    ('held', 'waiting', 'allowed'),
+    [(0, 4, 1), (3, 1, 3), (2, 0, 0)],
+)
+def test_new_owner_gives_what_is_held_and_the_small_share(
+    held: int,
+    waiting: int,
+    allowed: int,
+) -> None:
+    # The owner before this one granted slots that this one knows nothing
+    # of. Granting all four again would run up to eight.
+    owner = make_owner(settles=TERMS.term)
+    report = make_report(1, held if waiting else 0, waiting, held=held)
+    assert grant(owner, 'a', report) == {'a': allowed}
+
+
+def test_old_report_changes_nothing() -> None:
+    # Messages overtake one another. A report from before a daemon filled
+    # its slots would make them look free.
+    owner = make_owner()
+    grant(owner, 'a', make_report(2, 0, 4))
+    assert not grant(owner, 'a', make_report(1, 0, 0))
+    assert owner.count_committed(ZERO) == 4
+
+
+@pytest.mark.parametrize(
+    ('served', 'shares'),
+    [
+        ({}, (2, 2)),
+        ({1: 300.0, 2: 100.0}, (1, 3)),
+        ({1: 100.0, 2: 300.0}, (3, 1)),
+    ],
+)
+def test_division_makes_up_for_tokens(
+    served: dict[int, float],
+    shares: tuple[int, int],
+) -> None:
+    claims = [
+        Claim('a', make_key(1), 40, ZERO),
+        Claim('b', make_key(2), 4, ZERO),
+    ]
+    ledger = {make_key(account): tokens for account, tokens in served.items()}
+    targets = divide_slots(4, 0, claims, Accounts(served=ledger))
+    assert (targets['a'].training, targets['b'].training) == shares
+
+
+def test_slot_goes_to_the_daemon_that_waited_longest() -> None:
+    # One slot and two daemons: the one that keeps its slot busy would keep
+    # it for ever.
+    claims = [
+        Claim('a', make_key(1), 2, timedelta(seconds=1)),
+        Claim('b', make_key(1), 1, timedelta(seconds=2)),
+    ]
+    targets = divide_slots(1, 0, claims, Accounts())
+    assert targets['b'].training == 1
+
+
+def test_weights_divide_what_is_scarce() -> None:
+    claims = [
+        Claim('a', make_key(1), 40, ZERO),
+        Claim('a', make_key(2), 40, ZERO),
+        Claim('b', make_key(3, human=True), 3, ZERO),
+    ]
+    accounts = Accounts({1: 3.0, 2: 1.0})
+    targets = divide_slots(12, 1, claims, accounts)
+    assert (targets['b'].human, targets['a'].training) == (3, 8)
+
+
+def test_messages_survive_the_wire() -> None:
+    ids = {'engine': 7}
+    load = AccountLoad(make_key(9, human=True), 1, 2, timedelta(seconds=3), 4)
+    report = SlotReport('engine', 1, 2, 3, 2, 1, (load,))
+    allowance = Allowance('engine', 1, 2, 3, 4, 5, contended=True)
+    content = encode_reports((report,), ids)
+    assert list_reports(decode_slots(content), {7: 'engine'}) == (report,)
+    assert not list_reports(decode_slots(content), {8: 'other'})
+    content = encode_allowances((allowance,), ids)
+    assert list_allowances(decode_slots(content), {7: 'engine'}) == (allowance,)
--- /dev/null
+++ b/quetzalcourse/tests/coordination/slot_sharing_tests.py
@@ -0,0 +1,336 @@
+"""Daemons that share an upstream: deaths, cuts, pauses and joins."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from quetzalcourse.coordination.ownership import find_owner
+from quetzalcourse.state.generation import TrafficClass
+from quetzalcourse.state.slots import SlotTerms
+from quetzalcourse.tests.slots import (
+    Deployment,
+    Holder,
+    make_manifest,
+    make_upstream,
+)
+
+HUMAN = TrafficClass.human
+TRAINING = TrafficClass.training
+TERMS = SlotTerms()
+SLOTS = 8
+HEADROOM = 2
+FALLBACK = 2
+RECOVERY = 2 * (TERMS.term + TERMS.renewal).total_seconds()
+MANIFEST = make_manifest(make_upstream(slots=SLOTS, human_headroom=HEADROOM))
+
+
+def find_owning(deployment: Deployment) -> Holder:
+    """Find the daemon that owns the engine."""
+    members = [holder.member for holder in deployment.holders]
+    owner = find_owner('engine', members)
+    return next(
+        holder for holder in deployment.holders if holder.member == owner
+    )
+
+
+async def load(deployment: Deployment, requests: int) -> None:
+    """Let every daemon ask for training slots."""
+    for holder in deployment.holders:
+        for _ in range(requests):
+            holder.ask(TRAINING)
+    await deployment.pass_time(2 * RECOVERY)
+
+
+async def test_one_daemon_needs_no_messages() -> None:
+    deployment = Deployment(1, MANIFEST)
+    holder = deployment.holders[0]
+    for _ in range(SLOTS):
+        holder.ask(TRAINING)
+    await deployment.pass_time(0.25)
+    assert deployment.count(TRAINING) == SLOTS - HEADROOM
+    assert not deployment.network.sent
+    await deployment.stop()
+
+
+async def test_slots_follow_demand_to_one_daemon() -> None:
+    # All samples of a step come from the daemon that runs it. With a fixed
+    # share for each daemon most slots would stand idle beside its queue.
+    deployment = Deployment(3, MANIFEST)
+    await deployment.pass_time(RECOVERY)
+    for _ in range(SLOTS):
+        deployment.holders[0].ask(TRAINING)
+    await deployment.pass_time(1)
+    assert deployment.holders[0].count(TRAINING) == SLOTS - HEADROOM
+    await deployment.stop()
+
+
+async def test_spare_slot_serves_human_without_a_round_trip() -> None:
+    # A human who waits for a message to the owner and back is slower by it
+    # at every request, and waits for seconds if the message is lost.
+    deployment = Deployment(2, MANIFEST)
+    await deployment.pass_time(RECOVERY)
+    for holder in deployment.holders:
+        holder.ask(HUMAN)
+    await deployment.pass_time(TERMS.spare_hold.total_seconds() / 2)
+    sent = len(deployment.network.sent)
+    tasks = [holder.ask(HUMAN) for holder in deployment.holders]
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert [len(holder.grants) for holder in deployment.holders] == [2, 2]
+    assert len(deployment.network.sent) == sent
+    assert not any(task.done() for task in tasks)
+    await deployment.stop()
+
+
+async def test_humans_take_slots_back_from_training() -> None:
+    # Training fills all but the headroom. More humans than that come at
+    # once; they would wait for the end of long training streams.
+    deployment = Deployment(2, MANIFEST)
+    await load(deployment, SLOTS)
+    for holder in deployment.holders:
+        for _ in range(HEADROOM):
+            holder.ask(HUMAN)
+    await deployment.pass_time(1)
+    assert deployment.count(HUMAN) == 2 * HEADROOM
+    assert deployment.count() <= SLOTS
+    await deployment.stop()
+
+
+async def test_owner_death_loses_no_slot_and_overfills_nothing() -> None:
+    # The owner dies while every slot is in use. A new owner that granted at
+    # once would grant what others still use; one that waits for the dead
+    # daemon's requests would lose their slots for good.
+    deployment = Deployment(3, MANIFEST)
+    await load(deployment, SLOTS)
+    owner = find_owning(deployment)
+    lost = len(owner.grants)
+    await deployment.kill(owner)
+    before = deployment.count()
+    assert before == SLOTS - HEADROOM - lost
+    for _ in range(int(TERMS.term.total_seconds()) - 1):
+        await deployment.pass_time(1)
+        assert before <= deployment.count() <= SLOTS
+    await deployment.pass_time(RECOVERY)
+    assert deployment.count() == SLOTS - HEADROOM
+    await deployment.stop()
+
+
+async def test_cut_daemon_keeps_a_small_share_only() -> None:
+    # A daemon hears the owner no more, though both are live. It must not go
+    # on with slots that the owner gives to others after a while.
+    deployment = Deployment(2, MANIFEST)
+    await load(deployment, SLOTS)
+    owner = find_owning(deployment)
+    other = next(one for one in deployment.holders if one is not owner)
+    deployment.network.cut(owner.member, other.member)
+    await deployment.pass_time(RECOVERY)
+    assert other.count(TRAINING) <= FALLBACK
+    assert deployment.count() <= SLOTS + FALLBACK
+    deployment.network.heal()
+    await deployment.pass_time(RECOVERY)
+    assert deployment.count() == SLOTS - HEADROOM
+    await deployment.stop()
+
+
+async def test_two_owners_share_what_the_engine_reports() -> None:
+    # The daemons can't hear each other and each takes itself for the only
+    # one. Together they run up to twice what the engine can, and callers
+    # wait inside it, until its load report tells them of each other.
+    deployment = Deployment(2, MANIFEST)
+    for holder in deployment.holders:
+        holder.follow(MANIFEST, [holder.member])
+    await load(deployment, 5 * SLOTS)
+    assert deployment.count() > SLOTS
+    for _ in range(20):
+        for holder in deployment.holders:
+            owner = holder.policy.owned.find('engine')
+            assert owner is not None
+            owner.on_load(deployment.count(), holder.clock.elapsed())
+        for holder in deployment.holders:
+            holder.end_one()
+        await deployment.pass_time(4)
+    assert deployment.count() <= SLOTS
+    assert all(holder.grants for holder in deployment.holders)
+    await deployment.stop()
+
+
+async def test_far_slots_follow_when_near_ones_are_taken() -> None:
+    # The own data centre is full. Its callers would wait although another
+    # data centre has free slots; the cheapest of those comes first.
+    far = make_upstream('far', data_centre='vannes-c', price_per_hour=2.0)
+    cheap = make_upstream('cheap', data_centre='vannes-c', price_per_hour=1.0)
+    manifest = make_manifest(make_upstream(), far, cheap)
+    deployment = Deployment(2, manifest)
+    near, remote = deployment.holders
+    remote.member = type(remote.member)('vm-9', 'vm-9', 'vannes-c', 'vm-9')
+    remote = Holder(remote.member, deployment.network)
+    deployment.holders[1] = remote
+    deployment.agree()
+    await deployment.pass_time(RECOVERY)
+    tasks = [near.ask(HUMAN, ('engine', 'far', 'cheap')) for _ in range(6)]
+    await deployment.pass_time(2)
+    names = sorted(grant.upstream.name for grant in near.grants)
+    assert names == ['cheap', 'cheap', 'engine', 'engine', 'engine', 'engine']
+    assert len(tasks) == len(near.grants)
+    near.follow(manifest, [near.member])
+    near.ask(HUMAN, ('far',))
+    await deployment.pass_time(2)
+    assert near.admission.waiting() == 1
+    await deployment.stop()
+
+
+@pytest.mark.parametrize('graceful', [True, False])
+async def test_new_daemon_gets_its_share(graceful: bool) -> None:
+    # A daemon joins while the slots are in use, and may become the owner.
+    deployment = Deployment(2, MANIFEST)
+    await load(deployment, SLOTS)
+    deployment.join()
+    joined = deployment.holders[-1]
+    for _ in range(SLOTS):
+        joined.ask(TRAINING)
+    await deployment.pass_time(RECOVERY)
+    assert deployment.count() <= SLOTS
+    for holder in deployment.holders[:2]:
+        holder.end_one()
+        if not graceful:
+            holder.end_one()
+    await deployment.pass_time(RECOVERY)
+    assert joined.count(TRAINING) >= 1
+    assert deployment.count() == SLOTS - HEADROOM
+    await deployment.stop()
+
+
+class SharedSlots(RuleBasedStateMachine):
+    """Daemons come, go, pause and lose messages in any order.
+
+    Daemons without a fault never run more than the slots and the fallback
+    shares; once all faults are over, no slot stays unused and none is used
+    twice.
+    """
+
+    def __init__(self) -> None:
+        """Begin with two daemons."""
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.faulty: set[str] = set()
+        self.paused: set[str] = set()
+        self.deployment = self.run(self._build())
+
+    def run(self, work):  # type: ignore[no-untyped-def]
+        return self.loop.run_until_complete(work)
+
+    def pick(self, number: int) -> Holder:
+        return self.deployment.holders[number % len(self.deployment.holders)]
+
+    @rule(
+        number=st.integers(0, 3), human=st.booleans(), count=st.integers(1, 6)
+    )
+    def ask(self, number: int, human: bool, count: int) -> None:
+        self.run(
+            self._ask(self.pick(number), HUMAN if human else TRAINING, count)
+        )
+
+    @rule(number=st.integers(0, 3), count=st.integers(1, 4))
+    def end(self, number: int, count: int) -> None:
+        self.run(self._end(self.pick(number), count))
+
+    @rule(seconds=st.sampled_from([0.25, 1.0, 5.0, 9.0]))
+    def wait(self, seconds: float) -> None:
+        self.run(self.deployment.pass_time(seconds))
+
+    @rule(number=st.integers(0, 3))
+    def kill(self, number: int) -> None:
+        if len(self.deployment.holders) > 1:
+            self.run(self.deployment.kill(self.pick(number)))
+
+    @rule()
+    def join(self) -> None:
+        if len(self.deployment.holders) < 4:
+            self.run(self._join())
+
+    @rule(number=st.integers(0, 3))
+    def cut(self, number: int) -> None:
+        victim = self.pick(number).member
+        self.faulty.add(victim.incarnation)
+        for holder in self.deployment.holders:
+            self.deployment.network.cut(holder.member, victim)
+
+    @rule(number=st.integers(0, 3))
+    def pause(self, number: int) -> None:
+        name = self.pick(number).member.incarnation
+        self.faulty.add(name)
+        self.paused.add(name)
+        self.deployment.network.paused.setdefault(name, [])
+
+    @rule()
+    def recover(self) -> None:
+        self.run(self._recover())
+        running = self.deployment.count()
+        asked = running + sum(
+            holder.admission.waiting() for holder in self.deployment.holders
+        )
+        assert running <= SLOTS
+        assert running >= min(asked, SLOTS - HEADROOM)
+
+    @invariant()
+    def keep_within_slots(self) -> None:
+        # A paused daemon can't give anything back, and a human's request is
+        # not taken away from a daemon that is cut off.
+        running = 0
+        for holder in self.deployment.holders:
+            name = holder.member.incarnation
+            if name not in self.paused:
+                running += holder.count(TRAINING)
+            if name not in self.faulty:
+                running += holder.count(HUMAN)
+        assert running <= SLOTS + FALLBACK
+
+    def teardown(self) -> None:
+        self.run(self.deployment.stop())
+        self.loop.close()
+
+    async def _build(self) -> Deployment:
+        return Deployment(2, MANIFEST)
+
+    async def _ask(
+        self,
+        holder: Holder,
+        traffic_class: TrafficClass,
+        count: int,
+    ) -> None:
+        for _ in range(count):
+            holder.ask(traffic_class)
+        await self.deployment.pass_time(0.25)
+
+    async def _end(self, holder: Holder, count: int) -> None:
+        for _ in range(count):
+            holder.end_one()
+        await self.deployment.pass_time(0.25)
+
+    async def _join(self) -> None:
+        self.deployment.join()
+
+    async def _recover(self) -> None:
+        network = self.deployment.network
+        network.heal()
+        for holder in self.deployment.holders:
+            if holder.member.incarnation in network.paused:
+                network.resume(holder.member)
+        await self.deployment.pass_time(2 * RECOVERY)
+        self.faulty.clear()
+        self.paused.clear()
+
+
+SharedSlotsTests = SharedSlots.TestCase
+SharedSlotsTests.settings = settings(
+    derandomize=True,
+    max_examples=25,
+    stateful_step_count=15,
+    deadline=timedelta(minutes=1),
+)
--- /dev/null
+++ b/quetzalcourse/tests/slots.py
@@ -0,0 +1,203 @@
+"""Daemons that share upstreams in memory, with faults, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.admission import Admission
+from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.generation import TrafficClass
+from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
+from quetzalcourse.state.members import Member, Topic
+from quetzalcourse.state.slots import Grant, SlotRequest
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
+from quetzalcourse.transport.slot_link import PeerSlotLink
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+DATA_CENTRE = 'brest-b'
+LONG = timedelta(days=1)
+ZERO = timedelta(0)
+
+
+def make_upstream(name: str = 'engine', **changes: object) -> Upstream:
+    """Make an upstream of four slots."""
+    known = {
+        'name': name,
+        'kind': UpstreamKind.engine,
+        'data_centre': DATA_CENTRE,
+        'address': '127.0.0.1:1',
+        'slots': 4,
+    }
+    return Upstream(**(known | changes))  # type: ignore[arg-type]
+
+
+def make_manifest(*upstreams: Upstream, **sections: object) -> Manifest:
+    """Make a manifest with upstreams."""
+    known = {upstream.name: upstream for upstream in upstreams}
+    return Manifest(1, upstreams=known, **sections)  # type: ignore[arg-type]
+
+
+class Holder:
+    """Daemon whose requests run until they are told to end."""
+
+    def __init__(self, member: Member, network: HeldNetwork) -> None:
+        """Join the network."""
+        self.member = member
+        self.clock = FakeClock()
+        self.counters = Counters()
+        self.view = FakeMembers(member, [member])
+        self.link = PeerSlotLink(network.join(member), self.counters)
+        self.policy = OwnerGrants(self.view, self.link, self.clock)
+        self.admission = Admission(self.clock, self.policy, self.counters)
+        self.grants: list[Grant] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.policy.on_start()
+
+    def follow(self, manifest: Manifest, live: list[Member]) -> None:
+        """Take a manifest and a list of live daemons."""
+        self.view.change(live)
+        self.link.on_manifest(manifest)
+        self.admission.on_manifest(manifest)
+
+    def ask(
+        self,
+        traffic_class: TrafficClass,
+        candidates: Iterable[str] = ('engine',),
+        account: str = 'reader',
+        patience: timedelta = LONG,
+    ) -> asyncio.Task[None]:
+        """Begin a request."""
+        request = SlotRequest(
+            account,
+            traffic_class,
+            tuple(candidates),
+            self.clock.elapsed() + patience,
+        )
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._hold(request))
+        self.tasks.append(task)
+        return task
+
+    def end_one(self, tokens: int = 1) -> None:
+        """End the oldest request that runs."""
+        if self.grants:
+            self.admission.release(self.grants.pop(0), tokens)
+
+    def count(self, traffic_class: TrafficClass) -> int:
+        """Count the requests of a class that run."""
+        return sum(one.traffic_class is traffic_class for one in self.grants)
+
+    async def stop(self) -> None:
+        """End it as a death does: nothing is released or said."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.admission.on_stop()
+        await self.policy.on_stop()
+        self.grants.clear()
+
+    async def _hold(self, request: SlotRequest) -> None:
+        grant = await self.admission.acquire(request)
+        self.grants.append(grant)
+        await grant.revoked.wait()
+        if grant in self.grants:
+            self.grants = [one for one in self.grants if one is not grant]
+            self.admission.release(grant)
+
+
+class HeldNetwork(FakeNetwork):
+    """Network that keeps the messages of paused daemons for later."""
+
+    def __init__(self) -> None:
+        """Begin with no daemon paused."""
+        super().__init__()
+        self.paused: dict[str, list[tuple[Member, Topic, bytes]]] = {}
+
+    def carry(
+        self,
+        sender: Member,
+        receiver: Member,
+        topic: Topic,
+        content: bytes,
+    ) -> None:
+        """Hand a message over, or keep it."""
+        kept = self.paused.get(receiver.incarnation)
+        if kept is not None:
+            kept.append((sender, topic, content))
+            return
+        super().carry(sender, receiver, topic, content)
+
+    def resume(self, member: Member) -> None:
+        """Hand over what came during a pause."""
+        handlers = self.peers[member.incarnation].handlers
+        for sender, topic, content in self.paused.pop(member.incarnation):
+            handlers[topic](sender, content)
+
+
+class Deployment:
+    """Daemons of one data centre, and how their time passes."""
+
+    def __init__(self, daemons: int, manifest: Manifest) -> None:
+        """Begin with daemons that know one another."""
+        self.network = HeldNetwork()
+        self.manifest = manifest
+        self.holders: list[Holder] = []
+        self._joined = 0
+        for _ in range(daemons):
+            self._add()
+        self.agree()
+
+    def agree(self) -> None:
+        """Tell every daemon which ones are live."""
+        live = [holder.member for holder in self.holders]
+        for holder in self.holders:
+            holder.follow(self.manifest, live)
+
+    def join(self) -> None:
+        """Start one more daemon."""
+        self._add()
+        self.agree()
+
+    async def kill(self, holder: Holder) -> None:
+        """Kill a daemon; its requests end with it."""
+        self.holders.remove(holder)
+        self.network.leave(holder.member)
+        await holder.stop()
+        self.agree()
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass, in which a paused daemon does nothing."""
+        left = seconds
+        while left > 0:
+            step = timedelta(seconds=min(left, 0.25))
+            for holder in tuple(self.holders):
+                if holder.member.incarnation in self.network.paused:
+                    holder.clock.move(step)
+                else:
+                    await holder.clock.advance(step)
+            left -= 0.25
+        await settle()
+
+    def count(self, traffic_class: TrafficClass | None = None) -> int:
+        """Count the requests that run."""
+        classes = [traffic_class] if traffic_class else list(TrafficClass)
+        return sum(
+            holder.count(one) for holder in self.holders for one in classes
+        )
+
+    async def stop(self) -> None:
+        """End every daemon."""
+        for holder in self.holders:
+            await holder.stop()
+
+    def _add(self) -> None:
+        self._joined += 1
+        name = f'vm-{self._joined}'
+        member = Member(name, name, DATA_CENTRE, name)
+        self.holders.append(Holder(member, self.network))
