Believe a returning engine from its first token

Cause: a probe counted as good only when its whole answer had come, which takes minutes for a long sample, so engines that came back together after an outage returned one probe at a time. A stream that broke after some tokens counted as no failure at all, so a lost engine was found out only by new connections.

Now the first token lets the next attempts in, and every broken stream counts.

--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -273,7 +273,7 @@
     def _on_failed(self, work: Work, error: AttemptError) -> None:
         self._counters.add('attempts_failed', state=error.state.value)
         progressed = work.on_failed(error)
-        if error.state is not AttemptState.refused and not progressed:
+        if error.state is not AttemptState.refused:
             connected = error.state is not AttemptState.not_sent
             self._health.on_failure(error.peer, connected=connected)
         if progressed:
--- a/quetzalcourse/coordination/health.py
+++ b/quetzalcourse/coordination/health.py
@@ -113,14 +113,7 @@
         """Learn that an upstream did what it was asked."""
         condition = self._find(name)
         condition.failures = 0
-        if condition.retry_at is None:
-            return
-        condition.allowance *= 2
-        if condition.allowance >= RESTORED_ALLOWANCE:
-            condition.retry_at = None
-            condition.allowance = 0
-            condition.ejections = 0
-            self._counters.add('upstreams_restored', upstream=name)
+        self._restore(name, condition)
 
     def on_failure(self, name: str, *, connected: bool) -> None:
         """Learn that an attempt failed through the upstream's fault.
@@ -142,9 +135,13 @@
     def on_first_token(self, name: str, waited: timedelta) -> None:
         """Learn how long an engine took to answer.
 
+        An engine that comes back is believed from its first token on, since
+        a whole answer can take minutes.
+
         :param waited: time from the request to its first token.
         """
         condition = self._find(name)
+        self._restore(name, condition)
         seconds = waited.total_seconds()
         if condition.samples:
             change = seconds - condition.seconds
@@ -166,6 +163,16 @@
     def _find(self, name: str) -> Condition:
         return self._conditions.setdefault(name, Condition())
 
+    def _restore(self, name: str, condition: Condition) -> None:
+        if condition.retry_at is None:
+            return
+        condition.allowance *= 2
+        if condition.allowance >= RESTORED_ALLOWANCE:
+            condition.retry_at = None
+            condition.allowance = 0
+            condition.ejections = 0
+            self._counters.add('upstreams_restored', upstream=name)
+
     def _eject(self, name: str, condition: Condition) -> None:
         doublings = min(condition.ejections, MAX_DOUBLINGS)
         pause = min(FIRST_PAUSE * 2**doublings, LONGEST_PAUSE)
