Place prompts by their hash among engines with room

Cause: daemons ranked engines without the prefix by their lagging views of the load, and each filled another engine's cache with the same prefix.

--- a/quetzalcourse/coordination/routing.py
+++ b/quetzalcourse/coordination/routing.py
@@ -16,8 +16,8 @@
 
     from quetzalcourse.coordination.leaving import Leaving
 
-LOAD_STEPS = 4
-Rank = tuple[bool, bool, int, int]
+CROWDED_SHARE = 0.75
+Rank = tuple[bool, bool, bool, int]
 
 
 class Router:
@@ -108,12 +108,14 @@
         busy = self._reports.estimate_running(name, running(name))
         full = busy >= upstream.slots
         warm = not full and self._prefixes.holds(name, prefix)
-        # Daemons that place the same new prefix at the same time agree on
-        # an engine by its hash, as long as the loads are about the same.
+        # Among engines with room the hash decides and not the load, so that
+        # daemons that place the same new prefix agree on an engine. Ranked
+        # by their lagging views of the load, they would each fill another
+        # engine's cache with it.
         return (
             upstream.data_centre != self._data_centre,
             not warm,
-            min(busy * LOAD_STEPS // max(upstream.slots, 1), LOAD_STEPS),
+            busy > upstream.slots * CROWDED_SHARE,
             xxhash.xxh64_intdigest(f'{name}|{prefix}'.encode()),
         )
 
