Add a client for trainers

Trainers read steps by hand: cursors, acknowledgements, refusals and daemons that come and go were each trainer's own matter, and the demo's reader acknowledged nothing. The package has a small client now that creates a step, yields every sample once, acknowledges batches when the trainer asks for more, and goes on through another address.

--- /dev/null
+++ b/quetzalcourse/client.py
@@ -0,0 +1,234 @@
+"""Library part for trainers: create a step and read its samples once.
+
+It needs the callers' addresses and a key, holds no thread, and goes on
+through any daemon when one is replaced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from contextlib import aclosing
+from datetime import timedelta
+from typing import TYPE_CHECKING, TypeVar
+
+import aiohttp
+import msgspec
+
+from quetzalcourse.exceptions import QuetzalcourseError
+from quetzalcourse.protocol.callers import StepAnswer, StepBody
+from quetzalcourse.protocol.refusals import RefusalBody
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.state.steps import (
+    DeliveredBatch,
+    DeliveryRecord,
+    Sample,
+    StepProgress,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+    from types import TracebackType
+
+Message = TypeVar('Message', bound=msgspec.Struct)
+HTTP_OK = 200
+POLL = timedelta(seconds=1)
+PATIENCE = timedelta(minutes=15)
+CALL_TIMEOUT = timedelta(seconds=30)
+PASSING = frozenset(
+    (
+        RefusalCode.store_unavailable,
+        RefusalCode.overloaded,
+        RefusalCode.rate_limited,
+        RefusalCode.not_ready,
+        RefusalCode.internal,
+    )
+)
+
+
+class StepError(QuetzalcourseError):
+    """A refusal that asking again does not mend.
+
+    :param code: stable code of the refusal.
+    :param message: sentence for a person.
+    """
+
+    def __init__(self, code: str, message: str) -> None:
+        """Keep the code for the caller to test."""
+        super().__init__(f'{code}: {message}')
+        self.code = code
+
+
+class BatchList(msgspec.Struct):
+    """Answer to a reading."""
+
+    batches: list[DeliveredBatch]
+
+
+class TrainerClient:
+    """Asks any of several daemons for steps.
+
+    Used as an asynchronous context manager, which owns its connections.
+
+    :param addresses: base URLs of the daemons or of their balancer.
+    :param key: the client account's key.
+    :param poll: pause between readings that brought nothing.
+    :param patience: how long a call is tried before it fails.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        key: str,
+        poll: timedelta = POLL,
+        patience: timedelta = PATIENCE,
+    ) -> None:
+        """Keep the addresses; nothing is connected yet."""
+        if not addresses:
+            raise ValueError('a trainer needs at least one address')
+        self._addresses = itertools.cycle(addresses)
+        self._address = next(self._addresses)
+        self._headers = {'Authorization': f'Bearer {key}'}
+        self._poll = poll
+        self._patience = patience
+
+    async def __aenter__(self) -> TrainerClient:
+        """Open the connections."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
+        self._session = aiohttp.ClientSession(
+            headers=self._headers, timeout=timeout
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def create(self, body: StepBody) -> StepAnswer:
+        """Create a step; the same body again finds the same step.
+
+        :raises StepError: if the step is refused.
+        """
+        content = await self._call(
+            'POST', '/v1/steps', msgspec.json.encode(body)
+        )
+        return msgspec.json.decode(content, type=StepAnswer)
+
+    async def observe(self, trainer: str, step: int) -> StepProgress:
+        """Tell how far a step is."""
+        content = await self._call('GET', f'/v1/steps/{trainer}/{step}')
+        return msgspec.json.decode(content, type=StepProgress)
+
+    async def cancel(self, trainer: str, step: int) -> None:
+        """Give a step up; its samples are gone."""
+        await self._call('DELETE', f'/v1/steps/{trainer}/{step}')
+
+    async def read(
+        self,
+        trainer: str,
+        step: int,
+        cursor: int,
+    ) -> list[DeliveredBatch]:
+        """Read batches from a cursor on; reading again gives the same."""
+        path = f'/v1/steps/{trainer}/{step}/samples?cursor={cursor}'
+        content = await self._call('GET', path)
+        return msgspec.json.decode(content, type=BatchList).batches
+
+    async def acknowledge(self, trainer: str, step: int, cursor: int) -> None:
+        """Keep the batches before a cursor; they are not read again."""
+        body = msgspec.json.encode({'cursor': cursor})
+        path = f'/v1/steps/{trainer}/{step}/acknowledge'
+        content = await self._call('POST', path, body)
+        msgspec.json.decode(content, type=DeliveryRecord)
+
+    async def samples(
+        self,
+        trainer: str,
+        step: int,
+    ) -> AsyncIterator[Sample]:
+        """Yield every sample of a step once, until the step is whole.
+
+        Batches are acknowledged when the samples after them are asked for,
+        so that a trainer that dies reads again what it was working on.
+
+        :raises StepError: if the step is refused or cancelled.
+        """
+        cursor = (await self.observe(trainer, step)).delivery.acknowledged
+        batches = self._list_batches(trainer, step, cursor)
+        async with aclosing(batches) as stream:  # type: ignore[type-var]
+            async for batch in stream:
+                for sample in batch.samples:
+                    yield sample
+
+    async def _list_batches(
+        self,
+        trainer: str,
+        step: int,
+        cursor: int,
+    ) -> AsyncIterator[DeliveredBatch]:
+        whole = False
+        while not whole:
+            batches = await self.read(trainer, step, cursor)
+            for batch in batches:
+                yield batch
+                cursor = batch.position + 1
+                whole = batch.whole
+            if batches:
+                await self.acknowledge(trainer, step, cursor)
+            else:
+                await asyncio.sleep(self._poll.total_seconds())
+                whole = await self._is_read(trainer, step, cursor)
+
+    async def _is_read(self, trainer: str, step: int, cursor: int) -> bool:
+        # A trainer that died after its last acknowledgement finds no batch
+        # that says the step is whole, and would wait for one for ever.
+        if cursor == 0:
+            return False
+        record = (await self.observe(trainer, step)).delivery
+        return record.whole_at is not None and cursor > record.whole_at
+
+    async def _call(self, method: str, path: str, body: bytes = b'') -> bytes:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._patience.total_seconds()
+        while True:
+            problem = await self._try_call(method, path, body)
+            if isinstance(problem, bytes):
+                return problem
+            if loop.time() >= end:
+                raise problem
+            self._address = next(self._addresses)
+            await asyncio.sleep(self._poll.total_seconds())
+
+    async def _try_call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> bytes | StepError:
+        try:
+            async with self._session.request(
+                method, f'{self._address}{path}', data=body
+            ) as answer:
+                content = await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return StepError('no_answer', f'{self._address}: {error!r}')
+        if answer.status == HTTP_OK:
+            return content
+        refusal = read_refusal(content, answer.status)
+        if refusal.code not in PASSING:
+            raise refusal
+        return refusal
+
+
+def read_refusal(content: bytes, status: int) -> StepError:
+    """Read why a daemon, or a balancer before it, refused a call."""
+    try:
+        detail = msgspec.json.decode(content, type=RefusalBody).error
+    except msgspec.DecodeError:
+        return StepError(RefusalCode.not_ready, f'status {status}')
+    return StepError(detail.code, detail.message)
--- a/quetzalcourse/commands/demo.py
+++ b/quetzalcourse/commands/demo.py
@@ -5,14 +5,17 @@
 import argparse
 import asyncio
 import signal
+from datetime import timedelta
 from typing import Any
 
 import aiohttp
 
+from quetzalcourse.client import TrainerClient
 from quetzalcourse.commands.output import write_line, write_table
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.log import FORMATS, configure_log
 from quetzalcourse.loop import run_loop
+from quetzalcourse.protocol.callers import StepBody
 from quetzalcourse.standins.deployment import (
     MODEL,
     READER_KEY,
@@ -25,8 +28,7 @@
 GROUPS = 8
 SAMPLES_PER_GROUP = 8
 HUMAN_CALLS = 8
-READ_SECONDS = 0.1
-MAX_READS = 600
+READ_PAUSE = timedelta(milliseconds=100)
 HTTP_OK = 200
 
 
@@ -74,7 +76,7 @@
             rows = [
                 await _ask_model(session),
                 await _ask_service(session),
-                await _run_step(session),
+                await _run_step(deployment.url),
             ]
     finally:
         await deployment.on_stop()
@@ -120,42 +122,23 @@
     return ('plain-service call', 'GET shelves/7', text)
 
 
-async def _run_step(session: aiohttp.ClientSession) -> tuple[str, str, str]:
-    await _post(
-        session,
-        '/v1/steps',
-        TRAINER_KEY,
-        {
-            'trainer': TRAINER,
-            'step': 1,
-            'prompts': [f'a line of group {group}' for group in range(GROUPS)],
-            'samples_per_group': SAMPLES_PER_GROUP,
-            'weight_version': 1,
-        },
+async def _run_step(url: str) -> tuple[str, str, str]:
+    body = StepBody(
+        trainer=TRAINER,
+        step=1,
+        prompts=[f'a line of group {group}' for group in range(GROUPS)],
+        samples_per_group=SAMPLES_PER_GROUP,
+        weight_version=1,
     )
-    samples = await _read_step(session)
-    asked = f'{GROUPS * SAMPLES_PER_GROUP} samples'
+    client = TrainerClient([url], TRAINER_KEY, poll=READ_PAUSE)
+    async with client as trainer:
+        await trainer.create(body)
+        samples = [
+            sample async for sample in trainer.samples(TRAINER, body.step)
+        ]
     versions = {
-        part['weight_version']
-        for sample in samples
-        for part in sample['versions']
+        part.weight_version for sample in samples for part in sample.versions
     }
+    asked = f'{GROUPS * SAMPLES_PER_GROUP} samples'
     got = f'{len(samples)} samples, weight versions {sorted(versions)}'
     return ('training step', asked, got)
-
-
-async def _read_step(session: aiohttp.ClientSession) -> list[Any]:
-    samples: list[Any] = []
-    cursor = 0
-    headers = {'Authorization': f'Bearer {TRAINER_KEY}'}
-    for _ in range(MAX_READS):
-        path = f'/v1/steps/{TRAINER}/1/samples?cursor={cursor}'
-        async with session.get(path, headers=headers) as answer:
-            batches = (await answer.json())['batches']
-        for batch in batches:
-            samples.extend(batch['samples'])
-            cursor = batch['position'] + 1
-            if batch['whole']:
-                return samples
-        await asyncio.sleep(READ_SECONDS)
-    raise AbortError('the step did not become whole')
