Refuse work that can't be whole before its deadline

Cause: with more work than slots, each request is granted its slot just before its deadline, is sent, and is cut by the deadline in mid-answer.

--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -9,6 +9,7 @@
 
 from quetzalcourse.coordination.assembly import Assembly, ChunkError
 from quetzalcourse.coordination.attempt import AttemptError
+from quetzalcourse.coordination.durations import Durations
 from quetzalcourse.coordination.guard import (
     AttemptInterruptedError,
     Guard,
@@ -65,6 +66,7 @@
         self._engines = engines
         self._clock = clock
         self._counters = counters
+        self._durations = Durations()
         self._closings: set[asyncio.Task[None]] = set()
         self._guards: dict[str, set[Guard]] = {}
 
@@ -128,9 +130,21 @@
             # The engine may have failed while this request waited for it.
             name = grant.upstream.name
             if self._health.admits(name) and self._router.is_open(name):
+                self._check_time(grant, work)
                 return grant
             self._admission.release(grant)
 
+    def _check_time(self, grant: Grant, work: Work) -> None:
+        # Under overload every request is granted its slot just before its
+        # deadline. Sent nonetheless, all would be cut at the deadline, and
+        # the engines would be busy without one whole answer.
+        received = len(work.assembly.tokens)
+        needed = self._durations.estimate(work.request, received)
+        if work.request.deadline - self._clock.elapsed() < needed:
+            self._admission.release(grant)
+            self._counters.add('requests_too_late')
+            raise work.refuse_too_late(needed)
+
     def _rank(self, work: Work) -> tuple[str, ...]:
         ranked = self._router.rank_engines(
             work.request, self._admission.running
@@ -241,6 +255,9 @@
         if last is None:
             raise _break_attempt(name)
         self._health.on_success(name)
+        if len(tokens) == len(work.request.received):
+            took = self._clock.elapsed() - began
+            self._durations.learn(work.request, work.count_fresh(), took)
         yield replace(last, upstream=name)
 
     def _close(
--- a/quetzalcourse/coordination/work.py
+++ b/quetzalcourse/coordination/work.py
@@ -112,6 +112,18 @@
             'generate',
         )
 
+    def refuse_too_late(self, needed: timedelta) -> RefusedError:
+        """Give up since too little is left of the caller's deadline.
+
+        :param needed: time that the answer probably takes.
+        """
+        return self._refuse(
+            RefusalCode.deadline_exceeded,
+            'Too little time was left for the answer.',
+            'generate',
+            max(needed, SHORTEST_WAIT),
+        )
+
     def refuse_route(self) -> RefusedError:
         """Give up since no engine serves what was asked for."""
         return self._refuse(
--- a/quetzalcourse/tests/coordination/generation_tests.py
+++ b/quetzalcourse/tests/coordination/generation_tests.py
@@ -290,6 +290,31 @@
     assert refusal.not_run is False
 
 
+async def test_hopeless_request_is_not_sent() -> None:
+    # More is asked for than the engines can do. Every request is granted
+    # its slot just before its deadline; sent, all would be cut by it.
+    bench = Bench(engines=1)
+    first = bench.admission.acquire
+
+    async def acquire(slot):  # type: ignore[no-untyped-def]
+        bench.clock.move(waiting)
+        return await first(slot)
+
+    bench.admission.acquire = acquire  # type: ignore[method-assign]
+    bench.engines.pause = bench.clock.move
+    waiting = timedelta(0)
+    for _ in range(10):
+        await bench.run(bench.build_request())
+    waiting = timedelta(seconds=51)
+    refusal = await refuse(bench)
+    assert refusal.code is RefusalCode.deadline_exceeded
+    assert refusal.not_run is True
+    assert refusal.retry_after
+    assert len(bench.engines.sent) == 10
+    waiting = timedelta(seconds=49)
+    assert await bench.run(bench.build_request()) == list(ANSWER)
+
+
 async def test_wrong_version_is_not_shown() -> None:
     # Weights are swapped in mid-stream under a caller who asked for one
     # version. The tokens of the other would bear a false name.
--- a/quetzalcourse/tests/engines.py
+++ b/quetzalcourse/tests/engines.py
@@ -4,17 +4,19 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.attempt import AttemptError
 from quetzalcourse.state.generation import AttemptState, Chunk
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from quetzalcourse.state.generation import GenerationRequest
     from quetzalcourse.state.manifest import Upstream
 
+PAUSE = timedelta(seconds=10)
 ANSWER = ('a', 'b', 'c', 'd')
 
 
@@ -46,6 +48,7 @@
     the scripts play the rest of the answer.
 
     :param sent: engine, attempt id and resumed tokens of each attempt.
+    :param pause: lets ten seconds pass before each piece, if set.
     """
 
     scripts: list[tuple[Step, ...]]
@@ -53,6 +56,7 @@
     ran: set[str] = field(default_factory=set)
     cancelled: list[str] = field(default_factory=list)
     closed: int = 0
+    pause: Callable[[timedelta], None] | None = None
 
     async def generate(
         self,
@@ -69,6 +73,8 @@
                 if isinstance(step, AttemptState):
                     self._end(step, upstream, request)
                 self.ran.add(request.request_id)
+                if self.pause is not None:
+                    self.pause(PAUSE)
                 if isinstance(step, Piece):
                     yield make_chunk(request.request_id, step)
                 else:
