Spread manifest and key changes from daemon to daemon

Cause: every daemon polled the store by itself, so reads grew with daemons, a start without the store ended without a manifest, and a withdrawal was only known to the process that was told.

Change: heartbeats carry manifest version and a hash of the key changes. Who hears of a newer version fetches the head and then only the sections that it lacks; large sections are split by the hash of the names. Key changes are records that merge in any order, with a tombstone that stays; 64 bucket hashes find the difference of two daemons. The head keeps fingerprints of the last 32 versions, so asking again after a lost answer is answered truly also below a newer version.

--- /dev/null
+++ b/quetzalcourse/coordination/key_table.py
@@ -0,0 +1,115 @@
+"""Changes of keys in the platform's table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from quetzalcourse.state.keys import KeyRecord
+from quetzalcourse.state.rows import (
+    ABSENT,
+    Condition,
+    FaultKind,
+    Row,
+    StoreFault,
+    Transaction,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.ports import Table
+
+KEYS_KEY = 'heads/keys'
+LOG_PREFIX = 'keys/log/'
+PAGE = 1000
+TRIES = 8
+
+
+def name_entry(sequence: int) -> str:
+    """Name the row of a change, so that rows sort by their sequence."""
+    return f'{LOG_PREFIX}{sequence:012d}'
+
+
+def read_sequence(row: Row | None) -> int:
+    """Tell how many changes the table has; damaged bytes count as none."""
+    if row is None:
+        return 0
+    try:
+        return msgspec.json.decode(row.content, type=int)
+    except msgspec.DecodeError:
+        return 0
+
+
+class KeyTable:
+    """Appends changes to a log in the table and reads them from it.
+
+    :param table: the platform's table.
+    """
+
+    def __init__(self, table: Table) -> None:
+        """Keep the table."""
+        self._table = table
+
+    async def append(self, record: KeyRecord) -> Result[int, StoreFault]:
+        """Write a change.
+
+        Writing one twice, as after a lost answer, only makes the log longer.
+
+        :returns: sequence of the change.
+        """
+        for _ in range(TRIES):
+            read = await self._table.read(KEYS_KEY)
+            if isinstance(read, Err):
+                return read
+            row = read.ok_value
+            sequence = read_sequence(row) + 1
+            written = await self._table.transact(
+                Transaction(
+                    (
+                        Condition(KEYS_KEY, row.version if row else ABSENT),
+                        Condition(name_entry(sequence), ABSENT),
+                    ),
+                    (
+                        Write(KEYS_KEY, msgspec.json.encode(sequence)),
+                        Write(
+                            name_entry(sequence), msgspec.json.encode(record)
+                        ),
+                    ),
+                )
+            )
+            if isinstance(written, Err):
+                return written
+            if written.ok_value.applied:
+                return Ok(sequence)
+        return Err(StoreFault(FaultKind.not_applied, 'append key', 'table'))
+
+    async def read_after(
+        self,
+        sequence: int,
+    ) -> Result[tuple[int, list[KeyRecord]], StoreFault]:
+        """Read the changes behind a sequence.
+
+        :param sequence: last change that is known.
+        :returns: sequence of the last change, and the changes; a damaged row
+            is left out.
+        """
+        records: list[KeyRecord] = []
+        while True:
+            after = name_entry(sequence)
+            read = await self._table.scan(LOG_PREFIX, after, PAGE)
+            if isinstance(read, Err):
+                return read
+            for row in read.ok_value:
+                sequence = int(row.key[len(LOG_PREFIX) :])
+                records.extend(_decode(row.content))
+            if len(read.ok_value) < PAGE:
+                return Ok((sequence, records))
+
+
+def _decode(content: bytes) -> list[KeyRecord]:
+    try:
+        return [msgspec.json.decode(content, type=KeyRecord)]
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
--- a/quetzalcourse/coordination/keys.py
+++ b/quetzalcourse/coordination/keys.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import hmac
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import xxhash
 from result import Err, Ok, Result
 
+from quetzalcourse.state.keys import KeyRecord, bury
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from quetzalcourse.state.manifest import KeyHash
 
 KEY_SEPARATOR = '.'
+BUCKETS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,29 +40,108 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
+def match_secret(digest: str, secret: str) -> bool:
+    """Compare a secret with its hash, in time that tells nothing of either."""
+    return hmac.compare_digest(digest, hash_secret(secret))
+
+
 class KeyRing:
     """Keys that are granted and withdrawn.
 
-    A withdrawal is a tombstone and wins over every grant of the same key id,
-    in whichever order the two arrive.
+    Grants come from the manifest and from records. A withdrawal is a
+    tombstone and wins over every grant of the same key id, in whichever
+    order the two arrive.
     """
 
     def __init__(self) -> None:
         """Begin without keys, so that every request is refused."""
-        self._granted: dict[str, KeyHash] = {}
-        self._withdrawn: set[str] = set()
+        self.is_current: Callable[[], bool] = lambda: True
+        self.records: dict[str, KeyRecord] = {}
+        self.buckets = [0] * BUCKETS
+        self._manifest: dict[str, KeyHash] = {}
+        self._watchers: dict[str, set[asyncio.Event]] = {}
+        self._withdrawn_listeners: list[Callable[[str], None]] = []
+        self._record_listeners: list[Callable[[KeyRecord], None]] = []
 
     def replace_grants(self, keys: Iterable[KeyHash]) -> None:
         """Take the granted keys of a manifest in place of those before."""
-        self._granted = {key.key_id: key for key in keys}
+        before = set(self._manifest)
+        self._manifest = {key.key_id: key for key in keys}
+        for key_id in before - set(self._manifest):
+            self._end_if_withdrawn(key_id)
+
+    def merge(self, record: KeyRecord, tell: bool = True) -> bool:
+        """Take in a change; the order in which changes arrive is no matter.
+
+        :param tell: whether others should hear of it from here.
+        :returns: whether the change was news.
+        """
+        held = self.records.get(record.key_id)
+        joined = held.join(record) if held else record
+        if joined == held:
+            return False
+        self._count(joined)
+        if held is not None:
+            self._count(held)
+        self.records[record.key_id] = joined
+        self._end_if_withdrawn(record.key_id)
+        if tell:
+            for listener in self._record_listeners:
+                listener(joined)
+        return True
 
     def withdraw(self, key_id: str) -> None:
         """Stop a key for good."""
-        self._withdrawn.add(key_id)
+        self.merge(bury(key_id))
 
     def is_withdrawn(self, key_id: str) -> bool:
         """Tell whether a key was stopped or is no longer granted."""
-        return key_id in self._withdrawn or key_id not in self._granted
+        held = self.records.get(key_id)
+        if held is not None and (held.withdrawn or held.digest):
+            return held.withdrawn
+        return key_id not in self._manifest
+
+    def on_withdrawn(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the id of each key that stops."""
+        self._withdrawn_listeners.append(listener)
+
+    def on_record(self, listener: Callable[[KeyRecord], None]) -> None:
+        """Call a listener with each change that was news."""
+        self._record_listeners.append(listener)
+
+    @contextmanager
+    def watch(self, key_id: str) -> Iterator[asyncio.Event]:
+        """Give an event that is set when a key stops.
+
+        :param key_id: key of a request that is being served.
+        """
+        event = asyncio.Event()
+        if self.is_withdrawn(key_id):
+            event.set()
+        watchers = self._watchers.setdefault(key_id, set())
+        watchers.add(event)
+        try:
+            yield event
+        finally:
+            watchers.discard(event)
+            if not watchers and self._watchers.get(key_id) is watchers:
+                self._watchers.pop(key_id)
+
+    def hash_records(self) -> int:
+        """Hash all records; equal sets hash equally."""
+        whole = 0
+        for number, bucket in enumerate(self.buckets):
+            whole ^= xxhash.xxh32_intdigest(b'%d %d' % (number, bucket))
+        return whole
+
+    def list_different(self, buckets: list[int]) -> list[KeyRecord]:
+        """List the records of the buckets whose hash is another one."""
+        return [
+            record
+            for key_id, record in self.records.items()
+            if buckets[_choose_bucket(key_id)]
+            != self.buckets[_choose_bucket(key_id)]
+        ]
 
     def authenticate(self, bearer: str) -> Result[Identity, Refusal]:
         """Find the account of a key.
@@ -66,22 +150,48 @@
         :returns: the account, or the refusal that its caller is told.
         """
         key_id, _, secret = bearer.partition(KEY_SEPARATOR)
-        granted = self._granted.get(key_id)
+        granted: KeyHash | KeyRecord | None = self._manifest.get(key_id)
+        held = self.records.get(key_id)
+        if granted is None and held is not None and held.digest:
+            granted = held
         expected = granted.digest if granted else hash_secret('')
         # An unknown key id takes the same comparison as a known one, so the
         # time of the answer does not tell which ids exist.
-        matches = hmac.compare_digest(expected, hash_secret(secret))
+        matches = match_secret(expected, secret)
         if granted is None or not matches or not secret:
             return Err(refuse_key(RefusalCode.unauthenticated))
-        if key_id in self._withdrawn:
+        if held is not None and held.withdrawn:
             return Err(refuse_key(RefusalCode.key_withdrawn))
+        if not self.is_current():
+            return Err(refuse_key(RefusalCode.not_ready))
         return Ok(Identity(granted.client_account, key_id))
 
+    def _count(self, record: KeyRecord) -> None:
+        text = repr(record)
+        digest = xxhash.xxh32_intdigest(text.encode())
+        self.buckets[_choose_bucket(record.key_id)] ^= digest
+
+    def _end_if_withdrawn(self, key_id: str) -> None:
+        if not self.is_withdrawn(key_id):
+            return
+        for event in self._watchers.get(key_id, ()):
+            event.set()
+        for listener in self._withdrawn_listeners:
+            listener(key_id)
+
 
-def refuse_key(code: RefusalCode) -> Refusal:
-    """Build the refusal for a key that does not open anything."""
+def _choose_bucket(key_id: str) -> int:
+    return xxhash.xxh32_intdigest(key_id.encode()) % BUCKETS
+
+
+def refuse_key(code: RefusalCode, not_run: bool = True) -> Refusal:
+    """Build the refusal for a key that does not open anything.
+
+    :param not_run: false if the request had begun when its key stopped.
+    """
     messages = {
         RefusalCode.unauthenticated: 'The key is missing or not known.',
         RefusalCode.key_withdrawn: 'The key was withdrawn.',
+        RefusalCode.not_ready: 'No news of keys for too long.',
     }
-    return Refusal(code, messages[code], not_run=True, step='authenticate')
+    return Refusal(code, messages[code], not_run=not_run, step='authenticate')
--- a/quetzalcourse/coordination/manifest.py
+++ b/quetzalcourse/coordination/manifest.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.coordination.sections import (
+    NO_HEAD,
+    ManifestHead,
+    decode_head,
+    hash_content,
+    join_sections,
+    list_missing,
+    split_sections,
+)
 from quetzalcourse.state.manifest import Manifest
 from quetzalcourse.state.rows import (
     ABSENT,
@@ -25,29 +33,7 @@
 
     from quetzalcourse.coordination.ports import Objects, Table
 
-MANIFEST_KEY = 'manifest/current'
-SECTIONS = (
-    'client_accounts',
-    'keys',
-    'trainers',
-    'upstreams',
-    'services',
-    'maintenance',
-    'service_levels',
-    'fleet',
-)
-
-
-@dataclass(frozen=True, slots=True)
-class ManifestHead:
-    """Row that names the accepted version.
-
-    :param version: number of the accepted manifest.
-    :param sections: content hash of each section.
-    """
-
-    version: int
-    sections: dict[str, str]
+MANIFEST_KEY = 'heads/manifest'
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,33 +46,6 @@
     winner: int
 
 
-def hash_content(content: bytes) -> str:
-    """Name content by its hash."""
-    return hashlib.sha256(content).hexdigest()
-
-
-def split_sections(manifest: Manifest) -> dict[str, bytes]:
-    """Encode each section on its own, so that unchanged ones keep their name.
-
-    :param manifest: what to split.
-    :returns: encoded section by section name.
-    """
-    return {
-        name: msgspec.json.encode(getattr(manifest, name), order='sorted')
-        for name in SECTIONS
-    }
-
-
-def join_sections(version: int, sections: dict[str, bytes]) -> Manifest:
-    """Rebuild a manifest from its sections."""
-    parts = [
-        f'"{name}":{content.decode()}' for name, content in sections.items()
-    ]
-    parts.append(f'"version":{version}')
-    document = '{' + ','.join(parts) + '}'
-    return msgspec.json.decode(document, type=Manifest)
-
-
 class ManifestKeeper:
     """Holds the manifest in force and moves it upwards only.
 
@@ -97,9 +56,10 @@
     def __init__(self, table: Table, objects: Objects) -> None:
         """Begin with no manifest in force."""
         self.current = Manifest()
+        self.head = NO_HEAD
+        self.sections: dict[str, bytes] = {}
         self._table = table
         self._objects = objects
-        self._sections: dict[str, bytes] = {}
         self._listeners: list[Callable[[Manifest], None]] = []
 
     def on_manifest(self, listener: Callable[[Manifest], None]) -> None:
@@ -119,6 +79,34 @@
             listener(manifest)
         return True
 
+    def take(
+        self,
+        head: ManifestHead,
+        contents: dict[str, bytes],
+    ) -> Result[bool, str]:
+        """Adopt a manifest whose sections are all at hand.
+
+        :param head: head of an accepted manifest.
+        :param contents: sections by content hash, with those held before.
+        :returns: whether it came into force, or what is wrong with it.
+        """
+        if head.version <= self.current.version:
+            return Ok(False)
+        sections: dict[str, bytes] = {}
+        for name, digest in head.sections.items():
+            content = contents.get(digest)
+            if content is None or hash_content(content) != digest:
+                return Err(f'section {name} is missing or damaged')
+            sections[name] = content
+        joined = join_sections(head.version, sections)
+        if isinstance(joined, Err):
+            return joined
+        self.head = head
+        self.sections = {
+            head.sections[name]: content for name, content in sections.items()
+        }
+        return Ok(self.adopt(joined.ok_value))
+
     async def refresh(self) -> Result[int, StoreFault]:
         """Read the accepted version and adopt it.
 
@@ -127,15 +115,30 @@
         answer = await self._table.read(MANIFEST_KEY)
         if isinstance(answer, Err):
             return answer
-        row = answer.ok_value
-        if row is None:
+        return await self.follow(answer.ok_value)
+
+    async def follow(self, row: Row | None) -> Result[int, StoreFault]:
+        """Adopt the version that a row names, with the store's sections.
+
+        :param row: the row :data:`MANIFEST_KEY` as it was read.
+        :returns: version in force.
+        """
+        read = _read_head(row)
+        if isinstance(read, Err):
+            return read
+        head = read.ok_value
+        if head.version <= self.current.version:
             return Ok(self.current.version)
-        head = msgspec.json.decode(row.content, type=ManifestHead)
-        if head.version > self.current.version:
-            loaded = await self._load(head)
-            if isinstance(loaded, Err):
-                return loaded
-            self.adopt(loaded.ok_value)
+        contents = dict(self.sections)
+        for digest in list_missing(head, contents):
+            answer = await self._objects.get(digest)
+            if isinstance(answer, Err):
+                return answer
+            if answer.ok_value is not None:
+                contents[digest] = answer.ok_value
+        taken = self.take(head, contents)
+        if isinstance(taken, Err):
+            return Err(_refuse_bytes(taken.err_value))
         return Ok(self.current.version)
 
     async def accept(
@@ -145,6 +148,9 @@
     ) -> Result[int, ManifestConflict | StoreFault]:
         """Store a manifest as the next version.
 
+        Asking again after a lost answer does no harm: a manifest that was
+        accepted is found by its fingerprint, even below a newer one.
+
         :param manifest: what to accept; its own version is not looked at.
         :param replaces: version that the operator has seen.
         :returns: number of the accepted version.
@@ -155,35 +161,39 @@
             stored = await self._objects.put(hashes[name], content)
             if isinstance(stored, Err):
                 return stored
-        head = ManifestHead(replaces + 1, hashes)
-        return await self._swap(head, replaces)
+        return await self._swap(hashes, replaces)
 
     async def _swap(
         self,
-        head: ManifestHead,
+        hashes: dict[str, str],
         replaces: int,
     ) -> Result[int, ManifestConflict | StoreFault]:
-        read = await self._table.read(MANIFEST_KEY)
+        answer = await self._table.read(MANIFEST_KEY)
+        if isinstance(answer, Err):
+            return answer
+        row = answer.ok_value
+        read = _read_head(row)
         if isinstance(read, Err):
             return read
-        row = read.ok_value
-        found = _read_head(row)
-        if found == head:
-            return Ok(head.version)
+        found = read.ok_value
+        wanted = ManifestHead(replaces + 1, hashes)
+        if found.includes(wanted):
+            return Ok(wanted.version)
         if found.version != replaces:
             return Err(ManifestConflict(found.version))
-        answer = await self._table.transact(
+        head = found.precede(hashes)
+        written = await self._table.transact(
             Transaction(
                 (Condition(MANIFEST_KEY, row.version if row else ABSENT),),
                 (Write(MANIFEST_KEY, msgspec.json.encode(head)),),
             )
         )
-        if isinstance(answer, Ok) and answer.ok_value.applied:
+        if isinstance(written, Ok) and written.ok_value.applied:
             return Ok(head.version)
-        if isinstance(answer, Err) and answer.err_value.kind is (
+        if isinstance(written, Err) and written.err_value.kind is (
             FaultKind.not_applied
         ):
-            return answer
+            return written
         return await self._settle(head)
 
     async def _settle(
@@ -192,11 +202,14 @@
     ) -> Result[int, ManifestConflict | StoreFault]:
         # An answer lost after the write took effect looks like a failure;
         # only the row itself tells which manifest won.
-        read = await self._table.read(MANIFEST_KEY)
+        answer = await self._table.read(MANIFEST_KEY)
+        if isinstance(answer, Err):
+            return answer
+        read = _read_head(answer.ok_value)
         if isinstance(read, Err):
             return read
-        found = _read_head(read.ok_value)
-        if found == head:
+        found = read.ok_value
+        if found.includes(head):
             return Ok(head.version)
         if found.version < head.version:
             return Err(
@@ -204,27 +217,14 @@
             )
         return Err(ManifestConflict(found.version))
 
-    async def _load(self, head: ManifestHead) -> Result[Manifest, StoreFault]:
-        sections: dict[str, bytes] = {}
-        for name, digest in head.sections.items():
-            content = self._sections.get(digest)
-            if content is None:
-                answer = await self._objects.get(digest)
-                if isinstance(answer, Err):
-                    return answer
-                if answer.ok_value is None:
-                    return Err(
-                        StoreFault(FaultKind.not_applied, 'load section', name)
-                    )
-                content = answer.ok_value
-            sections[name] = content
-        self._sections = {
-            head.sections[name]: content for name, content in sections.items()
-        }
-        return Ok(join_sections(head.version, sections))
 
-
-def _read_head(row: Row | None) -> ManifestHead:
+def _read_head(row: Row | None) -> Result[ManifestHead, StoreFault]:
     if row is None:
-        return ManifestHead(0, {})
-    return msgspec.json.decode(row.content, type=ManifestHead)
+        return Ok(NO_HEAD)
+    return decode_head(row.content).map_err(_refuse_bytes)
+
+
+def _refuse_bytes(reason: str) -> StoreFault:
+    return StoreFault(
+        FaultKind.not_applied, f'read manifest: {reason}', 'store'
+    )
--- a/quetzalcourse/coordination/membership.py
+++ b/quetzalcourse/coordination/membership.py
@@ -59,10 +59,12 @@
 
     :param manifest: version in force.
     :param keys: hash of the known key changes.
+    :param news_age: age of the newest word from the store, if there was any.
     """
 
     manifest: int = 0
     keys: int = 0
+    news_age: timedelta | None = None
 
 
 class Membership:
@@ -244,7 +246,9 @@
         if changed:
             self._refresh()
         self._answer(sender, heartbeat, now)
-        digest = Digest(heartbeat.manifest, heartbeat.keys)
+        digest = Digest(
+            heartbeat.manifest, heartbeat.keys, unpack_age(heartbeat.news_age)
+        )
         for listener in self._digest_listeners:
             listener(sender, digest)
 
@@ -358,6 +362,7 @@
             news,
             subject,
             hashes or {},
+            pack_age(digest.news_age),
         )
         content = msgspec.msgpack.encode(heartbeat)
         self._peers.send(receiver, Topic.heartbeat, content)
@@ -389,3 +394,13 @@
 
     def _choose(self, candidates: list, count: int) -> list:
         return self._random.sample(candidates, min(count, len(candidates)))
+
+
+def pack_age(age: timedelta | None) -> int:
+    """Write an age for a heartbeat, in milliseconds, -1 for none."""
+    return -1 if age is None else int(age / timedelta(milliseconds=1))
+
+
+def unpack_age(age: int) -> timedelta | None:
+    """Read an age from a heartbeat."""
+    return None if age < 0 else timedelta(milliseconds=age)
--- /dev/null
+++ b/quetzalcourse/coordination/spread.py
@@ -0,0 +1,271 @@
+"""Manifest and key changes on their way from daemon to daemon."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+
+from quetzalcourse.coordination.sections import ManifestHead, list_missing
+from quetzalcourse.log import get_log
+from quetzalcourse.state.members import Member, Topic
+from quetzalcourse.state.spread import KeyNews, ManifestNews, SpreadKind
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from quetzalcourse.coordination.keys import KeyRing
+    from quetzalcourse.coordination.manifest import ManifestKeeper
+    from quetzalcourse.coordination.membership import Digest
+    from quetzalcourse.coordination.ports import MemberView, Peers
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.keys import KeyRecord
+    from quetzalcourse.state.manifest import Manifest
+
+NEAR = 3
+FAR = 1
+ASK_AGAIN = timedelta(seconds=1)
+FIRST_WAIT = timedelta(seconds=1)
+MESSAGE_BYTES = 256_000
+RECORDS_PER_MESSAGE = 200
+log = get_log('spread')
+
+
+def choose_receivers(members: MemberView, random: Random) -> list[Member]:
+    """Choose whom to tell news at once; the rest hears it from them.
+
+    :returns: a few daemons of the own data centre and one elsewhere.
+    """
+    centre = members.own.data_centre
+    others = [member for member in members.list_live() if member != members.own]
+    near = [member for member in others if member.data_centre == centre]
+    far = [member for member in others if member.data_centre != centre]
+    return [
+        *random.sample(near, min(NEAR, len(near))),
+        *random.sample(far, min(FAR, len(far))),
+    ]
+
+
+class ManifestSpread:
+    """Fetches newer manifests from other daemons, changed sections only.
+
+    :param keeper: holds the manifest in force.
+    """
+
+    def __init__(
+        self,
+        keeper: ManifestKeeper,
+        members: MemberView,
+        peers: Peers,
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        """Begin to listen."""
+        self._keeper = keeper
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._counters = counters
+        self._best: tuple[int, Member] | None = None
+        self._first_heard: timedelta | None = None
+        self._asked = clock.elapsed() - ASK_AGAIN
+        self._pending: ManifestHead | None = None
+        self._contents: dict[str, bytes] = {}
+        peers.subscribe(Topic.manifest, self._receive)
+        keeper.on_manifest(self._announce)
+
+    def on_digest(self, sender: Member, digest: Digest) -> None:
+        """Compare a heartbeat's version with the one in force."""
+        self._hear(sender, digest.manifest)
+
+    def _hear(self, sender: Member, version: int) -> None:
+        if version <= self._keeper.current.version:
+            return
+        now = self._clock.elapsed()
+        if self._first_heard is None:
+            self._first_heard = now
+        if self._best is None or version >= self._best[0]:
+            fresh = self._best is None or version > self._best[0]
+            self._best = (version, sender)
+            if fresh:
+                self._asked = now - ASK_AGAIN
+        # A daemon that starts without the store asks nobody until several
+        # have told their versions. Taking the first one's would bring an
+        # old version into force for a moment if that one lags.
+        starting = self._keeper.current.version == 0
+        if starting and now - self._first_heard < FIRST_WAIT:
+            return
+        if now - self._asked >= ASK_AGAIN:
+            self._asked = now
+            self._send(self._best[1], SpreadKind.ask)
+
+    def _announce(self, _: Manifest) -> None:
+        for member in choose_receivers(self._members, self._random):
+            self._send(member, SpreadKind.announce)
+
+    def _receive(self, sender: Member, content: bytes) -> None:
+        try:
+            news = msgspec.msgpack.decode(content, type=ManifestNews)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            self._counters.add('peer_messages_dropped', reason='manifest')
+            return
+        if news.kind is SpreadKind.announce:
+            self._hear(sender, news.version)
+        elif news.kind is SpreadKind.ask:
+            self._send_head(sender)
+        elif news.kind is SpreadKind.head:
+            self._take_head(sender, news)
+        elif news.kind is SpreadKind.want:
+            self._send_contents(sender, news.wanted)
+        else:
+            self._take_contents(news)
+
+    def _take_head(self, sender: Member, news: ManifestNews) -> None:
+        newest = self._keeper.current.version
+        if self._pending is not None:
+            newest = max(newest, self._pending.version - 1)
+        if news.version <= newest:
+            return
+        head = ManifestHead(news.version, news.sections, news.accepted)
+        wanted = list_missing(head, self._keeper.sections)
+        self._contents = {
+            digest: content
+            for digest, content in self._contents.items()
+            if digest in wanted
+        }
+        self._pending = head
+        self._finish()
+        missing = sorted(set(wanted) - set(self._contents))
+        if missing:
+            version = self._keeper.head.version
+            news = ManifestNews(SpreadKind.want, version, wanted=missing)
+            self._send_news(sender, news)
+
+    def _take_contents(self, news: ManifestNews) -> None:
+        if self._pending is not None:
+            known = set(self._pending.sections.values())
+            for digest, content in news.contents.items():
+                if digest in known:
+                    self._contents[digest] = content
+            self._finish()
+
+    def _finish(self) -> None:
+        head = self._pending
+        held = self._contents | self._keeper.sections
+        if head is None or list_missing(head, held):
+            return
+        self._pending = None
+        self._contents = {}
+        taken = self._keeper.take(head, held)
+        if isinstance(taken, Err):
+            self._counters.add('peer_messages_dropped', reason='manifest')
+            log.warning('Manifest refused.', reason=taken.err_value)
+
+    def _send_head(self, receiver: Member) -> None:
+        head = self._keeper.head
+        news = ManifestNews(
+            SpreadKind.head, head.version, head.sections, head.accepted
+        )
+        self._send_news(receiver, news)
+
+    def _send_contents(self, receiver: Member, wanted: list[str]) -> None:
+        batch: dict[str, bytes] = {}
+        size = 0
+        for digest in wanted:
+            content = self._keeper.sections.get(digest)
+            if content is None:
+                continue
+            if batch and size + len(content) > MESSAGE_BYTES:
+                self._send_batch(receiver, batch)
+                batch = {}
+                size = 0
+            batch[digest] = content
+            size += len(content)
+        if batch:
+            self._send_batch(receiver, batch)
+
+    def _send_batch(self, receiver: Member, batch: dict[str, bytes]) -> None:
+        version = self._keeper.head.version
+        news = ManifestNews(SpreadKind.contents, version, contents=batch)
+        self._send_news(receiver, news)
+
+    def _send(self, receiver: Member, kind: SpreadKind) -> None:
+        version = self._keeper.head.version
+        self._send_news(receiver, ManifestNews(kind, version))
+
+    def _send_news(self, receiver: Member, news: ManifestNews) -> None:
+        content = msgspec.msgpack.encode(news)
+        self._peers.send(receiver, Topic.manifest, content)
+
+
+class KeySpread:
+    """Passes key changes on, and compares what others know.
+
+    :param ring: holds the keys.
+    """
+
+    def __init__(
+        self,
+        ring: KeyRing,
+        members: MemberView,
+        peers: Peers,
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        """Begin to listen."""
+        self._ring = ring
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._counters = counters
+        self._asked = clock.elapsed() - ASK_AGAIN
+        peers.subscribe(Topic.keys, self._receive)
+        ring.on_record(self._pass_on)
+
+    def on_digest(self, sender: Member, digest: Digest) -> None:
+        """Ask a daemon that knows other records for the difference."""
+        now = self._clock.elapsed()
+        if digest.keys == self._ring.hash_records():
+            return
+        if now - self._asked >= ASK_AGAIN:
+            self._asked = now
+            news = KeyNews(SpreadKind.ask, buckets=self._ring.buckets)
+            self._send(sender, news)
+
+    def _pass_on(self, record: KeyRecord) -> None:
+        news = KeyNews(SpreadKind.contents, records=[record])
+        for member in choose_receivers(self._members, self._random):
+            self._send(member, news)
+
+    def _receive(self, sender: Member, content: bytes) -> None:
+        try:
+            news = msgspec.msgpack.decode(content, type=KeyNews)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            self._counters.add('peer_messages_dropped', reason='keys')
+            return
+        # A single change is fresh news and is passed on; a list is the
+        # difference to one daemon, which the others compare for themselves.
+        fresh = len(news.records) == 1
+        for record in news.records:
+            self._ring.merge(record, tell=fresh)
+        if news.kind is SpreadKind.ask:
+            self._answer(sender, news.buckets)
+
+    def _answer(self, receiver: Member, buckets: list[int]) -> None:
+        if len(buckets) != len(self._ring.buckets):
+            return
+        different = self._ring.list_different(buckets)
+        for start in range(0, len(different), RECORDS_PER_MESSAGE):
+            records = different[start : start + RECORDS_PER_MESSAGE]
+            self._send(receiver, KeyNews(SpreadKind.contents, records))
+
+    def _send(self, receiver: Member, news: KeyNews) -> None:
+        content = msgspec.msgpack.encode(news)
+        self._peers.send(receiver, Topic.keys, content)
--- /dev/null
+++ b/quetzalcourse/coordination/status.py
@@ -0,0 +1,27 @@
+"""What the parts of a daemon say of themselves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class StatusBoard:
+    """Collects what ``/status`` shows."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._sources: dict[str, Callable[[], Any]] = {}
+
+    def add(self, name: str, tell: Callable[[], Any]) -> None:
+        """Show one more part.
+
+        :param tell: called for each request; gives what JSON can hold.
+        """
+        self._sources[name] = tell
+
+    def read(self) -> dict[str, Any]:
+        """Ask every part."""
+        return {name: tell() for name, tell in self._sources.items()}
--- a/quetzalcourse/settings/process.py
+++ b/quetzalcourse/settings/process.py
@@ -58,7 +58,7 @@
 
     address: Address
     timeout_seconds: float = Field(default=2.0, gt=0)
-    refresh_seconds: float = Field(default=1.0, gt=0)
+    refresh_seconds: float = Field(default=0.5, gt=0)
 
 
 class LimitSettings(SettingsModel):
@@ -106,6 +106,8 @@
 
     :param secrets: shared by all daemons; the first one signs what is sent,
         each one is accepted. Without any the daemon stays alone.
+    :param refuse_keys_after_seconds: age of the newest word from the store
+        above which every key is refused; 0 serves however old it is.
     :param seeds: addresses of daemons to try besides the platform's list.
     :param suspicion_seconds: time that a silent daemon has to answer.
     """
@@ -116,6 +118,16 @@
     seeds: list[Address] = []
     tick_seconds: float = Field(default=0.5, gt=0)
     suspicion_seconds: float = Field(default=4.0, gt=0)
+    refuse_keys_after_seconds: float = Field(default=0.0, ge=0)
+
+
+class OperatorSettings(SettingsModel):
+    """Who may change keys through this daemon.
+
+    :param key_hashes: SHA-256 of each operator key, in hexadecimal.
+    """
+
+    key_hashes: list[Annotated[str, Field(pattern='^[0-9a-f]{64}$')]] = []
 
 
 class ProcessSettings(SettingsModel):
@@ -133,6 +145,7 @@
     log: LogSettings = LogSettings()
     drain: DrainSettings = DrainSettings()
     peering: PeeringSettings = PeeringSettings()
+    operators: OperatorSettings = OperatorSettings()
 
 
 def load_settings(path: Path) -> Result[ProcessSettings, list[SettingFault]]:
--- a/quetzalcourse/state/heartbeats.py
+++ b/quetzalcourse/state/heartbeats.py
@@ -81,6 +81,8 @@
     :param changes: news of other daemons.
     :param subject: address, for a relay: whom to ask, or who answered.
     :param hashes: hash of the list of each data centre, for a view request.
+    :param news_age: milliseconds since the store was last read by anyone the
+        sender heard of, -1 for never.
     """
 
     kind: HeartbeatKind
@@ -91,3 +93,4 @@
     changes: list[Change] = []
     subject: str = ''
     hashes: dict[str, int] = {}
+    news_age: int = -1
--- /dev/null
+++ b/quetzalcourse/state/keys.py
@@ -0,0 +1,60 @@
+"""Changes of keys that are made outside the manifest."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+KEY_ID = re.compile('[A-Za-z0-9_-]{1,64}')
+DIGEST = re.compile('[0-9a-f]{64}')
+
+
+class KeyRecord(msgspec.Struct, frozen=True):
+    """A key that was granted or withdrawn.
+
+    :param key_id: public part of the key.
+    :param client_account: account that it acts for; empty if only withdrawn.
+    :param digest: SHA-256 of the secret part; empty if only withdrawn.
+    :param withdrawn: a tombstone, which beats every grant.
+    """
+
+    key_id: str
+    client_account: str = ''
+    digest: str = ''
+    withdrawn: bool = False
+
+    def join(self, other: KeyRecord) -> KeyRecord:
+        """Merge with another record of the same key.
+
+        Any two daemons that saw the same records in any order must hold the
+        same one: a tombstone stays, and grants that clash are ordered by
+        their bytes.
+        """
+        grant = max(
+            (self.digest, self.client_account),
+            (other.digest, other.client_account),
+        )
+        withdrawn = self.withdrawn or other.withdrawn
+        return KeyRecord(self.key_id, grant[1], grant[0], withdrawn)
+
+
+def bury(key_id: str) -> KeyRecord:
+    """Make the tombstone of a key."""
+    return KeyRecord(key_id, withdrawn=True)
+
+
+def check_record(record: KeyRecord) -> str:
+    """Find what is wrong with a change that an operator asks for.
+
+    :returns: the fault, empty if there is none.
+    """
+    if not KEY_ID.fullmatch(record.key_id):
+        return 'A key id has 1 to 64 letters, digits, "-" and "_".'
+    if record.withdrawn:
+        return ''
+    if not record.client_account:
+        return 'A grant names a client account.'
+    if not DIGEST.fullmatch(record.digest):
+        return 'A grant has the SHA-256 of its secret, in hexadecimal.'
+    return ''
--- /dev/null
+++ b/quetzalcourse/tests/coordination/manifest_tests.py
@@ -0,0 +1,326 @@
+"""Manifests are accepted once, travel in sections and never revert."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import timedelta
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from hypothesis.strategies import booleans, integers, sampled_from
+from result import Err, Ok
+
+from quetzalcourse.coordination.manifest import (
+    MANIFEST_KEY,
+    ManifestConflict,
+    ManifestKeeper,
+)
+from quetzalcourse.coordination.membership import Digest
+from quetzalcourse.coordination.sections import (
+    NO_HEAD,
+    hash_content,
+    join_sections,
+    split_sections,
+)
+from quetzalcourse.coordination.spread import ManifestSpread
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.manifest import (
+    ClientAccount,
+    Manifest,
+    Upstream,
+    UpstreamKind,
+)
+from quetzalcourse.state.members import Member, Topic
+from quetzalcourse.state.rows import StoreFault, Transaction, Write
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
+from quetzalcourse.tests.tables import FakeStore
+
+
+def make_manifest(weight: float, upstreams: int = 1) -> Manifest:
+    """Make a manifest that differs by one weight."""
+    return Manifest(
+        client_accounts={'desk': ClientAccount('desk', weight, 1.0, 1, 1)},
+        upstreams={
+            f'up-{number}': Upstream(
+                f'up-{number}',
+                UpstreamKind.service,
+                'lac-hall',
+                f'10.0.0.1:{number}',
+                8,
+            )
+            for number in range(upstreams)
+        },
+    )
+
+
+class Node:
+    """A daemon's keeper and spread on a fake network."""
+
+    def __init__(
+        self,
+        name: str,
+        store: FakeStore,
+        network: FakeNetwork,
+        clock: FakeClock,
+        members: list[Member],
+    ) -> None:
+        """Join the network."""
+        self.own = Member('vm', name, 'lac-hall', name)
+        members.append(self.own)
+        self.keeper = ManifestKeeper(store, store)
+        self.seen: list[int] = []
+        self.keeper.on_manifest(lambda new: self.seen.append(new.version))
+        self.counters = Counters()
+        self.spread = ManifestSpread(
+            self.keeper,
+            FakeMembers(self.own, members),
+            network.join(self.own),
+            clock,
+            Random(1),
+            self.counters,
+        )
+
+    @property
+    def digest(self) -> Digest:
+        """What the node's heartbeats say."""
+        return Digest(self.keeper.current.version)
+
+
+class Group:
+    """Some daemons that know one another."""
+
+    def __init__(self, count: int) -> None:
+        """Start them without a manifest."""
+        self.store = FakeStore()
+        self.network = FakeNetwork()
+        self.clock = FakeClock()
+        self.members: list[Member] = []
+        self.nodes = [self.add(f'node-{index}') for index in range(count)]
+
+    def add(self, name: str) -> Node:
+        """Start one more."""
+        return Node(name, self.store, self.network, self.clock, self.members)
+
+    async def beat(self) -> None:
+        """Let each node hear a heartbeat of each other."""
+        self.clock.move(timedelta(seconds=1))
+        for node in self.nodes:
+            for other in self.nodes:
+                if other is not node:
+                    node.spread.on_digest(other.own, other.digest)
+        await settle()
+
+
+@pytest.mark.parametrize('count', [0, 1, 32, 33, 890])
+def test_sections_survive_the_way(count: int) -> None:
+    manifest = replace(make_manifest(1.0, count), version=7)
+    joined = join_sections(7, split_sections(manifest)).unwrap()
+    assert joined == manifest
+
+
+def test_one_changed_upstream_moves_one_part() -> None:
+    # At 3,000 changes a day a whole section of 890 upstreams each time would
+    # use up what a daemon may send for control.
+    manifest = make_manifest(1.0, 890)
+    upstreams = dict(manifest.upstreams)
+    upstreams['up-5'] = replace(upstreams['up-5'], slots=9)
+    before = split_sections(manifest)
+    after = split_sections(replace(manifest, upstreams=upstreams))
+    changed = [name for name in after if after[name] != before[name]]
+    whole = sum(len(content) for content in before.values())
+    assert len(changed) == 1
+    assert len(after[changed[0]]) < whole / 15
+
+
+@pytest.mark.parametrize(
+    ('fault', 'kind'),
+    [('', Ok), ('not_applied', Err), ('lost_before', Err), ('lost_after', Ok)],
+)
+async def test_lost_answer_is_read_back(fault: str, kind: type) -> None:
+    # The table's answer to the swap is lost. The operator is told what truly
+    # happened, and asking again ends with the manifest accepted once.
+    store = FakeStore()
+    keeper = ManifestKeeper(store, store)
+    store.write_faults.append(fault)
+    manifest = make_manifest(1.0)
+    assert isinstance(await keeper.accept(manifest, 0), kind)
+    assert (await keeper.accept(manifest, 0)).unwrap() == 1
+    assert (await keeper.refresh()).unwrap() == 1
+
+
+async def test_asking_again_below_a_newer_version() -> None:
+    # The answer to version 1 is lost and another operator's version 2 wins
+    # on top of it. Asking again for version 1 must neither undo version 2
+    # nor claim that version 1 had lost.
+    store = FakeStore()
+    keeper = ManifestKeeper(store, store)
+    first, second = make_manifest(1.0), make_manifest(2.0)
+    (await keeper.accept(first, 0)).unwrap()
+    (await keeper.accept(second, 1)).unwrap()
+    assert (await keeper.accept(first, 0)).unwrap() == 1
+    await keeper.refresh()
+    assert keeper.current == replace(second, version=2)
+
+
+async def test_operators_race() -> None:
+    # Two operators replace the same version. One wins; the other is told
+    # the version that won, and the winner's content is in force.
+    store = FakeStore()
+    keeper = ManifestKeeper(store, store)
+    winner, loser = make_manifest(1.0), make_manifest(2.0)
+    (await keeper.accept(winner, 0)).unwrap()
+    lost = await keeper.accept(loser, 0)
+    assert lost == Err(ManifestConflict(1))
+    await keeper.refresh()
+    assert keeper.current.client_accounts == winner.client_accounts
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'\xff', b'[]', b'{"version":"x"}', b'{"version":9}'],
+)
+async def test_damaged_head_changes_nothing(content: bytes) -> None:
+    # The row that names the version holds bytes that nobody understands. The
+    # daemon says so and goes on with what it has.
+    store = FakeStore()
+    keeper = ManifestKeeper(store, store)
+    (await keeper.accept(make_manifest(1.0), 0)).unwrap()
+    await keeper.refresh()
+    await store.transact(Transaction((), (Write(MANIFEST_KEY, content),)))
+    refreshed = await keeper.refresh()
+    assert isinstance(refreshed, Err)
+    assert isinstance(refreshed.err_value, StoreFault)
+    assert keeper.current.version == 1
+
+
+@pytest.mark.parametrize('content', [b'', b'{"desk":1}', None])
+async def test_damaged_section_changes_nothing(content: bytes | None) -> None:
+    # An object is missing, or is not what its name says.
+    store = FakeStore()
+    keeper = ManifestKeeper(store, store)
+    (await keeper.accept(make_manifest(1.0), 0)).unwrap()
+    name = hash_content(split_sections(make_manifest(1.0))['client_accounts'])
+    store.objects.pop(name)
+    if content is not None:
+        store.objects[name] = content
+    assert isinstance(await keeper.refresh(), Err)
+    assert keeper.current.version == 0
+
+
+async def test_change_travels_without_the_store() -> None:
+    # One daemon has read a new version; all others have lost the store. They
+    # have it after a few heartbeats, and only the changed section moved.
+    group = Group(6)
+    keeper = group.nodes[0].keeper
+    (await keeper.accept(make_manifest(1.0, 300), 0)).unwrap()
+    for node in group.nodes:
+        await node.keeper.refresh()
+    (await keeper.accept(make_manifest(2.0, 300), 1)).unwrap()
+    await keeper.refresh()
+    group.store.down = True
+    group.network.sent.clear()
+    for _ in range(3):
+        await group.beat()
+    assert {node.keeper.current.version for node in group.nodes} == {2}
+    assert all(node.seen == [1, 2] for node in group.nodes)
+    sent = sum(size for *_, topic, size in group.network.sent)
+    whole = sum(map(len, split_sections(make_manifest(2.0, 300)).values()))
+    assert sent < whole
+
+
+async def test_start_without_the_store_takes_the_highest() -> None:
+    # A VM is replaced while the store is down, and the first daemon that it
+    # hears lags behind. It must begin with the newest version around.
+    group = Group(3)
+    keeper = group.nodes[0].keeper
+    for version, lagging in enumerate(group.nodes):
+        manifest = make_manifest(version + 1.0)
+        (await keeper.accept(manifest, version)).unwrap()
+        await lagging.keeper.refresh()
+    group.store.down = True
+    started = group.add('node-new')
+    for delay, other in enumerate((*group.nodes, group.nodes[0])):
+        group.clock.move(timedelta(seconds=delay / 2))
+        started.spread.on_digest(other.own, other.digest)
+        await settle()
+    assert started.seen == [3]
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'\xff', b'\x92\x02', b'\x93\x02\x09\x81\x01\x02']
+)
+async def test_malformed_news_is_counted(content: bytes) -> None:
+    # A daemon of another release sends what this one can't read.
+    group = Group(2)
+    one, other = group.nodes
+    peers = group.network.peers[one.own.incarnation]
+    peers.send(other.own, Topic.manifest, content)
+    await settle()
+    dropped = other.counters.read('peer_messages_dropped', reason='manifest')
+    assert dropped == 1
+
+
+class NeverReverts(RuleBasedStateMachine):
+    """Versions arrive in any order, over any way, with damage and loss."""
+
+    def __init__(self) -> None:
+        """Start three keepers with one store."""
+        super().__init__()
+        self.heads: list[tuple] = []
+        store = FakeStore()
+        self.keepers = [ManifestKeeper(store, store) for _ in range(3)]
+        self.highest = [0, 0, 0]
+        self.accepted: dict[int, Manifest] = {}
+
+    @rule(weight=integers(1, 3))
+    def accept(self, weight: int) -> None:
+        """An operator has the next version accepted."""
+        version = len(self.heads)
+        manifest = make_manifest(float(weight))
+        sections = split_sections(manifest)
+        names = {name: hash_content(body) for name, body in sections.items()}
+        head = self.heads[-1][0] if self.heads else NO_HEAD
+        following = head.precede(names)
+        contents = {names[name]: body for name, body in sections.items()}
+        self.heads.append((following, contents))
+        self.accepted[version + 1] = replace(manifest, version=version + 1)
+
+    @rule(who=integers(0, 2), which=integers(0, 20), damaged=booleans())
+    def deliver(self, who: int, which: int, damaged: bool) -> None:
+        """Some version reaches a daemon, perhaps late or damaged."""
+        if not self.heads:
+            return
+        head, contents = self.heads[which % len(self.heads)]
+        if damaged:
+            contents = {name: body + b' ' for name, body in contents.items()}
+        self.keepers[who].take(head, contents)
+
+    @rule(who=sampled_from([0, 1, 2]))
+    def restart(self, who: int) -> None:
+        """A daemon is replaced and begins with nothing."""
+        store = FakeStore()
+        self.keepers[who] = ManifestKeeper(store, store)
+        self.highest[who] = 0
+
+    @invariant()
+    def goes_up_with_true_content(self) -> None:
+        """No version falls, and each is what was accepted."""
+        for who, keeper in enumerate(self.keepers):
+            version = keeper.current.version
+            assert version >= self.highest[who]
+            self.highest[who] = version
+            if version:
+                assert keeper.current == self.accepted[version]
+
+
+NeverReverts.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=25, derandomize=True, deadline=None
+)
+TestNeverReverts = NeverReverts.TestCase
--- a/quetzalcourse/tests/coordination/membership_tests.py
+++ b/quetzalcourse/tests/coordination/membership_tests.py
@@ -9,6 +9,7 @@
 import pytest
 
 from quetzalcourse.coordination.membership import Membership
+from quetzalcourse.coordination.roster import Roster
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.heartbeats import Standing, describe
 from quetzalcourse.state.members import Member, Topic
@@ -297,3 +298,28 @@
 ) -> None:
     member = Member('vm', 'vm-a', 'lac-hall', '10.0.0.1:1')
     assert describe(member, *second).beats(describe(member, *first)) is beaten
+
+
+@pytest.mark.parametrize(
+    ('held', 'leaving', 'expected'),
+    [
+        (Standing.alive, False, Standing.suspect),
+        (Standing.suspect, False, Standing.gone),
+        (Standing.alive, True, Standing.gone),
+    ],
+)
+def test_word_of_others_casts_suspicion(
+    held: Standing,
+    leaving: bool,
+    expected: Standing,
+) -> None:
+    # Another data centre lost a daemon in a cut and says that it is gone.
+    # Believed at once, that would take a well heard daemon off the list.
+    roster = Roster()
+    member = Member('vm', 'vm-a', 'lac-hall', '10.0.0.1:1', leaving)
+    now = timedelta(0)
+    roster.merge(describe(member, 1, held), now)
+    roster.merge(describe(member, 1, Standing.gone), now)
+    found = roster.find('vm-a')
+    assert found is not None
+    assert found.standing is expected
