Let parts register hooks, end withdrawn keys and stop gracefully

Cause: a stop closed keep-alive connections under callers' feet, a signal during the start was seen only after it, and streams ran on after their key was withdrawn.

Change: Lifecycle holds hooks for start, drain and stop and restarts background parts that fail. During a drain each answer closes its connection, idle ones are closed after the balancer's wait, and the daemon waits for requests and hand-overs. A signal during the start ends it with exit code 0. A withdrawn key ends streams by an error in them, plain answers by cutting the connection, and idle connections. Status and metrics say what is cut and since when.

--- a/bench/suites/capacity.py
+++ b/bench/suites/capacity.py
@@ -12,8 +12,8 @@
 from bench.slopes import Slope, fit_slope, measure_kept, read_resident
 from quetzalcourse.coordination.admission import Admission
 from quetzalcourse.coordination.keys import KeyRing
-from quetzalcourse.coordination.manifest import join_sections, split_sections
 from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.sections import join_sections, split_sections
 from quetzalcourse.coordination.service_levels import EVENTS
 from quetzalcourse.standins.deployment import build_settings
 from quetzalcourse.standins.processes import DaemonProcess
@@ -115,7 +115,7 @@
     sections = split_sections(Manifest(keys=keys))
 
     def build() -> object:
-        manifest = join_sections(1, sections)
+        manifest = join_sections(1, sections).unwrap()
         ring = KeyRing()
         ring.replace_grants(manifest.keys.values())
         return manifest, ring
@@ -134,7 +134,7 @@
     sections = split_sections(Manifest(client_accounts=accounts))
 
     def build() -> object:
-        manifest = join_sections(1, sections)
+        manifest = join_sections(1, sections).unwrap()
         admission = Admission(SystemClock())
         admission.on_manifest(manifest)
         counters = Counters()
@@ -167,7 +167,7 @@
     sections = split_sections(Manifest(upstreams=upstreams))
 
     def build() -> object:
-        manifest = join_sections(1, sections)
+        manifest = join_sections(1, sections).unwrap()
         admission = Admission(SystemClock())
         admission.on_manifest(manifest)
         router = Router('centre-0')
--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -4,27 +4,23 @@
 
 import asyncio
 import os
-import random
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import aiohttp
-from result import Err, Ok
 
 from quetzalcourse.coordination.burn_ledger import BurnLedger
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
 from quetzalcourse.coordination.manifest import ManifestKeeper
-from quetzalcourse.coordination.membership import (
-    Membership,
-    MembershipPlan,
-)
 from quetzalcourse.coordination.service_levels import ServiceLevels
+from quetzalcourse.coordination.status import StatusBoard
 from quetzalcourse.coordination.step_assembly import build_steps
+from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
+from quetzalcourse.peering import Peering
 from quetzalcourse.slot_parts import SlotParts
 from quetzalcourse.state.counters import Counters
-from quetzalcourse.state.members import Member
 from quetzalcourse.transport.callers import (
     Activity,
     CallerParts,
@@ -38,7 +34,8 @@
 )
 from quetzalcourse.transport.generation_routes import GenerationRoutes
 from quetzalcourse.transport.health_routes import HealthRoutes
-from quetzalcourse.transport.peer_link import PeerLink
+from quetzalcourse.transport.key_sessions import KeySessions
+from quetzalcourse.transport.operator_routes import OperatorRoutes
 from quetzalcourse.transport.platform_client import PlatformClient
 from quetzalcourse.transport.service_routes import ServiceRoutes
 from quetzalcourse.transport.sockets import open_listener, read_address
@@ -50,9 +47,7 @@
     from quetzalcourse.settings.process import ProcessSettings
     from quetzalcourse.state.manifest import Manifest
 
-LINK_CLEANING = timedelta(seconds=10)
-SEEDS_WAIT = timedelta(seconds=10)
-SECRET_BYTES = 32
+LAST_ANSWERS = timedelta(seconds=1)
 DRAIN_POLL = timedelta(milliseconds=50)
 INCARNATION_BYTES = 4
 log = get_log('application')
@@ -78,8 +73,13 @@
         self.incarnation = name_incarnation(settings.vm)
         self._listener = open_listener(settings.listen.callers)
         self.address = read_address(self._listener)
-        self._tasks: list[asyncio.Task[None]] = []
-        self._build_peers()
+        self.lifecycle = Lifecycle(self.clock, self.counters)
+        self.status = StatusBoard()
+        self.peering = Peering(
+            settings, self.incarnation, self.clock, self.counters
+        )
+        self.members = self.peering.members
+        self.peers = self.peering.link
 
     async def on_start(self) -> None:
         """Build the parts, adopt a manifest and begin to serve."""
@@ -88,23 +88,29 @@
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
             middlewares=(send_once,),
         )
-        self.peers.start(self.members.own)
+        self.lifecycle.on_stop(self._session.close)
         self._build_parts()
         self._server = self._build_server()
-        await self._refresh_once()
+        await self.peering.start(self.lifecycle)
+        await self.lifecycle.start()
+        self.lifecycle.on_stop(self._server.stop)
+        self.lifecycle.on_stop(self.slots.on_stop)
+        self.lifecycle.on_stop(self.generation.stop)
+        self.lifecycle.on_stop(self.steps.stop)
+        self.lifecycle.on_stop(self.burn_ledger.flush)
         await self._server.start()
-        loop = asyncio.get_running_loop()
-        self._tasks.append(loop.create_task(self._follow_manifest()))
-        self._tasks.append(loop.create_task(self.burn_ledger.run()))
-        self._tasks.append(loop.create_task(self.members.run()))
-        self._tasks.append(loop.create_task(self._follow_seeds()))
-        self._tasks.append(loop.create_task(self._clean_links()))
-        self._tasks.append(loop.create_task(self.upstreams.observer.run()))
-        self._tasks.append(loop.create_task(self.steps.follow_open_steps()))
+        self.lifecycle.run('burn ledger', self.burn_ledger.run)
+        self.lifecycle.run('upstreams', self.upstreams.observer.run)
+        self.lifecycle.run('steps', self.steps.follow_open_steps)
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
-        """Refuse new work gently and finish what is being served."""
+        """Hand over what this daemon owns and finish what is being served.
+
+        Callers are served until the end; readiness tells the balancer, and
+        the heartbeats tell the other daemons.
+        """
+        self.activity.draining = True
         self.activity.ready = False
         self.members.announce_leaving()
         log.info('Drain began.', serving=self.activity.serving)
@@ -114,54 +120,26 @@
         deadline = self.clock.elapsed() + timedelta(
             seconds=drain.deadline_seconds
         )
-        while self.activity.serving and self.clock.elapsed() < deadline:
+        handing_over = asyncio.ensure_future(self.lifecycle.drain())
+        while self.clock.elapsed() < deadline:
+            busy = self._server.close_idle() or self.activity.serving
+            if handing_over.done() and not busy:
+                break
             await self.clock.sleep(DRAIN_POLL)
+        handing_over.cancel()
         log.info('Drain ended.', cut=self.activity.serving)
 
     async def on_stop(self) -> None:
-        """Close everything that the daemon opened."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.burn_ledger.flush()
-        await self.steps.stop()
-        await self.generation.stop()
-        await self.slots.on_stop()
-        await self._server.stop()
-        await self._session.close()
-        self.members.announce_gone()
-        self.peers.stop()
+        """Close everything that the daemon opened, however far it got."""
+        await self.lifecycle.stop()
+        # Requests that are cut have lost their upstreams by now, and their
+        # callers are owed the refusal that says so.
+        deadline = self.clock.elapsed() + LAST_ANSWERS
+        while self.activity.serving and self.clock.elapsed() < deadline:
+            await self.clock.sleep(DRAIN_POLL)
+        self._listener.close()
         log.info('Daemon stopped.')
 
-    def _build_peers(self) -> None:
-        peering = self.settings.peering
-        secrets = [secret.encode() for secret in peering.secrets]
-        self.peers = PeerLink(
-            self.settings.listen.peers,
-            secrets or [os.urandom(SECRET_BYTES)],
-            self.clock,
-            self.counters,
-        )
-        own = Member(
-            self.settings.vm,
-            self.incarnation,
-            self.settings.data_centre,
-            self.peers.address,
-        )
-        self.members = Membership(
-            own,
-            self.peers,
-            self.clock,
-            random.Random(),
-            self.counters,
-            MembershipPlan(
-                tick=timedelta(seconds=peering.tick_seconds),
-                suspicion=timedelta(seconds=peering.suspicion_seconds),
-            ),
-        )
-        self.members.on_own(self.peers.replace_own)
-        self.members.seed(peering.seeds)
-
     def _build_parts(self) -> None:
         platform = self.settings.platform
         self.platform = PlatformClient(
@@ -200,7 +178,11 @@
         self.burn_ledger = BurnLedger(
             self.platform, self.clock, self.counters, self.incarnation
         )
+        self.sessions = KeySessions(self.keys)
         self.manifest.on_manifest(self.on_manifest)
+        self.peering.follow(self.platform, self.manifest, self.keys)
+        self.peering.on_vms(self.upstreams.leaving.on_vms)
+        self.status.add('peering', self.peering.describe)
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Hand a manifest that came into force to every part."""
@@ -208,7 +190,7 @@
         self.slots.on_manifest(manifest)
         self.upstreams.on_manifest(manifest)
         self.service_levels.on_manifest(manifest)
-        self.activity.ready = True
+        self.activity.ready = not self.activity.draining
         log.info('Manifest in force.', version=manifest.version)
 
     def _build_server(self) -> WebServer:
@@ -228,41 +210,13 @@
             service_levels=self.service_levels,
             human_service=HumanService(self.service_levels, self.clock),
             claims=self.upstreams.claims,
+            sessions=self.sessions,
+            status=self.status,
         )
         prepare_app(app, parts, RequestIds(self.incarnation))
         GenerationRoutes(app, parts)
         ServiceRoutes(app, parts, self._session)
         StepRoutes(app, parts)
         HealthRoutes(app, parts)
+        OperatorRoutes(app, parts)
         return WebServer(app, self._listener)
-
-    async def _refresh_once(self) -> None:
-        answer = await self.manifest.refresh()
-        if isinstance(answer, Err):
-            fault = answer.err_value
-            log.warning('Manifest not read.', step=fault.step, peer=fault.peer)
-
-    async def _follow_manifest(self) -> None:
-        wait = timedelta(seconds=self.settings.platform.refresh_seconds)
-        while True:
-            await self.clock.sleep(wait)
-            await self._refresh_once()
-
-    async def _follow_seeds(self) -> None:
-        while True:
-            answer = await self.platform.list_vms()
-            if isinstance(answer, Ok):
-                vms = answer.ok_value
-                seeds = list(self.settings.peering.seeds)
-                self.members.seed(seeds + [vm.address for vm in vms])
-                self.members.note_leaving(
-                    vm.address for vm in vms if vm.leaving
-                )
-                self.upstreams.leaving.on_vms(vms)
-            near = self.members.list_live(self.settings.data_centre)
-            await self.clock.sleep(SEEDS_WAIT * len(near))
-
-    async def _clean_links(self) -> None:
-        while True:
-            await self.clock.sleep(LINK_CLEANING)
-            self.peers.close_unused()
--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -14,7 +14,7 @@
 from quetzalcourse import __version__
 from quetzalcourse.application import Application
 from quetzalcourse.exceptions import AbortError
-from quetzalcourse.log import configure_log
+from quetzalcourse.log import configure_log, get_log
 from quetzalcourse.loop import run_loop
 from quetzalcourse.settings.process import load_settings
 
@@ -25,6 +25,7 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_CUT = 1
+log = get_log('daemon')
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -49,20 +50,54 @@
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, signals.put_nowait, number)
-    await application.on_start()
-    await signals.get()
-    drained = loop.create_task(application.on_drain())
-    impatient = loop.create_task(signals.get())
-    await asyncio.wait(
-        (drained, impatient), return_when=asyncio.FIRST_COMPLETED
-    )
-    drained.cancel()
+    return await run_application(application, signals)
+
+
+async def run_application(
+    application: Application,
+    signals: asyncio.Queue[signal.Signals],
+) -> int:
+    """Start an application, and stop it gracefully at the first signal.
+
+    :param signals: signals as they arrive; a second one ends the stop.
+    :returns: exit code, 0 if nothing was cut.
+    """
+    stop = asyncio.ensure_future(signals.get())
+    starting = asyncio.ensure_future(application.on_start())
+    if not await finish_before(starting, stop):
+        log.info('Start was ended by a signal.')
+        await application.on_stop()
+        return 0
+    await stop
+    draining = asyncio.ensure_future(application.on_drain())
+    impatient = asyncio.ensure_future(signals.get())
+    if not await finish_before(draining, impatient):
+        log.warning('Drain was ended by a signal.')
     impatient.cancel()
     cut = application.activity.serving
+    if cut:
+        log.warning('Requests were cut.', cut=cut)
     await application.on_stop()
     return EXIT_CUT if cut else 0
 
 
+async def finish_before(
+    work: asyncio.Future[None],
+    interrupt: asyncio.Future[signal.Signals],
+) -> bool:
+    """Wait for work unless an interrupt comes first, which cancels it.
+
+    :returns: whether the work finished.
+    """
+    await asyncio.wait((work, interrupt), return_when=asyncio.FIRST_COMPLETED)
+    if work.done():
+        work.result()
+        return True
+    work.cancel()
+    await asyncio.gather(work, return_exceptions=True)
+    return False
+
+
 def start(arguments: Sequence[str] | None) -> int:
     """Read the settings and run the daemon.
 
--- /dev/null
+++ b/quetzalcourse/lifecycle.py
@@ -0,0 +1,99 @@
+"""Hooks by which the parts of a daemon start, hand over and end."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+    Hook = Callable[[], Awaitable[None]]
+
+RESTART_WAIT = timedelta(seconds=1)
+log = get_log('lifecycle')
+
+
+class Lifecycle:
+    """Calls the hooks of all parts in their order.
+
+    :param counters: counts the faults of background tasks.
+    """
+
+    def __init__(self, clock: Clock, counters: Counters) -> None:
+        """Begin without hooks."""
+        self._clock = clock
+        self._counters = counters
+        self._start_hooks: list[Hook] = []
+        self._drain_hooks: list[Hook] = []
+        self._stop_hooks: list[Hook] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def on_start(self, hook: Hook) -> None:
+        """Call a hook at the start, before callers are served."""
+        self._start_hooks.append(hook)
+
+    def on_drain(self, hook: Hook) -> None:
+        """Call a hook in a graceful stop, to hand over what a part owns.
+
+        All of them run together while the last requests finish. By then the
+        other daemons know that this one leaves.
+        """
+        self._drain_hooks.append(hook)
+
+    def on_stop(self, hook: Hook) -> None:
+        """Call a hook at the end; the last one registered is called first."""
+        self._stop_hooks.append(hook)
+
+    def run(self, name: str, body: Hook) -> None:
+        """Run a part in the background until the end.
+
+        :param name: name of the task, for logs.
+        :param body: runs until cancelled; started again after a fault.
+        """
+        task = asyncio.get_running_loop().create_task(self._keep(name, body))
+        self._tasks.append(task)
+
+    async def start(self) -> None:
+        """Call the start hooks in order."""
+        for hook in self._start_hooks:
+            await hook()
+
+    async def drain(self) -> None:
+        """Call the drain hooks together and wait for all of them."""
+        await asyncio.gather(
+            *(self._call_safely('drain', hook) for hook in self._drain_hooks)
+        )
+
+    async def stop(self) -> None:
+        """End the background tasks and call the stop hooks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for hook in reversed(self._stop_hooks):
+            await self._call_safely('stop', hook)
+
+    async def _keep(self, name: str, body: Hook) -> None:
+        # A task that ended by a fault would leave its part silently stale:
+        # no new manifest, no heartbeat. It is started again and counted.
+        while True:
+            await self._call_safely(name, body)
+            await self._clock.sleep(RESTART_WAIT)
+
+    async def _call_safely(self, name: str, hook: Hook) -> None:
+        try:
+            await hook()
+        except Exception as error:
+            self._counters.add('part_faults', part=name)
+            log.error(
+                'Part failed.',
+                name=name,
+                kind=type(error).__name__,
+                reason=str(error),
+            )
--- /dev/null
+++ b/quetzalcourse/peering.py
@@ -0,0 +1,203 @@
+"""Parts by which a daemon acts together with the other daemons."""
+
+from __future__ import annotations
+
+import os
+import random
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from result import Ok
+
+from quetzalcourse.coordination.cuts import Cuts, News
+from quetzalcourse.coordination.following import StoreFollower
+from quetzalcourse.coordination.key_table import KeyTable
+from quetzalcourse.coordination.membership import (
+    Digest,
+    Membership,
+    MembershipPlan,
+)
+from quetzalcourse.coordination.spread import KeySpread, ManifestSpread
+from quetzalcourse.state.members import Member
+from quetzalcourse.transport.peer_link import PeerLink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.coordination.keys import KeyRing
+    from quetzalcourse.coordination.manifest import ManifestKeeper
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.settings.process import ProcessSettings
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.members import Vm
+    from quetzalcourse.transport.platform_client import PlatformClient
+
+LINK_CLEANING = timedelta(seconds=10)
+SEEDS_WAIT = timedelta(seconds=10)
+SECRET_BYTES = 32
+
+
+class Peering:
+    """Link, membership, and the news that travels over them.
+
+    :param incarnation: name of this run of the daemon.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        incarnation: str,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Open the link, so that the address is known."""
+        self._settings = settings
+        self._clock = clock
+        self._counters = counters
+        self._random = random.Random()
+        self._vm_listeners: list[Callable[[list[Vm]], None]] = []
+        secrets = [secret.encode() for secret in settings.peering.secrets]
+        self.link = PeerLink(
+            settings.listen.peers,
+            secrets or [os.urandom(SECRET_BYTES)],
+            clock,
+            counters,
+        )
+        own = Member(
+            settings.vm,
+            incarnation,
+            settings.data_centre,
+            self.link.address,
+        )
+        self.members = self._build_members(own)
+
+    def follow(
+        self,
+        platform: PlatformClient,
+        manifest: ManifestKeeper,
+        keys: KeyRing,
+    ) -> None:
+        """Build what follows the store and the other daemons.
+
+        :param manifest: receives newer versions.
+        :param keys: receives grants and withdrawals.
+        """
+        self._platform = platform
+        self._manifest = manifest
+        self._keys = keys
+        wait = timedelta(seconds=self._settings.platform.refresh_seconds)
+        self.follower = StoreFollower(
+            platform,
+            manifest,
+            KeyTable(platform),
+            keys,
+            self.members,
+            self._clock,
+            self._random,
+            wait,
+        )
+        self.news = News(self.follower, self._clock)
+        self.cuts = Cuts(
+            self.follower, self.members, self._clock, self._counters
+        )
+        shared = (
+            self.members,
+            self.link,
+            self._clock,
+            self._random,
+            self._counters,
+        )
+        self.members.on_digest(ManifestSpread(manifest, *shared).on_digest)
+        self.members.on_digest(KeySpread(keys, *shared).on_digest)
+        self.members.on_digest(self.news.on_digest)
+        self.members.tell = self._tell_digest
+        keys.is_current = self._is_current
+
+    def on_vms(self, listener: Callable[[list[Vm]], None]) -> None:
+        """Call a listener with each list of VMs that the platform gave."""
+        self._vm_listeners.append(listener)
+
+    async def start(self, lifecycle: Lifecycle) -> None:
+        """Begin to talk to the other daemons and to follow the store."""
+        self.link.start(self.members.own)
+        lifecycle.on_stop(self._stop)
+        lifecycle.run('membership', self.members.run)
+        lifecycle.run('seeds', self._follow_seeds)
+        await self.follower.poll()
+        lifecycle.run('store', self.follower.run)
+        lifecycle.run('links', self._clean_links)
+        lifecycle.run('cuts', self.cuts.run)
+
+    def describe(self) -> dict[str, Any]:
+        """Tell the state of all this for ``/status``."""
+        age = self.news.tell_age()
+        return {
+            'incarnation': self.members.own.incarnation,
+            'leaving': self.members.own.leaving,
+            'live': len(self.members.list_live()),
+            'live_here': len(
+                self.members.list_live(self._settings.data_centre)
+            ),
+            'key_changes': len(self._keys.records),
+            'key_changes_unstored': len(self.follower.list_unstored()),
+            'news_age_seconds': age.total_seconds() if age else None,
+            'cut_since': {
+                name: since.isoformat()
+                for name, since in self.cuts.list_cuts().items()
+            },
+        }
+
+    def _build_members(self, own: Member) -> Membership:
+        peering = self._settings.peering
+        members = Membership(
+            own,
+            self.link,
+            self._clock,
+            self._random,
+            self._counters,
+            MembershipPlan(
+                tick=timedelta(seconds=peering.tick_seconds),
+                suspicion=timedelta(seconds=peering.suspicion_seconds),
+            ),
+        )
+        members.on_own(self.link.replace_own)
+        members.seed(peering.seeds)
+        return members
+
+    def _tell_digest(self) -> Digest:
+        return Digest(
+            self._manifest.current.version,
+            self._keys.hash_records(),
+            self.news.tell_age(),
+        )
+
+    def _is_current(self) -> bool:
+        longest = self._settings.peering.refuse_keys_after_seconds
+        return self.news.is_current(
+            timedelta(seconds=longest) if longest else None
+        )
+
+    async def _follow_seeds(self) -> None:
+        while True:
+            answer = await self._platform.list_vms()
+            if isinstance(answer, Ok):
+                vms = answer.ok_value
+                seeds = list(self._settings.peering.seeds)
+                self.members.seed(seeds + [vm.address for vm in vms])
+                self.members.note_leaving(
+                    vm.address for vm in vms if vm.leaving
+                )
+                for listener in self._vm_listeners:
+                    listener(vms)
+            near = self.members.list_live(self._settings.data_centre)
+            await self._clock.sleep(SEEDS_WAIT * len(near))
+
+    async def _clean_links(self) -> None:
+        while True:
+            await self._clock.sleep(LINK_CLEANING)
+            self.link.close_unused()
+
+    async def _stop(self) -> None:
+        self.members.announce_gone()
+        self.link.stop()
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -36,10 +36,12 @@
     from quetzalcourse.coordination.routing import Router
     from quetzalcourse.coordination.service_levels import ServiceLevels
     from quetzalcourse.coordination.services import Services
+    from quetzalcourse.coordination.status import StatusBoard
     from quetzalcourse.coordination.steps import Steps
     from quetzalcourse.settings.process import ProcessSettings
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
+    from quetzalcourse.transport.key_sessions import KeySessions
 
     Body = TypeVar('Body')
 
@@ -50,10 +52,14 @@
 
 @dataclass(slots=True)
 class Activity:
-    """Requests that are being served, and whether more are welcome."""
+    """Requests that are being served, and whether more are welcome.
+
+    :param draining: a graceful stop began, so connections end too.
+    """
 
     serving: int = 0
     ready: bool = False
+    draining: bool = False
 
     @contextmanager
     def track(self) -> Iterator[None]:
@@ -82,6 +88,8 @@
     service_levels: ServiceLevels
     human_service: HumanService
     claims: Claims
+    sessions: KeySessions
+    status: StatusBoard
 
 
 class RequestIds:
@@ -107,9 +115,14 @@
     """
 
     app.ctx.request_ids = ids
+    app.ctx.sessions = parts.sessions
 
     async def on_response(request: Request, answer: HTTPResponse) -> None:
         answer.headers['x-request-id'] = read_request_id(request)
+        if parts.activity.draining or parts.sessions.is_ended(request):
+            # The caller has to know that the connection ends here; one that
+            # sends again on it would meet a closed socket.
+            request.stream.keep_alive = False  # type: ignore[union-attr]
 
     app.on_response(on_response)
     app.error_handler.add(RefusedError, answer_refused)
@@ -125,6 +138,7 @@
     answer = keys.authenticate(read_bearer(request))
     if isinstance(answer, Err):
         raise RefusedError(answer.err_value)
+    request.app.ctx.sessions.note(request, answer.ok_value)
     return answer.ok_value
 
 
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -26,6 +26,7 @@
     decode_body,
     read_request_id,
 )
+from quetzalcourse.transport.key_sessions import end_on_withdrawal
 from quetzalcourse.transport.relay import AnswerStream
 
 if TYPE_CHECKING:
@@ -109,9 +110,12 @@
     ) -> HTTPResponse | None:
         created = int(self._parts.clock.now().timestamp())
         writer = AnswerWriter(wanted, shape, created)
-        chunks = self._parts.human_service.watch(
-            wanted.client_account, self._parts.generation.run(wanted)
+        granted = end_on_withdrawal(
+            self._parts.generation.run(wanted),
+            self._parts.keys,
+            request.ctx.identity.key_id,
         )
+        chunks = self._parts.human_service.watch(wanted.client_account, granted)
         with self._parts.activity.track():
             async with aclosing(chunks):  # type: ignore[type-var]
                 if body.stream:
--- /dev/null
+++ b/quetzalcourse/transport/key_sessions.py
@@ -0,0 +1,133 @@
+"""What has to end when a key is withdrawn: answers and connections."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from quetzalcourse.coordination.keys import refuse_key
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.transport.web import abort_connection
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Coroutine
+
+    from sanic import Request
+
+    from quetzalcourse.coordination.keys import Identity, KeyRing
+    from quetzalcourse.state.generation import Chunk
+
+Answer = TypeVar('Answer')
+
+
+class KeySessions:
+    """Ends idle connections whose last request came with a withdrawn key.
+
+    :param keys: tells which keys stop.
+    """
+
+    def __init__(self, keys: KeyRing) -> None:
+        """Begin without connections."""
+        self._keys = keys
+        self._connections: set[Any] = set()
+        keys.on_withdrawn(self._close_idle)
+
+    def note(self, request: Request, identity: Identity) -> None:
+        """Remember whose key was last used on a connection."""
+        request.ctx.identity = identity
+        connection: Any = request.protocol
+        connection.conn_info.ctx.key_id = identity.key_id
+        # The server keeps this set of its open connections itself.
+        self._connections = connection.connections
+
+    def is_ended(self, request: Request) -> bool:
+        """Tell whether the key of a request stopped while it was served."""
+        identity = getattr(request.ctx, 'identity', None)
+        if identity is None:
+            return False
+        return self._keys.is_withdrawn(identity.key_id)
+
+    def _close_idle(self, key_id: str) -> None:
+        for connection in tuple(self._connections):
+            context = connection.conn_info.ctx if connection.conn_info else None
+            if getattr(context, 'key_id', None) == key_id:
+                connection.close_if_idle()
+
+
+async def end_on_withdrawal(
+    chunks: AsyncIterator[Chunk],
+    keys: KeyRing,
+    key_id: str,
+) -> AsyncIterator[Chunk]:
+    """Pass chunks on until they end or their caller's key stops.
+
+    :param chunks: what is being generated for the caller.
+    :param key_id: key that the request came with.
+    :raises RefusedError: if the key stopped before the last chunk.
+    """
+    with keys.watch(key_id) as withdrawn:
+        try:
+            while True:
+                coming = _read_next(chunks)
+                chunk = await run_until(coming, withdrawn)
+                if chunk is None:
+                    return
+                yield chunk
+        finally:
+            await chunks.aclose()  # type: ignore[attr-defined]
+
+
+async def _read_next(chunks: AsyncIterator[Chunk]) -> Chunk | None:
+    return await anext(chunks, None)
+
+
+async def run_until(
+    work: Coroutine[None, None, Answer],
+    withdrawn: asyncio.Event,
+) -> Answer:
+    """Do work unless a key stops first.
+
+    :param work: cancelled when the key stops.
+    :param withdrawn: set when the key stops.
+    :raises RefusedError: if the key stopped first.
+    """
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(withdrawn.wait())
+    try:
+        await asyncio.wait(
+            (working, waiting), return_when=asyncio.FIRST_COMPLETED
+        )
+        if working.done():
+            return working.result()
+    finally:
+        waiting.cancel()
+        if not working.done():
+            working.cancel()
+            with suppress(asyncio.CancelledError, Exception):
+                await working
+    raise RefusedError(refuse_key(RefusalCode.key_withdrawn, not_run=False))
+
+
+async def serve_while_granted(
+    work: Coroutine[None, None, Answer],
+    request: Request,
+    keys: KeyRing,
+    key_id: str,
+) -> Answer:
+    """Serve a request whose answer is passed on byte for byte.
+
+    Once the answer has begun there is no place in it for an error. The
+    connection is then cut, so that the caller can't take it for whole.
+
+    :param work: sends the answer.
+    :raises RefusedError: if the key stopped before the answer had begun.
+    """
+    with keys.watch(key_id) as withdrawn:
+        try:
+            return await run_until(work, withdrawn)
+        except RefusedError:
+            if withdrawn.is_set() and request.responded:
+                abort_connection(request)
+            raise
--- /dev/null
+++ b/quetzalcourse/transport/operator_routes.py
@@ -0,0 +1,76 @@
+"""Routes by which operators change keys where the table is out of reach."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from sanic import Request
+from sanic import response as answers
+
+from quetzalcourse.coordination.keys import match_secret
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.keys import KeyRecord, check_record
+from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.transport.callers import (
+    BEARER,
+    JSON_TYPE,
+    decode_body,
+)
+
+if TYPE_CHECKING:
+    from sanic import Sanic
+    from sanic.response import HTTPResponse
+
+    from quetzalcourse.transport.callers import CallerParts
+
+KEYS_PATH = '/operator/keys'
+
+
+class OperatorRoutes:
+    """Serves operators, who show a key of their own."""
+
+    def __init__(self, app: Sanic, parts: CallerParts) -> None:
+        """Add the routes to the application."""
+        self._parts = parts
+        app.add_route(self._list, KEYS_PATH, methods=['GET'], name='list_keys')
+        app.add_route(
+            self._change, KEYS_PATH, methods=['POST'], name='change_key'
+        )
+
+    async def _list(self, request: Request) -> HTTPResponse:
+        self._check_operator(request)
+        records = list(self._parts.keys.records.values())
+        return answers.raw(msgspec.json.encode(records), content_type=JSON_TYPE)
+
+    async def _change(self, request: Request) -> HTTPResponse:
+        self._check_operator(request)
+        record = decode_body(request.body, KeyRecord)
+        fault = check_record(record)
+        if fault:
+            raise RefusedError(_refuse(RefusalCode.invalid_body, fault))
+        keys = self._parts.keys
+        keys.merge(record)
+        held = keys.records[record.key_id]
+        if held.withdrawn and not record.withdrawn:
+            raise RefusedError(
+                _refuse(
+                    RefusalCode.conflict,
+                    'The key was withdrawn; a new key needs a new id.',
+                )
+            )
+        return answers.raw(msgspec.json.encode(held), content_type=JSON_TYPE)
+
+    def _check_operator(self, request: Request) -> None:
+        header = request.headers.get('authorization', '')
+        secret = header[len(BEARER) :] if header.startswith(BEARER) else ''
+        hashes = self._parts.settings.operators.key_hashes
+        matches = [match_secret(digest, secret) for digest in hashes]
+        if not secret or not any(matches):
+            raise RefusedError(
+                _refuse(RefusalCode.forbidden, 'An operator key is needed.')
+            )
+
+
+def _refuse(code: RefusalCode, message: str) -> Refusal:
+    return Refusal(code, message, not_run=True, step='change key')
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -33,6 +33,7 @@
     clean_query,
     clean_request_headers,
 )
+from quetzalcourse.transport.key_sessions import serve_while_granted
 from quetzalcourse.transport.relay import relay_answer
 
 if TYPE_CHECKING:
@@ -116,8 +117,16 @@
         passage = Passage(request, call, target, body)
         human = self._parts.human_service
         with self._parts.activity.track(), human.track(call.client_account):
-            await self._prepare(passage)
-            await self._pass(passage)
+            await serve_while_granted(
+                self._serve(passage),
+                request,
+                self._parts.keys,
+                identity.key_id,
+            )
+
+    async def _serve(self, passage: Passage) -> None:
+        await self._prepare(passage)
+        await self._pass(passage)
 
     def _read_deadline(self, request: Request) -> timedelta | None:
         text = request.headers.get(TIMEOUT)
--- a/quetzalcourse/transport/web.py
+++ b/quetzalcourse/transport/web.py
@@ -74,12 +74,24 @@
         await server.start_serving()
         self._server = server
 
+    def close_idle(self) -> int:
+        """Close the connections that carry no request.
+
+        :returns: how many others there are.
+        """
+        if self._server is None:
+            return 0
+        idle = [
+            connection.close_if_idle()
+            for connection in tuple(self._server.connections)
+        ]
+        return idle.count(False)
+
     async def stop(self) -> None:
         """Accept nothing more and close the idle connections."""
         if self._server is None:
             return
         self._server.close()
         await self._server.wait_closed()
-        for connection in tuple(self._server.connections):
-            connection.close_if_idle()
+        self.close_idle()
         Sanic.unregister_app(self._app)
