Report usage to the platform from one daemon in charge

Cause: nothing sent the frozen reports, and a sender that is stopped between its check and its write would send beside the next holder.

Ruled out: a chunked body, whose end marker the client writes in a later step, so that a process stopped between would complete an old order when continued.

Before the change no report was sent at all.

Conclusion: a report leaves only in charge; orders take the same way next.

--- a/quetzalcourse/__main__.py
+++ b/quetzalcourse/__main__.py
@@ -7,13 +7,21 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse import __version__
-from quetzalcourse.commands import apply, check, demo, key, report, status
+from quetzalcourse.commands import (
+    apply,
+    check,
+    demo,
+    key,
+    report,
+    status,
+    usage,
+)
 from quetzalcourse.exceptions import AbortError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-COMMANDS = (check, apply, key, status, report, demo)
+COMMANDS = (check, apply, key, status, report, usage, demo)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from quetzalcourse.charge import build_charge
 from quetzalcourse.coordination.burn_ledger import BurnLedger
 from quetzalcourse.coordination.human_service import HumanService
 from quetzalcourse.coordination.keys import KeyRing
@@ -95,6 +96,7 @@
         await self.lifecycle.start()
         self.lifecycle.on_stop(self._server.stop)
         self.lifecycle.on_stop(self.slots.on_stop)
+        self.lifecycle.on_stop(self.charge.on_stop)
         self.lifecycle.on_stop(self.generation.stop)
         self.lifecycle.on_stop(self.steps.stop)
         self.lifecycle.on_stop(self.burn_ledger.flush)
@@ -102,6 +104,7 @@
         self.lifecycle.run('burn ledger', self.burn_ledger.run)
         self.lifecycle.run('upstreams', self.upstreams.observer.run)
         self.lifecycle.run('steps', self.steps.follow_open_steps)
+        self.charge.start(self.lifecycle)
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
@@ -175,6 +178,18 @@
             self.service_levels,
             self.members,
         )
+        self.charge = build_charge(
+            self.settings,
+            self.incarnation,
+            self._session,
+            self.platform,
+            self.peers,
+            self.members,
+            self.clock,
+            self.counters,
+        )
+        self.generation.usage = self.charge.usage
+        self.upstreams.services.usage = self.charge.usage
         self.burn_ledger = BurnLedger(
             self.platform, self.clock, self.counters, self.incarnation
         )
@@ -183,6 +198,7 @@
         self.peering.follow(self.platform, self.manifest, self.keys)
         self.peering.on_vms(self.upstreams.leaving.on_vms)
         self.status.add('peering', self.peering.describe)
+        self.status.add('leases', self.charge.describe)
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Hand a manifest that came into force to every part."""
--- /dev/null
+++ b/quetzalcourse/charge.py
@@ -0,0 +1,122 @@
+"""The parts that one daemon of many does for all, built and wired."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.lease import Lease
+from quetzalcourse.coordination.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.usage import UsageCounter
+from quetzalcourse.coordination.usage_copies import UsageCopies
+from quetzalcourse.coordination.usage_reports import UsageReporter
+from quetzalcourse.coordination.usage_rows import UsageRows
+from quetzalcourse.state.lease import LeaseTerms
+from quetzalcourse.transport.order_client import OrderClient
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    import aiohttp
+
+    from quetzalcourse.coordination.ports import MemberView, Peers, Table
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.settings.process import ProcessSettings
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+USAGE_LEASE = 'lease/usage'
+
+
+@dataclass(frozen=True, slots=True)
+class ChargeParts:
+    """Leases of the deployment, and the work that their holders do."""
+
+    keepers: tuple[LeaseKeeper, ...]
+    usage: UsageCounter
+    copies: UsageCopies
+    reporter: UsageReporter
+
+    def start(self, lifecycle: Lifecycle) -> None:
+        """Run everything for as long as the daemon does."""
+        lifecycle.run('usage copies', self.copies.run_copying)
+        lifecycle.run('usage rows', self.copies.run_storing)
+        lifecycle.run('usage reports', self.reporter.run)
+        for keeper in self.keepers:
+            lifecycle.run(keeper.lease.key, keeper.run)
+        lifecycle.on_drain(self.on_drain)
+
+    def describe(self) -> dict[str, Any]:
+        """Tell who holds each lease, as far as this daemon knows."""
+        statuses = [keeper.lease.describe() for keeper in self.keepers]
+        return {status.lease: asdict(status) for status in statuses}
+
+    async def on_drain(self) -> None:
+        """Give the leases up once nothing is on its way any more.
+
+        What is on its way is waited for, since the next holder starts at
+        once and its orders must not meet those of this one.
+        """
+        for keeper in self.keepers:
+            keeper.retire()
+        await self.reporter.sendings.finish()
+        for keeper in self.keepers:
+            await keeper.release()
+
+    async def on_stop(self) -> None:
+        """Store what was counted, and give up what no drain gave up."""
+        await self.copies.flush()
+        await self.on_drain()
+
+
+def build_charge(
+    settings: ProcessSettings,
+    incarnation: str,
+    session: aiohttp.ClientSession,
+    table: Table,
+    peers: Peers,
+    members: MemberView,
+    clock: Clock,
+    counters: Counters,
+) -> ChargeParts:
+    """Build the parts and connect them.
+
+    :param incarnation: name of this run of the daemon.
+    :param session: shared connections to the platform.
+    """
+    times = settings.lease
+    terms = LeaseTerms(
+        timedelta(seconds=times.term_seconds),
+        timedelta(seconds=times.margin_seconds),
+        timedelta(seconds=times.order_timeout_seconds),
+    )
+    length = timedelta(seconds=settings.usage.window_seconds)
+    usage = UsageCounter(clock, incarnation, length)
+    copies = UsageCopies(
+        usage,
+        UsageRows(table),
+        peers,
+        members,
+        clock,
+        counters,
+        timedelta(seconds=settings.usage.copy_seconds),
+    )
+    client = OrderClient(
+        session,
+        settings.platform.address,
+        incarnation,
+        times.order_timeout_seconds,
+    )
+    usage_lease = Lease(table, clock, USAGE_LEASE, incarnation, terms)
+    reporter = UsageReporter(
+        table,
+        client,
+        usage_lease,
+        clock,
+        counters,
+        length,
+        timedelta(seconds=settings.usage.grace_seconds),
+    )
+    keepers = (LeaseKeeper(usage_lease, members, clock, counters),)
+    return ChargeParts(keepers, usage, copies, reporter)
--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import aclosing
 from dataclasses import replace
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.assembly import Assembly, ChunkError
@@ -23,6 +24,7 @@
     TrafficClass,
 )
 from quetzalcourse.state.slots import Grant, SlotRequest
+from quetzalcourse.state.usage import UsageFigures
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -33,10 +35,13 @@
     from quetzalcourse.coordination.ports import Engines
     from quetzalcourse.coordination.retries import RetryBudget
     from quetzalcourse.coordination.routing import Router
+    from quetzalcourse.coordination.usage import UsageCounter
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.generation import Chunk, GenerationRequest
 
+MILLISECOND = timedelta(milliseconds=1)
+
 
 class Generation:
     """Runs requests for tokens on engines.
@@ -69,6 +74,7 @@
         self._durations = Durations()
         self._closings: set[asyncio.Task[None]] = set()
         self._guards: dict[str, set[Guard]] = {}
+        self.usage: UsageCounter | None = None
 
     async def run(self, request: GenerationRequest) -> AsyncIterator[Chunk]:
         """Yield the tokens of a request, each offset once and in order.
@@ -166,6 +172,7 @@
         work.begin()
         watchers = self._open(grant, work.request, guard)
         state = AttemptState.maybe_sent
+        began = self._clock.elapsed()
         stream = self._stream(grant, work, guard)
         try:
             async with aclosing(stream):  # type: ignore[type-var]
@@ -177,7 +184,7 @@
             raise
         finally:
             self._forget(grant, guard, watchers)
-            self._close(grant, work, state)
+            self._close(grant, work, state, began)
 
     def _open(
         self,
@@ -258,6 +265,7 @@
         if len(tokens) == len(work.request.received):
             took = self._clock.elapsed() - began
             self._durations.learn(work.request, work.count_fresh(), took)
+        work.prompt_tokens = last.prompt_tokens
         yield replace(last, upstream=name)
 
     def _close(
@@ -265,7 +273,9 @@
         grant: Grant,
         work: Work,
         state: AttemptState,
+        began: timedelta,
     ) -> None:
+        self._count(grant, work, state, began)
         if state in NEVER_RAN or state is AttemptState.complete:
             self._admission.release(grant, work.count_fresh())
         else:
@@ -274,6 +284,30 @@
             self._closings.add(task)
             task.add_done_callback(self._closings.discard)
 
+    def _count(
+        self,
+        grant: Grant,
+        work: Work,
+        state: AttemptState,
+        began: timedelta,
+    ) -> None:
+        if self.usage is None or state in NEVER_RAN:
+            return
+        complete = state is AttemptState.complete
+        figures = UsageFigures(
+            prompt_tokens=work.prompt_tokens,
+            generated_tokens=work.count_fresh(),
+            requests=int(complete),
+            milliseconds=(self._clock.elapsed() - began) // MILLISECOND,
+        )
+        request = work.request
+        self.usage.record(
+            grant.upstream,
+            request.client_account,
+            request.traffic_class,
+            figures,
+        )
+
     async def _cancel(
         self,
         grant: Grant,
--- a/quetzalcourse/coordination/lease.py
+++ b/quetzalcourse/coordination/lease.py
@@ -189,24 +189,30 @@
         Orders under way must have been answered or have timed out before.
         """
         was_held = self.held
-        self._ends = None
-        for _ in range(RELEASE_TRIES):
-            if not was_held or await self._try_release():
-                break
+        token = self._claimed
+        # The claim goes first: the answer to a renewal that is still under
+        # way would otherwise bring the lease back after its release.
         self._claimed = 0
+        self._ends = None
         self._row = None
         self._fence_version = NEVER
+        for _ in range(RELEASE_TRIES):
+            if not was_held or await self._try_release(token):
+                break
 
-    async def _try_release(self) -> bool:
+    async def _try_release(self, token: int) -> bool:
         # The row is read first: a renewal whose answer was lost has moved
         # its version on, and a release against the old one would fail.
         answer = await self._table.read(self.key)
         if isinstance(answer, Err):
             return False
         row = answer.ok_value
-        if row is None or not self._owns(decode_record(row)):
+        if row is None:
+            return True
+        record = decode_record(row)
+        if (record.holder, record.token) != (self._name, token):
             return True
-        released = LeaseRecord('', self._claimed, 0)
+        released = LeaseRecord('', token, 0)
         commit = await self._table.transact(
             Transaction(
                 (Condition(self.key, row.version),),
@@ -283,6 +289,8 @@
         # applied it at once and a contender may have seen it at once.
         sent_at = self._clock.elapsed()
         answer = await self._table.transact(transaction)
+        if record.token != self._claimed:
+            return False
         if isinstance(answer, Err):
             if answer.err_value.kind is FaultKind.unanswered:
                 self._row = None
--- a/quetzalcourse/coordination/lease_keeper.py
+++ b/quetzalcourse/coordination/lease_keeper.py
@@ -65,14 +65,20 @@
         self._counters = counters
         self._data_centre = data_centre
         self._state = LeaseState.nobody
+        self._retired = False
 
     async def run(self) -> None:
         """Pursue the lease until the task is cancelled."""
         while True:
-            await self.lease.pursue()
+            if not self._retired:
+                await self.lease.pursue()
             self.publish()
             await self._clock.sleep(self.find_pause())
 
+    def retire(self) -> None:
+        """Pursue the lease no more; a held one runs out or is released."""
+        self._retired = True
+
     async def release(self) -> None:
         """Give the lease up, so that the next holder starts at once."""
         await self.lease.release()
--- a/quetzalcourse/coordination/ports.py
+++ b/quetzalcourse/coordination/ports.py
@@ -22,6 +22,7 @@
     )
     from quetzalcourse.state.manifest import Manifest, Upstream
     from quetzalcourse.state.members import Member, Topic, Vm
+    from quetzalcourse.state.fleet import FleetCount, FleetOrder
     from quetzalcourse.state.usage import FrozenReport
     from quetzalcourse.state.rows import (
         Commit,
@@ -286,3 +287,22 @@
         :param may_send: asked in the step of the loop in which the bytes
             are handed to the open connection.
         """
+
+
+class UpstreamOrders(Protocol):
+    """The platform's interface that orders upstreams."""
+
+    async def order(
+        self,
+        order: FleetOrder,
+        may_send: Callable[[], bool],
+    ) -> Result[None, OrderProblem]:
+        """Give an order; the same order id again does no harm.
+
+        :param order: how many upstreams there should be.
+        :param may_send: asked in the step of the loop in which the bytes
+            are handed to the open connection.
+        """
+
+    async def list_counts(self) -> Result[list[FleetCount], StoreFault]:
+        """List the upstreams that there are."""
--- a/quetzalcourse/coordination/services.py
+++ b/quetzalcourse/coordination/services.py
@@ -15,17 +15,20 @@
 from quetzalcourse.state.manifest import Manifest, Service
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.slots import Grant, SlotRequest
+from quetzalcourse.state.usage import UsageFigures
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.admission import Admission
     from quetzalcourse.coordination.health import Health
     from quetzalcourse.coordination.retries import RetryBudget
     from quetzalcourse.coordination.routing import Router
+    from quetzalcourse.coordination.usage import UsageCounter
     from quetzalcourse.state.clock import Clock
 
 SERVICE_PATIENCE = timedelta(seconds=30)
 SHORTEST_WAIT = timedelta(seconds=1)
 MAX_ATTEMPTS = 3
+MILLISECOND = timedelta(milliseconds=1)
 
 
 @dataclass(slots=True)
@@ -39,6 +42,7 @@
     :param ran: whether an attempt may have been run.
     :param answering: whether the caller has got a part of the answer.
     :param state: what is known of the last attempt.
+    :param began: time since boot at which the last attempt began.
     """
 
     service: str
@@ -51,6 +55,7 @@
     state: AttemptState = AttemptState.not_sent
     attempts: int = 0
     failed: set[str] = field(default_factory=set)
+    began: timedelta = timedelta(0)
 
 
 class Services:
@@ -75,6 +80,7 @@
         self._budget = budget
         self._clock = clock
         self._manifest = Manifest()
+        self.usage: UsageCounter | None = None
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Take the services of a manifest that came into force."""
@@ -134,6 +140,15 @@
     def on_answered(self, call: ServiceCall, grant: Grant) -> None:
         """Learn that a call got a whole answer."""
         call.state = AttemptState.complete
+        if self.usage is not None:
+            busy = self._clock.elapsed() - call.began
+            figures = UsageFigures(requests=1, milliseconds=busy // MILLISECOND)
+            self.usage.record(
+                grant.upstream,
+                call.client_account,
+                TrafficClass.human,
+                figures,
+            )
         self._health.on_success(grant.upstream.name)
 
     def on_failed(self, call: ServiceCall, grant: Grant) -> None:
@@ -155,6 +170,7 @@
 
     def _begin(self, call: ServiceCall, name: str) -> None:
         call.attempts += 1
+        call.began = self._clock.elapsed()
         call.state = AttemptState.not_sent
         self._health.on_start(name)
 
--- a/quetzalcourse/coordination/usage_reports.py
+++ b/quetzalcourse/coordination/usage_reports.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.coordination.sendings import Sendings
 from quetzalcourse.coordination.usage_rows import (
     LATE_PREFIX,
     encode_row,
@@ -109,6 +110,7 @@
         self._counters = counters
         self._length = length
         self._grace = grace
+        self.sendings = Sendings()
 
     async def run(self) -> None:
         """Do what is due until the task is cancelled."""
@@ -231,7 +233,8 @@
         report = FrozenReport(
             window, self._lease.token, answer.ok_value.content
         )
-        sent = await self._reports.report(report, lambda: self._lease.may_send)
+        sending = self._reports.report(report, lambda: self._lease.may_send)
+        sent = await self.sendings.run(sending)
         if isinstance(sent, Err):
             self._counters.add('usage_report_failures', problem=sent.err_value)
             if sent.err_value is OrderProblem.refused:
--- a/quetzalcourse/coordination/work.py
+++ b/quetzalcourse/coordination/work.py
@@ -42,6 +42,7 @@
         self.request = request
         self.assembly = assembly
         self.attempts = 0
+        self.prompt_tokens = 0
         self.attempt_id = request.request_id
         self.failed: set[str] = set(request.avoid)
         self._ran = False
--- a/quetzalcourse/protocol/platform.py
+++ b/quetzalcourse/protocol/platform.py
@@ -55,6 +55,7 @@
     :param order_id: idempotency key.
     :param token: fencing token of the sender's lease.
     :param count: how many upstreams of the kind there should be.
+    :param deadline: seconds since the epoch after which it is void.
     """
 
     order_id: str
@@ -63,6 +64,19 @@
     data_centre: str
     kind: str
     count: int
+    deadline: float = 0.0
+
+
+class UpstreamCount(msgspec.Struct):
+    """Upstreams of a kind in a data centre, as the platform lists them.
+
+    :param reclaimed: whether they are about to be taken away.
+    """
+
+    data_centre: str
+    kind: str
+    count: int
+    reclaimed: bool = False
 
 
 class UsageReport(msgspec.Struct):
@@ -107,11 +121,17 @@
     :param down: refuse every request.
     :param slow_seconds: wait before each answer.
     :param lose_answers: writes whose answer is dropped after they applied.
+    :param ignore_tokens: take orders and reports with an old token.
+    :param unavailable: kinds of upstreams that can't be had.
+    :param reclaimed: data centres whose cheap upstreams are being taken.
     """
 
     down: bool = False
     slow_seconds: float = 0.0
     lose_answers: int = 0
+    ignore_tokens: bool = False
+    unavailable: tuple[str, ...] = ()
+    reclaimed: tuple[str, ...] = ()
 
 
 def pack_transaction(transaction: Transaction) -> bytes:
--- a/quetzalcourse/settings/process.py
+++ b/quetzalcourse/settings/process.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import tomllib
+from datetime import timedelta
 from typing import TYPE_CHECKING, Annotated, Literal
 
 from pydantic import (
@@ -17,6 +18,7 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.settings.faults import SettingFault, list_faults
+from quetzalcourse.state.lease import find_margin
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -130,6 +132,58 @@
     key_hashes: list[Annotated[str, Field(pattern='^[0-9a-f]{64}$')]] = []
 
 
+class LeaseSettings(SettingsModel):
+    """Times of the leases on orders and usage reports.
+
+    :param term_seconds: how long a confirmed renewal lasts.
+    :param margin_seconds: extra wait of the next holder.
+    :param order_timeout_seconds: time that an order may take; orders stop so
+        long before the term's end, and the next holder waits so much longer.
+    :param drift_bound: most that a clock's rate is off, as a share.
+    """
+
+    term_seconds: float = Field(default=10.0, gt=0)
+    margin_seconds: float = Field(default=2.0, gt=0)
+    order_timeout_seconds: float = Field(default=2.0, gt=0)
+    drift_bound: float = Field(default=0.05, ge=0, lt=0.5)
+
+    @model_validator(mode='after')
+    def check_parts(self) -> LeaseSettings:
+        """Refuse a margin that clocks may outrun, and a term too short."""
+        term = timedelta(seconds=self.term_seconds)
+        least = find_margin(term, self.drift_bound).total_seconds()
+        if self.margin_seconds < least:
+            raise ValueError(
+                f'margin_seconds must be at least {least:g}, which clocks '
+                'drift apart in a term'
+            )
+        if self.order_timeout_seconds * 2 > self.term_seconds:
+            raise ValueError(
+                'order_timeout_seconds must be at most half of term_seconds'
+            )
+        return self
+
+
+class UsageSettings(SettingsModel):
+    """Counting and reporting of usage; the same at every daemon.
+
+    :param window_seconds: length of a window.
+    :param grace_seconds: time after a window's end until it is frozen.
+    :param copy_seconds: time between copies to peers.
+    """
+
+    window_seconds: float = Field(default=3600.0, ge=1)
+    grace_seconds: float = Field(default=120.0, gt=0)
+    copy_seconds: float = Field(default=5.0, gt=0)
+
+    @model_validator(mode='after')
+    def check_order(self) -> UsageSettings:
+        """Refuse a grace in which no daemon could store its window."""
+        if self.grace_seconds < 2 * self.copy_seconds:
+            raise ValueError('grace_seconds must be twice copy_seconds')
+        return self
+
+
 class ProcessSettings(SettingsModel):
     """Everything that one daemon is told at its start.
 
@@ -146,6 +200,8 @@
     drain: DrainSettings = DrainSettings()
     peering: PeeringSettings = PeeringSettings()
     operators: OperatorSettings = OperatorSettings()
+    lease: LeaseSettings = LeaseSettings()
+    usage: UsageSettings = UsageSettings()
 
 
 def load_settings(path: Path) -> Result[ProcessSettings, list[SettingFault]]:
--- a/quetzalcourse/standins/platform.py
+++ b/quetzalcourse/standins/platform.py
@@ -25,6 +25,7 @@
     VmEntry,
 )
 from quetzalcourse.standins.engine import encode_answer
+from quetzalcourse.standins.order_book import OrderBook
 from quetzalcourse.transport.sockets import open_listener, read_address
 from quetzalcourse.transport.web import (
     WebServer,
@@ -107,6 +108,7 @@
         self.record = PlatformRecord()
         self.table = TableStandin()
         self.objects: dict[str, bytes] = {}
+        self.orders = OrderBook()
         self.vms: list[VmEntry] = []
         self.weights: dict[str, int] = {}
         listener = open_listener(address)
@@ -136,6 +138,7 @@
             self._put, '/objects/<name:path>', methods=['PUT'], name='put'
         )
         app.add_route(self._order, '/upstream-orders', methods=['POST'])
+        app.add_route(self._list_upstreams, '/upstreams', methods=['GET'])
         app.add_route(self._take_report, '/usage-reports', methods=['POST'])
         app.add_route(self._list_vms, '/vms', methods=['GET'])
         app.add_route(self._tell_weights, '/weights/<model>', methods=['GET'])
@@ -193,12 +196,16 @@
     async def _order(self, request: Request) -> HTTPResponse:
         order = msgspec.json.decode(request.body, type=UpstreamOrder)
         self.record.orders.append(order)
-        return encode_answer(order)
+        return answers.empty(status=self.orders.take_order(order, self.faults))
+
+    async def _list_upstreams(self, _: Request) -> HTTPResponse:
+        return encode_answer(self.orders.list_counts(self.faults))
 
     async def _take_report(self, request: Request) -> HTTPResponse:
         report = msgspec.json.decode(request.body, type=UsageReport)
         self.record.reports.append(report)
-        return answers.empty()
+        status = self.orders.take_report(report, self.faults)
+        return answers.empty(status=status)
 
     async def _list_vms(self, _: Request) -> HTTPResponse:
         return encode_answer(self.vms)
--- a/quetzalcourse/tests/coordination/lease_tests.py
+++ b/quetzalcourse/tests/coordination/lease_tests.py
@@ -188,6 +188,32 @@
     assert not lease.held
 
 
+async def test_answer_to_a_renewal_does_not_undo_a_release() -> None:
+    # A daemon stops while its renewal is under way. Were the lease held
+    # again once the answer comes, it would send beside the next holder.
+    store = FakeStore()
+    table = GatedTable(store)
+    lease = Lease(table, FakeClock(), KEY, 'daemon', TERMS)
+    for _ in range(2):
+        task = asyncio.create_task(lease.pursue())
+        for _ in range(8):
+            await let_run()
+            table.open()
+        assert await task
+    renewal = asyncio.create_task(lease.pursue())
+    await let_run()
+    table.open()
+    await let_run()
+    release = asyncio.create_task(lease.release())
+    for _ in range(8):
+        await let_run()
+        table.open()
+    await release
+    assert not await renewal
+    assert not lease.held
+    assert await Lease(store, FakeClock(), KEY, 'next', TERMS).pursue()
+
+
 async def test_early_stop_leaves_orders_time_to_end() -> None:
     # An order to a receiver that ignores tokens is still on its way when
     # the term ends, and takes effect after the next holder's first one.
