Bring new weights onto engines in waves

Nothing told engines to load a version that the weight store published; engines stayed on what they started with. One daemon of a data centre, under the lease on its engines, now orders loads in waves that keep a share of the slots serving and the weight store's rate, sees from the engines' reports whether a swap came about, and comes back to those that failed after the others.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -43,6 +43,7 @@
 from quetzalcourse.transport.step_routes import StepRoutes
 from quetzalcourse.transport.web import WebServer, build_app
 from quetzalcourse.upstreams import build_upstreams
+from quetzalcourse.weight_parts import build_weights
 
 if TYPE_CHECKING:
     from quetzalcourse.settings.process import ProcessSettings
@@ -105,6 +106,7 @@
         self.lifecycle.run('upstreams', self.upstreams.observer.run)
         self.lifecycle.run('steps', self.steps.follow_open_steps)
         self.charge.start(self.lifecycle)
+        self.weights.start(self.lifecycle)
         log.info('Daemon started.', address=self.address)
 
     async def on_drain(self) -> None:
@@ -188,6 +190,15 @@
             self.clock,
             self.counters,
         )
+        self.weights = build_weights(
+            self.settings,
+            self._session,
+            self.platform,
+            self.members,
+            self.upstreams.reports.find,
+            self.clock,
+            self.counters,
+        )
         self.generation.usage = self.charge.usage
         self.upstreams.services.usage = self.charge.usage
         self.burn_ledger = BurnLedger(
@@ -199,12 +210,14 @@
         self.peering.on_vms(self.upstreams.leaving.on_vms)
         self.status.add('peering', self.peering.describe)
         self.status.add('leases', self.charge.describe)
+        self.status.add('weights', self.weights.describe)
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Hand a manifest that came into force to every part."""
         self.keys.replace_grants(manifest.keys.values())
         self.slots.on_manifest(manifest)
         self.upstreams.on_manifest(manifest)
+        self.weights.waves.on_manifest(manifest)
         self.service_levels.on_manifest(manifest)
         self.activity.ready = not self.activity.draining
         log.info('Manifest in force.', version=manifest.version)
--- a/quetzalcourse/settings/process.py
+++ b/quetzalcourse/settings/process.py
@@ -184,6 +184,21 @@
         return self
 
 
+class WeightSettings(SettingsModel):
+    """How new weights come onto the engines of the data centre.
+
+    :param serving_share: share of the slots that go on serving meanwhile.
+    :param loads_per_second: loads that the weight store allows this data
+        centre to begin.
+    :param swap_seconds: time after which a swap counts as failed; longer
+        than a load and the lag of reports together.
+    """
+
+    serving_share: float = Field(default=0.75, ge=0, lt=1)
+    loads_per_second: float = Field(default=2.0, gt=0)
+    swap_seconds: float = Field(default=30.0, gt=0)
+
+
 class ProcessSettings(SettingsModel):
     """Everything that one daemon is told at its start.
 
@@ -202,6 +217,7 @@
     operators: OperatorSettings = OperatorSettings()
     lease: LeaseSettings = LeaseSettings()
     usage: UsageSettings = UsageSettings()
+    weights: WeightSettings = WeightSettings()
 
 
 def load_settings(path: Path) -> Result[ProcessSettings, list[SettingFault]]:
--- a/quetzalcourse/upstreams.py
+++ b/quetzalcourse/upstreams.py
@@ -42,6 +42,7 @@
     services: Services
     generation: Generation
     observer: Observer
+    reports: EngineReports
 
     def on_manifest(self, manifest: Manifest) -> None:
         """Hand a manifest that came into force to every part."""
@@ -101,4 +102,5 @@
         Services(admission, router, health, budget, clock),
         generation,
         observer,
+        reports,
     )
--- /dev/null
+++ b/quetzalcourse/weight_parts.py
@@ -0,0 +1,107 @@
+"""The parts that bring new weights onto engines, built and wired."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, Protocol
+
+from quetzalcourse.coordination.lease import Lease
+from quetzalcourse.coordination.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.ports import Table, WeightStore
+from quetzalcourse.coordination.staleness import NewestVersions
+from quetzalcourse.coordination.wave_runner import WaveRunner
+from quetzalcourse.state.lease import LeaseTerms
+from quetzalcourse.state.waves import WavePlan
+from quetzalcourse.transport.engine_control import EngineControlClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    import aiohttp
+
+    from quetzalcourse.coordination.ports import MemberView
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.settings.process import ProcessSettings
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.engines import EngineReport
+
+
+class WeightPlatform(Table, WeightStore, Protocol):
+    """Services of the platform that waves need."""
+
+
+def name_engines_lease(data_centre: str) -> str:
+    """Name the lease on orders to the engines of a data centre."""
+    return f'lease/engines/{data_centre}'
+
+
+@dataclass(frozen=True, slots=True)
+class WeightParts:
+    """The data centre's lease on its engines, and the waves under it."""
+
+    keeper: LeaseKeeper
+    waves: WaveRunner
+
+    def start(self, lifecycle: Lifecycle) -> None:
+        """Run everything for as long as the daemon does."""
+        lifecycle.run(self.keeper.lease.key, self.keeper.run)
+        lifecycle.run('waves', self.waves.run)
+        lifecycle.on_drain(self.on_drain)
+        lifecycle.on_stop(self.on_drain)
+
+    def describe(self) -> dict[str, Any]:
+        """Tell who orders, and how far the newest versions are."""
+        lease = self.keeper.lease.describe()
+        return {'lease': asdict(lease), 'waves': self.waves.describe()}
+
+    async def on_drain(self) -> None:
+        """Give the lease up once no order is on its way any more."""
+        self.keeper.retire()
+        await self.waves.finish()
+        await self.keeper.release()
+
+
+def build_weights(
+    settings: ProcessSettings,
+    session: aiohttp.ClientSession,
+    platform: WeightPlatform,
+    members: MemberView,
+    find_report: Callable[[str], EngineReport | None],
+    clock: Clock,
+    counters: Counters,
+) -> WeightParts:
+    """Build the parts and connect them.
+
+    :param platform: keeps the lease and tells the published versions.
+    :param find_report: tells an engine's last report, if it is recent.
+    """
+    incarnation = members.own.incarnation
+    data_centre = settings.data_centre
+    key = name_engines_lease(data_centre)
+    times = settings.lease
+    terms = LeaseTerms(
+        timedelta(seconds=times.term_seconds),
+        timedelta(seconds=times.margin_seconds),
+        timedelta(seconds=times.order_timeout_seconds),
+    )
+    lease = Lease(platform, clock, key, incarnation, terms)
+    keeper = LeaseKeeper(lease, members, clock, counters, data_centre)
+    wishes = settings.weights
+    waves = WaveRunner(
+        data_centre,
+        lease,
+        EngineControlClient(session, incarnation, times.order_timeout_seconds),
+        NewestVersions(platform, clock),
+        find_report,
+        clock,
+        counters,
+        WavePlan(
+            wishes.serving_share,
+            wishes.loads_per_second,
+            timedelta(seconds=wishes.swap_seconds),
+        ),
+    )
+    return WeightParts(keeper, waves)
