Drop the lock between a step's renewals and its commits

The lock kept a renewal from changing the row that a commit under way required. Commits require the fence row since leases have one, which renewals leave alone, so the lock held commits up for nothing.

--- a/quetzalcourse/coordination/leased_rows.py
+++ b/quetzalcourse/coordination/leased_rows.py
@@ -46,13 +46,12 @@
 
         :returns: whether it is known to be written.
         """
-        async with self._lease.lock:
-            answer = await self._table.transact(
-                Transaction(
-                    (self._lease.require(), Condition(key, ABSENT)),
-                    (Write(key, content), *also),
-                )
+        answer = await self._table.transact(
+            Transaction(
+                (self._lease.require(), Condition(key, ABSENT)),
+                (Write(key, content), *also),
             )
+        )
         return isinstance(answer, Ok) and answer.ok_value.applied
 
     async def _settle(self, key: str, content: bytes) -> bool:
--- a/quetzalcourse/coordination/step_lease.py
+++ b/quetzalcourse/coordination/step_lease.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -24,7 +23,6 @@
     def __init__(self, table: Table, lease: Lease) -> None:
         """Keep the token."""
         self.token = lease.token
-        self.lock = asyncio.Lock()
         self._table = table
         self._lease = lease
 
@@ -50,10 +48,7 @@
 
         :raises StepLostError: if another holder took over.
         """
-        # A commit that is on its way requires the row as it is now; a
-        # renewal in between would make it fail for nothing.
-        async with self.lock:
-            await self._lease.pursue()
+        await self._lease.pursue()
         if not self._lease.held or self._lease.token != self.token:
             await self.check()
 
