Show the lease and waves of new weights in /status

The status named nothing of new weights. It shows who orders the data centre's engines and, for each model, the newest version, the engines that do not report it, and orders given again.

--- a/quetzalcourse/weight_parts.py
+++ b/quetzalcourse/weight_parts.py
@@ -55,7 +55,11 @@
     def describe(self) -> dict[str, Any]:
         """Tell who orders, and how far the newest versions are."""
         lease = self.keeper.lease.describe()
-        return {'lease': asdict(lease), 'waves': self.waves.describe()}
+        waves = {
+            model: asdict(status)
+            for model, status in self.waves.describe().items()
+        }
+        return {'lease': asdict(lease), 'waves': waves}
 
     async def on_drain(self) -> None:
         """Give the lease up once no order is on its way any more."""
