Hear of a leaving upstream within three seconds

Cause: engines of other data centres were asked every fifth round, and a round waited up to two seconds for an engine that hangs, so a notice could stay unheard for seven seconds and work went on being sent.

The rounds now keep their second whatever a round takes, a report may take half a second, and far engines are asked every other round.

--- a/quetzalcourse/coordination/health.py
+++ b/quetzalcourse/coordination/health.py
@@ -172,6 +172,7 @@
             condition.allowance = 0
             condition.ejections = 0
             self._counters.add('upstreams_restored', upstream=name)
+            self._counters.set('upstream_out', 0, upstream=name)
 
     def _eject(self, name: str, condition: Condition) -> None:
         doublings = min(condition.ejections, MAX_DOUBLINGS)
@@ -183,6 +184,7 @@
         condition.failures = 0
         condition.samples = 0
         self._counters.add('upstreams_ejected', upstream=name)
+        self._counters.set('upstream_out', 1, upstream=name)
 
     def _may_probe(self) -> bool:
         out = [
--- a/quetzalcourse/coordination/observer.py
+++ b/quetzalcourse/coordination/observer.py
@@ -21,15 +21,16 @@
     from quetzalcourse.state.counters import Counters
 
 INTERVAL = timedelta(seconds=1)
-FAR_ROUNDS = 5
+FAR_ROUNDS = 2
 MAX_MISSED = 3
 
 
 class Observer:
     """Asks the engines for their reports once a second.
 
-    Engines of other data centres are asked less often, since they only
-    get what the own ones can't take.
+    Engines of other data centres are asked every other time, since they
+    only get what the own ones can't take. A leaving engine of either kind
+    has to be known within three seconds.
 
     :param data_centre: where this daemon runs.
     :param control: connections to the engines.
@@ -72,11 +73,15 @@
 
     async def run(self) -> None:
         """Look at all upstreams until cancelled."""
+        began = self._clock.elapsed()
         rounds = 0
         while True:
             await self.observe_all(far=rounds % FAR_ROUNDS == 0)
-            rounds += 1
-            await self._clock.sleep(INTERVAL)
+            # An engine that hangs delays its round, which must not put off
+            # the rounds after it.
+            now = self._clock.elapsed()
+            rounds = max(rounds + 1, (now - began) // INTERVAL)
+            await self._clock.sleep(began + INTERVAL * rounds - now)
 
     async def observe_all(self, *, far: bool) -> None:
         """Ask the engines once.
--- a/quetzalcourse/tests/coordination/upstream_view_tests.py
+++ b/quetzalcourse/tests/coordination/upstream_view_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
@@ -31,6 +32,7 @@
 )
 from quetzalcourse.state.members import Vm
 from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.upstreams import REPORT_SECONDS
 
 SECOND = timedelta(seconds=1)
 NAMES = ('a', 'b', 'c', 'd')
@@ -74,6 +76,7 @@
         self.answers: dict[str, EngineReport] = dict.fromkeys(NAMES, REPORT)
         self.changes: dict[str, list[CacheChange]] = {}
         self.departures: list[Departure] = []
+        self.slow = ''
         self.router = Router('hall', self.leaving, self.reports, self.prefixes)
         self.observer = Observer(
             'hall',
@@ -98,6 +101,9 @@
         upstream: Upstream,
     ) -> Result[EngineReport, OrderProblem]:
         """Answer as the engine does."""
+        if upstream.name == self.slow:
+            await self.clock.sleep(timedelta(seconds=REPORT_SECONDS))
+            return Err(OrderProblem.unanswered)
         report = self.answers.get(upstream.name)
         return Ok(report) if report else Err(OrderProblem.unanswered)
 
@@ -226,6 +232,25 @@
     assert 'a' in view.rank()
 
 
+@pytest.mark.parametrize('name', ['a', 'd'])
+@pytest.mark.parametrize('phase', [0.2, 0.8, 1.2, 1.8, 2.2, 3.2, 4.2])
+async def test_notice_is_heard_within_three_seconds(
+    name: str,
+    phase: float,
+) -> None:
+    # Another engine hangs and answers no report before its time is up. The
+    # notice of the one that leaves must not wait for it too long.
+    view = View()
+    view.slow = 'b'
+    task = asyncio.create_task(view.observer.run())
+    await view.clock.advance(SECOND * (5 + phase))
+    assert name in view.rank()
+    view.answers[name] = replace(REPORT, leaving=True)
+    await view.clock.advance(3 * SECOND)
+    assert name not in view.rank()
+    task.cancel()
+
+
 async def test_listed_vm_gets_no_work() -> None:
     view = View()
     view.leaving.on_vms(
--- a/quetzalcourse/upstreams.py
+++ b/quetzalcourse/upstreams.py
@@ -28,7 +28,7 @@
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.manifest import Manifest
 
-REPORT_SECONDS = 1.0
+REPORT_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
