Let humans find idle slots and slot messages be few

Each sample that started or ended where others waited cost a report and an answer.

Change: an allowance counts training that runs on above its target beside the humans; spares follow the last renewal's requests; a lowered allowance is confirmed at once.

--- a/quetzalcourse/coordination/admission.py
+++ b/quetzalcourse/coordination/admission.py
@@ -128,6 +128,7 @@
         self.limits.on_left(grant)
         self._queue.charge_end(key, charged, tokens)
         self._policy.on_released(upstream, key, tokens)
+        self._show_running(upstream)
         self.on_free(upstream)
 
     def on_free(self, upstream: str) -> None:
@@ -197,6 +198,7 @@
         )
         self.limits.on_arrived(grant)
         self._held.add(grant, self._queue.charge_start(waiter.key))
+        self._show_running(upstream)
         self._policy.on_started(upstream, waiter.key)
         waiter.granted.set_result(grant)
         wait = self._clock.elapsed() - waiter.queued
@@ -251,6 +253,11 @@
             client_account=self._names.get(key.account_id, 'other'),
         )
 
+    def _show_running(self, upstream: str) -> None:
+        self._counters.set(
+            'slots_running', self.running(upstream), upstream=upstream
+        )
+
     def _count_refusal(self, request: SlotRequest, refusal: Refusal) -> None:
         self._counters.add(
             'slots_refused',
--- a/quetzalcourse/coordination/owner_grants.py
+++ b/quetzalcourse/coordination/owner_grants.py
@@ -160,7 +160,11 @@
     def _offer(self, usage: SlotUsage) -> None:
         # Runs after the slot could be used again here: what is still idle
         # then is what others may be waiting for.
-        if usage.is_missed(self._clock.elapsed()):
+        now = self._clock.elapsed()
+        missed = usage.is_missed(now)
+        if usage.is_lowered(now) or (missed and usage.count_revoked(now)):
+            self._report((usage.upstream,))
+        elif missed:
             self._schedule(usage.upstream)
 
     def _schedule(self, upstream: str) -> None:
--- a/quetzalcourse/coordination/slot_holder.py
+++ b/quetzalcourse/coordination/slot_holder.py
@@ -13,6 +13,9 @@
 if TYPE_CHECKING:
     from quetzalcourse.coordination.division import Target
 
+NEVER = timedelta(days=-1)
+RENEWAL_PART = 0.75
+
 
 @dataclass(frozen=True, slots=True)
 class _Promise:
@@ -33,6 +36,7 @@
 
     :param name: incarnation of the daemon.
     :param heard: when its last report came.
+    :param answered: when the last allowance was sent to it.
     """
 
     name: str
@@ -40,6 +44,7 @@
     heard: timedelta
     current: Allowance
     promises: list[_Promise] = field(default_factory=list)
+    answered: timedelta = NEVER
 
     @classmethod
     def meet(
@@ -133,6 +138,24 @@
             for load in self.report.loads
         ]
 
+    def awaits(
+        self,
+        goal: Target,
+        now: timedelta,
+        renewal: timedelta,
+    ) -> bool:
+        """Tell whether its report needs an answer.
+
+        Most reports ask for nothing that changed; an answer only moves the
+        end of the term, which the next renewal does as well.
+        """
+        current = self.current
+        if (goal.human, goal.training) != (current.human, current.training):
+            return True
+        if self.report.applied < current.number:
+            return True
+        return now - self.answered >= renewal * RENEWAL_PART
+
     def allow(
         self,
         target: Target,
--- a/quetzalcourse/coordination/slot_owner.py
+++ b/quetzalcourse/coordination/slot_owner.py
@@ -26,6 +26,7 @@
 OBSERVATION_WEIGHT = 0.5
 LOAD_LAG = timedelta(seconds=3)
 MOST_PEAKS = 1000
+ADVANCE_DIVISOR = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,12 +192,14 @@
         for holder in self._sort_holders(plan):
             goal = self._bound(holder, plan.targets[holder.name], room, now)
             revoke = plan.revoked.get(holder.name, 0)
-            told = holder.name in reporters or _must_tell(
-                holder, goal, revoke, contended=plan.contended
-            )
+            told = _must_tell(holder, goal, revoke, contended=plan.contended)
+            if holder.name in reporters:
+                renewal = self._terms.renewal
+                told = told or holder.awaits(goal, now, renewal)
             if not told:
                 continue
             before = _Room.read(holder, now)
+            holder.answered = now
             sent[holder.name] = holder.allow(
                 goal, revoke, self._terms.term, contended=plan.contended
             )
@@ -213,17 +216,16 @@
             max(target.total - self._holders[name].count_committed(now), 0)
             for name, target in targets.items()
         )
-        wanted = sum(claim.wanted for claim in claims)
         revoked = self._choose_revoked(slots, headroom, targets)
         used = sum(target.human for target in targets.values())
         _add_spares(slots, targets, list(self._holders.values()))
-        return _Plan(
-            slots,
-            max(slots - headroom - used, 0),
-            targets,
-            revoked,
-            contended=missing > slots - committed or wanted > slots - headroom,
+        training = max(slots - headroom - used, 0)
+        contended = missing > slots - committed or (
+            sum(claim.wanted for claim in claims) > slots - headroom
         )
+        if not contended:
+            _add_advance(training, targets)
+        return _Plan(slots, training, targets, revoked, contended=contended)
 
     def _list_claims(self, now: timedelta) -> list[Claim]:
         return [
@@ -267,7 +269,10 @@
             share = self._fallback.get(holder.name, 0)
             most = max(committed.total, share)
             training = max(committed.training, share)
-        human = min(target.human, most)
+        # Training that runs on above its target keeps its slots for a while;
+        # humans get theirs beside them, not after them.
+        above = holder.count_running(TrafficClass.training) - target.training
+        human = min(target.human + max(above, 0), most)
         return Target(human, min(target.training, training, most - human))
 
     def _choose_revoked(
@@ -312,6 +317,17 @@
                 left -= 1
 
 
+def _add_advance(training: int, targets: Mapping[str, Target]) -> None:
+    # Samples that start and end one by one would each cost a report and an
+    # answer; while nobody waits, a few slots more cost nothing.
+    left = training - sum(target.training for target in targets.values())
+    for target in targets.values():
+        if target.training:
+            more = min(1 + target.training // ADVANCE_DIVISOR, max(left, 0))
+            target.training += more
+            left -= more
+
+
 def _must_tell(
     holder: SlotHolder,
     goal: Target,
--- a/quetzalcourse/coordination/slot_usage.py
+++ b/quetzalcourse/coordination/slot_usage.py
@@ -45,6 +45,8 @@
     _sequence: int = 0
     _sent: dict[int, timedelta] = field(default_factory=dict)
     _human_starts: int = 0
+    _recent_starts: int = 0
+    _counted: timedelta = NEVER
     _human_until: timedelta = NEVER
 
     @property
@@ -112,8 +114,6 @@
         """Count a request that begins to run."""
         self.running[key] += 1
         if key.traffic_class is TrafficClass.human:
-            if now >= self._human_until:
-                self._human_starts = 0
             self._human_starts += 1
             self._human_until = now + self.terms.spare_hold
 
@@ -146,7 +146,7 @@
         return now >= self.expires or not self.find_limits(now)[0]
 
     def is_missed(self, now: timedelta) -> bool:
-        """Tell whether others wait for slots that this daemon has idle.
+        """Tell whether others wait for slots that were given back here.
 
         True only if the owner does not know yet: a daemon that reported
         whenever others wait would report without end.
@@ -155,8 +155,13 @@
             return False
         if not (self.allowance.contended or self.allowance.revoke):
             return False
-        lowered = self.allowance.total < self._reported_held
-        return lowered or self.total < self._reported_running
+        return self.total < self._reported_running
+
+    def is_lowered(self, now: timedelta) -> bool:
+        """Tell whether the owner waits to hear that it took slots back."""
+        if self.allowance is None or now >= self.expires:
+            return False
+        return self.allowance.total < self._reported_held
 
     def make_report(self, now: timedelta) -> SlotReport:
         """Write the next report to the owner."""
@@ -169,6 +174,7 @@
         self._reported_running = self.total
         held = self.find_limits(now) if now < self.expires else (0, 0)
         self._reported_held = held[0]
+        self._count_starts(now)
         applied = self.allowance.number if self.allowance is not None else 0
         report = SlotReport(
             self.upstream,
@@ -184,7 +190,13 @@
     def _count_spares(self, now: timedelta) -> int:
         if now >= self._human_until:
             return 0
-        return 1 + self._human_starts // STARTS_PER_SPARE
+        return 1 + self._recent_starts // STARTS_PER_SPARE
+
+    def _count_starts(self, now: timedelta) -> None:
+        if now - self._counted >= self.terms.renewal:
+            self._recent_starts = self._human_starts
+            self._human_starts = 0
+            self._counted = now
 
     def _list_loads(self, now: timedelta) -> tuple[AccountLoad, ...]:
         keys = {**self.running, **self.waiting, **self.tokens}
--- a/quetzalcourse/state/slots.py
+++ b/quetzalcourse/state/slots.py
@@ -131,7 +131,7 @@
 
     term: timedelta = timedelta(seconds=6)
     renewal: timedelta = timedelta(seconds=2)
-    batch: timedelta = timedelta(milliseconds=20)
+    batch: timedelta = timedelta(milliseconds=100)
     spare_hold: timedelta = timedelta(seconds=10)
 
 
