Prove departures and departing callers of plain services

A leaving service finishes the call that runs and gets no other; a caller who leaves, or whose deadline passes, frees the slot. The overhead suite fails now on a refused call, which it would have measured as a fast one.

--- a/bench/suites/overhead.py
+++ b/bench/suites/overhead.py
@@ -163,5 +163,6 @@
     """Time one call, in microseconds."""
     began = time.perf_counter()
     async with session.get(url) as answer:
+        answer.raise_for_status()
         await answer.read()
     return int((time.perf_counter() - began) * MICROSECONDS)
--- a/quetzalcourse/tests/transport/service_call_tests.py
+++ b/quetzalcourse/tests/transport/service_call_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -10,11 +11,13 @@
 
 from quetzalcourse.application import Application
 from quetzalcourse.standins.deployment import (
+    DATA_CENTRE,
     READER_KEY,
     SERVICE,
     Deployment,
     build_settings,
 )
+from quetzalcourse.state.members import Vm
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -122,3 +125,51 @@
     assert not deployment.services[0].record.calls
     status, _ = await call(deployment.url)
     assert status == 200
+
+
+async def test_leaving_service_finishes_its_calls(
+    deployment: Deployment,
+) -> None:
+    # The platform takes a service's VM away. The call that runs must not
+    # be cut, and the next one must not be sent into the cut.
+    service = deployment.services[0]
+    service.faults.slow_seconds = 0.3
+    running = asyncio.create_task(call(deployment.url))
+    await wait_running(deployment, 1)
+    leaving = deployment.daemon.upstreams.leaving
+    leaving.on_vms([Vm(f'{SERVICE}-0', DATA_CENTRE, '', leaving=True)])
+    leaving.check()
+    _, error = await call(deployment.url)
+    assert (error['code'], error['not_run']) == ('upstream_failed', True)
+    assert await running == (200, b'verse')
+    assert len(service.record.calls) == 1
+
+
+async def test_caller_that_leaves_frees_the_slot(
+    deployment: Deployment,
+) -> None:
+    # A reader closes the page while a slow service works on its call.
+    deployment.services[0].faults.slow_seconds = 30.0
+    task = asyncio.create_task(call(deployment.url))
+    await wait_running(deployment, 1)
+    task.cancel()
+    await wait_running(deployment, 0)
+    assert deployment.daemon.activity.serving == 0
+
+
+async def test_deadline_ends_a_slow_call(deployment: Deployment) -> None:
+    # The caller said how long it waits. The call was sent, so nobody may
+    # say that it did not run.
+    deployment.services[0].faults.slow_seconds = 30.0
+    _, error = await call(deployment.url, **{'X-Timeout-Seconds': '0.2'})
+    assert (error['code'], error['not_run']) == ('outcome_unknown', False)
+    await wait_running(deployment, 0)
+
+
+async def wait_running(deployment: Deployment, count: int) -> None:
+    """Wait until so many calls hold a slot of the service."""
+    for _ in range(400):
+        if deployment.daemon.admission.running(f'{SERVICE}-0') == count:
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('the slots do not change')
