Split the run of a step from what happens to its samples

Queues, scoring and commits are a pipeline of their own now; the run tells its state every 10 s without a commit and as the gauge step_samples. A test holds that a step that no engine can run says why, at any daemon.

--- a/quetzalcourse/coordination/dispatching.py
+++ b/quetzalcourse/coordination/dispatching.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.coordination.dispatch_order import Backlog, LengthMemory
 from quetzalcourse.coordination.sample_making import (
@@ -39,6 +39,17 @@
 HASH_LENGTH = 16
 
 
+class SampleSink(Protocol):
+    """Takes finished samples, within bounded memory."""
+
+    @property
+    def may_hold(self) -> bool:
+        """Whether more finished samples fit into memory."""
+
+    def take(self, sample: Sample) -> None:
+        """Take a finished sample."""
+
+
 @dataclass(slots=True)
 class MakingBudget:
     """Samples in the making on this daemon, shared by its steps.
@@ -77,8 +88,6 @@
 
     :param deadline: time since boot by which the step should be whole.
     :param run: name of the run, made part of request ids.
-    :param on_sample: takes each finished sample.
-    :param may_hold: whether more finished samples fit into memory.
     """
 
     def __init__(
@@ -88,8 +97,6 @@
         prompts: tuple[str, ...],
         deadline: timedelta,
         run: str,
-        on_sample: Callable[[Sample], None],
-        may_hold: Callable[[], bool],
     ) -> None:
         """Begin with nothing to make."""
         self.attempts: Counter[SampleKey] = Counter()
@@ -99,8 +106,7 @@
         self._hashes = tuple(hash_prompt(prompt) for prompt in prompts)
         self._deadline = deadline
         self._run = run
-        self._on_sample = on_sample
-        self._may_hold = may_hold
+        self._sink: SampleSink | None = None
         self._backlog = Backlog(parts.lengths, spec.trainer, self._hashes)
         self._makings: dict[SampleKey, SampleMaking] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -115,6 +121,10 @@
             self._changed.set,
         )
 
+    def feed(self, sink: SampleSink) -> None:
+        """Hand finished samples to a sink, and heed its bounds."""
+        self._sink = sink
+
     def add(self, keys: Iterable[SampleKey]) -> None:
         """Put samples into the backlog."""
         self._backlog.add(keys)
@@ -187,7 +197,7 @@
     def _may_start(self) -> bool:
         # Requests beyond what engines take would only wait, in an order
         # that can no longer be changed, each with its share of memory.
-        if not self._backlog or not self._may_hold():
+        if not self._backlog or not (self._sink and self._sink.may_hold):
             return False
         if len(self._makings) >= self._parts.budget.share:
             return False
@@ -225,7 +235,8 @@
         self._parts.lengths.observe(
             self._spec.trainer, self._hashes[key.group], sample.token_count
         )
-        self._on_sample(sample)
+        if self._sink is not None:
+            self._sink.take(sample)
 
     async def _rescue_once(self) -> None:
         running = [
--- a/quetzalcourse/state/steps.py
+++ b/quetzalcourse/state/steps.py
@@ -162,22 +162,23 @@
     """What the daemon that runs a step last said of it.
 
     :param holder: incarnation of the daemon.
-    :param positions: batches in the step's log.
-    :param committed: samples in them, dropped ones included.
+    :param committed: samples in the step's log, less those that were too
+        old when they were read.
     :param running: samples whose tokens arrive.
     :param waiting: samples that wait for an engine.
     :param backlog: samples that were not begun.
     :param unscored: finished samples that wait for a score.
+    :param uncommitted: finished samples that wait for the store.
     :param held_up: samples by the reason that holds them up.
     """
 
     holder: str = ''
-    positions: int = 0
     committed: int = 0
     running: int = 0
     waiting: int = 0
     backlog: int = 0
     unscored: int = 0
+    uncommitted: int = 0
     held_up: dict[str, int] = field(default_factory=dict)
 
 
--- a/quetzalcourse/tests/coordination/steps_tests.py
+++ b/quetzalcourse/tests/coordination/steps_tests.py
@@ -97,6 +97,28 @@
     run_virtual(run())
 
 
+def test_stuck_step_says_why() -> None:
+    # No engine can run the step. Whoever asks any daemon must see what
+    # holds it up, although nothing is ever committed.
+    async def run() -> None:
+        world = build_world()
+        first, second = world.start_daemon(), world.start_daemon()
+        world.generation.refuse_next = 10_000
+        (await first.steps.create(SPEC, PROMPTS)).unwrap()
+        await asyncio.sleep(25)
+        progress = (await second.steps.observe(TRAINER, 1)).unwrap()
+        assert progress.run is not None
+        assert progress.run.committed == 0
+        assert progress.run.held_up == {'upstream_failed': 16}
+        stuck = first.counters.read(
+            'step_samples', trainer=TRAINER, state='held_up'
+        )
+        assert stuck == 16
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_cancelled_step_ends_everywhere() -> None:
     # A trainer gives a step up. Engines that went on with it would keep
     # other trainers waiting.
