--- a/quetzalcourse/coordination/steps.py
+++ b/quetzalcourse/coordination/steps.py
@@ -49,6 +49,7 @@
 STEP_TERMS = LeaseTerms(timedelta(seconds=6), timedelta(seconds=1))
 SCAN_INTERVAL = timedelta(seconds=2)
 WATCH_INTERVAL = timedelta(seconds=1)
+OPEN_LOOKS = 5
 REMEMBERED_STEPS = 1024
 SCANNED = 'open steps'
 log = get_log('steps')
@@ -261,13 +262,18 @@
             await self._clock.sleep(SCAN_INTERVAL)
 
     async def _pursue(self, spec: StepSpec, lease: Lease) -> bool:
+        looks = 0
         while not await lease.pursue():
             await self._clock.sleep(WATCH_INTERVAL)
-            row = await self._table.read(name_open(spec.trainer, spec.step))
-            if isinstance(row, Ok) and row.ok_value is None:
+            looks += 1
+            if looks % OPEN_LOOKS == 0 and not await self._is_open(spec):
                 return False
         return True
 
+    async def _is_open(self, spec: StepSpec) -> bool:
+        row = await self._table.read(name_open(spec.trainer, spec.step))
+        return isinstance(row, Err) or row.ok_value is not None
+
     async def _run_held(self, spec: StepSpec, lease: Lease) -> None:
         held = StepLease(self._table, lease)
         budget = self._parts.dispatch.budget
