Split interruptions and closings from the generation

The module had grown to 357 lines with three jobs: bringing a request through its attempts, watching for what interrupts one, and giving slots back after the engine has stopped.

--- /dev/null
+++ b/quetzalcourse/coordination/closings.py
@@ -0,0 +1,59 @@
+"""Ends of attempts: the engine stops before its slot is given back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalcourse.state.generation import NEVER_RAN, AttemptState
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.ports import Engines
+    from quetzalcourse.coordination.work import Work
+    from quetzalcourse.state.slots import Grant
+
+
+class Closings:
+    """Gives slots back once nothing runs on them any more.
+
+    :param admission: takes the slots back.
+    :param engines: connections to the engines.
+    """
+
+    def __init__(self, admission: Admission, engines: Engines) -> None:
+        """Begin without an attempt to close."""
+        self._admission = admission
+        self._engines = engines
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def close(self, grant: Grant, work: Work, state: AttemptState) -> None:
+        """Close an attempt without waiting for the engine.
+
+        :param state: what is known of the attempt.
+        """
+        generated = work.count_fresh()
+        if state in NEVER_RAN or state is AttemptState.complete:
+            self._admission.release(grant, generated)
+            return
+        closing = self._cancel(grant, work.attempt_id, generated)
+        task = asyncio.get_running_loop().create_task(closing)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """Wait until the last cancellations have been sent."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _cancel(
+        self,
+        grant: Grant,
+        attempt_id: str,
+        generated: int,
+    ) -> None:
+        # The engine runs the request until it is told to stop. Were the
+        # slot released before, the next request would queue inside it.
+        try:
+            await self._engines.cancel(grant.upstream, attempt_id)
+        finally:
+            self._admission.release(grant, generated)
--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/generation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import aclosing
 from dataclasses import replace
 from datetime import timedelta
@@ -10,18 +9,19 @@
 
 from quetzalcourse.coordination.assembly import Assembly, ChunkError
 from quetzalcourse.coordination.attempt import AttemptError
+from quetzalcourse.coordination.closings import Closings
 from quetzalcourse.coordination.durations import Durations
 from quetzalcourse.coordination.guard import (
     AttemptInterruptedError,
     Guard,
     Interruption,
 )
+from quetzalcourse.coordination.interruptions import Interruptions
 from quetzalcourse.coordination.work import Work
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import (
     NEVER_RAN,
     AttemptState,
-    TrafficClass,
 )
 from quetzalcourse.state.slots import Grant, SlotRequest
 from quetzalcourse.state.usage import UsageFigures
@@ -31,7 +31,6 @@
 
     from quetzalcourse.coordination.admission import Admission
     from quetzalcourse.coordination.health import Health
-    from quetzalcourse.coordination.leaving import Departure
     from quetzalcourse.coordination.ports import Engines
     from quetzalcourse.coordination.retries import RetryBudget
     from quetzalcourse.coordination.routing import Router
@@ -72,8 +71,8 @@
         self._clock = clock
         self._counters = counters
         self._durations = Durations()
-        self._closings: set[asyncio.Task[None]] = set()
-        self._guards: dict[str, set[Guard]] = {}
+        self._closings = Closings(admission, engines)
+        self.interruptions = Interruptions(clock)
         self.usage: UsageCounter | None = None
 
     async def run(self, request: GenerationRequest) -> AsyncIterator[Chunk]:
@@ -103,20 +102,9 @@
             else:
                 return
 
-    def on_departure(self, departure: Departure) -> None:
-        """Move the streams of a leaving upstream elsewhere.
-
-        Human callers' streams are short and finish in place while there is
-        time; training streams may outlast any notice.
-        """
-        for guard in tuple(self._guards.get(departure.upstream, ())):
-            training = guard.traffic_class is TrafficClass.training
-            if training or departure.humans:
-                guard.interrupt(Interruption.leaving)
-
     async def stop(self) -> None:
         """Wait until the last cancellations have been sent."""
-        await asyncio.gather(*self._closings, return_exceptions=True)
+        await self._closings.stop()
 
     async def _acquire(self, work: Work) -> Grant:
         request = work.request
@@ -168,12 +156,14 @@
         grant: Grant,
         work: Work,
     ) -> AsyncIterator[Chunk]:
-        guard = Guard(grant.traffic_class)
+        name = grant.upstream.name
         work.begin()
-        watchers = self._open(grant, work.request, guard)
+        self._health.on_start(name)
+        self._router.on_sent(name, work.request)
+        watch = self.interruptions.on_begin(grant, work.request)
         state = AttemptState.maybe_sent
         began = self._clock.elapsed()
-        stream = self._stream(grant, work, guard)
+        stream = self._stream(grant, work, watch.guard)
         try:
             async with aclosing(stream):  # type: ignore[type-var]
                 async for chunk in stream:
@@ -183,51 +173,19 @@
             state = error.state
             raise
         finally:
-            self._forget(grant, guard, watchers)
-            self._close(grant, work, state, began)
-
-    def _open(
-        self,
-        grant: Grant,
-        request: GenerationRequest,
-        guard: Guard,
-    ) -> list[asyncio.Task[None]]:
-        name = grant.upstream.name
-        self._health.on_start(name)
-        self._router.on_sent(name, request)
-        self._guards.setdefault(name, set()).add(guard)
-        return self._watch(grant, request, guard)
+            self.interruptions.on_end(watch)
+            self._on_end(grant, work, state, began)
 
-    def _forget(
+    def _on_end(
         self,
         grant: Grant,
-        guard: Guard,
-        watchers: list[asyncio.Task[None]],
+        work: Work,
+        state: AttemptState,
+        began: timedelta,
     ) -> None:
-        for watcher in watchers:
-            watcher.cancel()
-        self._guards[grant.upstream.name].discard(guard)
         self._health.on_end(grant.upstream.name)
-
-    def _watch(
-        self,
-        grant: Grant,
-        request: GenerationRequest,
-        guard: Guard,
-    ) -> list[asyncio.Task[None]]:
-        loop = asyncio.get_running_loop()
-        watchers = [loop.create_task(self._watch_deadline(request, guard))]
-        if grant.traffic_class is TrafficClass.training:
-            watchers.append(loop.create_task(_watch_revoked(grant, guard)))
-        return watchers
-
-    async def _watch_deadline(
-        self,
-        request: GenerationRequest,
-        guard: Guard,
-    ) -> None:
-        await self._clock.sleep(request.deadline - self._clock.elapsed())
-        guard.interrupt(Interruption.late)
+        self._count(grant, work, state, began)
+        self._closings.close(grant, work, state)
 
     async def _stream(
         self,
@@ -268,22 +226,6 @@
         work.prompt_tokens = last.prompt_tokens
         yield replace(last, upstream=name)
 
-    def _close(
-        self,
-        grant: Grant,
-        work: Work,
-        state: AttemptState,
-        began: timedelta,
-    ) -> None:
-        self._count(grant, work, state, began)
-        if state in NEVER_RAN or state is AttemptState.complete:
-            self._admission.release(grant, work.count_fresh())
-        else:
-            closing = self._cancel(grant, work.attempt_id, work.count_fresh())
-            task = asyncio.get_running_loop().create_task(closing)
-            self._closings.add(task)
-            task.add_done_callback(self._closings.discard)
-
     def _count(
         self,
         grant: Grant,
@@ -308,19 +250,6 @@
             figures,
         )
 
-    async def _cancel(
-        self,
-        grant: Grant,
-        attempt_id: str,
-        generated: int,
-    ) -> None:
-        # The engine runs the request until it is told to stop. Were the
-        # slot released before, the next request would queue inside it.
-        try:
-            await self._engines.cancel(grant.upstream, attempt_id)
-        finally:
-            self._admission.release(grant, generated)
-
     def _on_failed(self, work: Work, error: AttemptError) -> None:
         self._counters.add('attempts_failed', state=error.state.value)
         progressed = work.on_failed(error)
@@ -348,10 +277,5 @@
             raise work.refuse_late()
 
 
-async def _watch_revoked(grant: Grant, guard: Guard) -> None:
-    await grant.revoked.wait()
-    guard.interrupt(Interruption.revoked)
-
-
 def _break_attempt(peer: str) -> AttemptError:
     return AttemptError(AttemptState.broken, 'generate', peer)
--- a/quetzalcourse/tests/coordination/generation_tests.py
+++ b/quetzalcourse/tests/coordination/generation_tests.py
@@ -256,7 +256,7 @@
     task = asyncio.create_task(bench.run(bench.build_request(traffic_class)))
     await settle()
     name = bench.engines.sent[0][0]
-    bench.generation.on_departure(Departure(name, humans))
+    bench.generation.interruptions.on_departure(Departure(name, humans))
     await settle()
     assert task.done() is moves
     task.cancel()
--- a/quetzalcourse/upstreams.py
+++ b/quetzalcourse/upstreams.py
@@ -93,7 +93,7 @@
         counters,
         admission.running,
     )
-    observer.on_departure(generation.on_departure)
+    observer.on_departure(generation.interruptions.on_departure)
     return UpstreamParts(
         leaving,
         health,
