Split streams and delivery rules from what uses them

What a stream holds, and what a trainer gets of a batch, are small modules of their own; nothing else changed.

--- a/quetzalcourse/coordination/dispatching.py
+++ b/quetzalcourse/coordination/dispatching.py
@@ -14,8 +14,8 @@
 from quetzalcourse.coordination.sample_making import (
     MakingParts,
     SampleMaking,
-    SampleOrder,
 )
+from quetzalcourse.coordination.sample_stream import SampleOrder
 from quetzalcourse.coordination.stragglers import (
     Rescue,
     RunningSample,
--- a/quetzalcourse/coordination/sample_making.py
+++ b/quetzalcourse/coordination/sample_making.py
@@ -8,8 +8,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.sample_stream import (
+    SampleOrder,
+    Stream,
+    UnusableError,
+    assemble_sample,
+)
 from quetzalcourse.coordination.staleness import (
-    extend_versions,
     find_oldest,
     find_oldest_allowed,
     is_deliverable,
@@ -18,18 +23,12 @@
     RescueKind,
     RunningSample,
 )
-from quetzalcourse.exceptions import QuetzalcourseError, RefusedError
+from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import (
     Chunk,
     GenerationRequest,
     TrafficClass,
 )
-from quetzalcourse.state.steps import (
-    Sample,
-    SampleKey,
-    StepSpec,
-    VersionRange,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -38,6 +37,7 @@
     from quetzalcourse.coordination.staleness import NewestVersions
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.steps import Sample
 
 FIRST_WAIT = timedelta(milliseconds=250)
 LONGEST_WAIT = timedelta(seconds=10)
@@ -47,74 +47,6 @@
 ENDED_EARLY = 'ended_early'
 
 
-class UnusableError(QuetzalcourseError):
-    """Tokens that must not be delivered.
-
-    :param reason: why, as it is counted.
-    """
-
-    def __init__(self, reason: str) -> None:
-        """Keep the reason."""
-        super().__init__(reason)
-        self.reason = reason
-
-
-@dataclass(frozen=True, slots=True)
-class SampleOrder:
-    """Sample to make.
-
-    :param attempt: how often it was made for nothing; changes the seed
-        where its text must differ.
-    :param deadline: time since boot by which it should be there.
-    :param run: makes request ids different from those of other runs.
-    """
-
-    spec: StepSpec
-    key: SampleKey
-    prompt: str
-    attempt: int
-    deadline: timedelta
-    run: str
-
-    @property
-    def name(self) -> str:
-        """Name the sample among all trainers' samples."""
-        spec = self.spec
-        return f'{spec.trainer}/{spec.step}/{self.key.group}/{self.key.index}'
-
-
-@dataclass(slots=True)
-class Stream:
-    """One run of the sample's request.
-
-    :param tokens: tokens so far, those handed over included.
-    :param versions: weight versions that made them.
-    :param avoid: names of engines to keep off.
-    :param upstream: name of the engine that the last token came from.
-    :param began: when its own first token came.
-    :param heard: when its last token came.
-    """
-
-    tokens: list[str]
-    versions: tuple[VersionRange, ...]
-    avoid: frozenset[str]
-    inherited: int = 0
-    upstream: str = ''
-    began: timedelta | None = None
-    heard: timedelta | None = None
-    finish_reason: str = ''
-    problem: str = ''
-    failure: Exception | None = None
-    retry_after: timedelta | None = None
-    task: asyncio.Task[None] | None = None
-
-    def hand_over(self) -> Stream:
-        """Begin a stream elsewhere behind the last token of this one."""
-        avoid = frozenset((self.upstream,)) if self.upstream else frozenset()
-        tokens = list(self.tokens)
-        return Stream(tokens, self.versions, avoid, len(tokens))
-
-
 @dataclass(frozen=True, slots=True)
 class MakingParts:
     """What making a sample needs.
@@ -270,12 +202,7 @@
                 self._take(stream, chunk)
 
     def _take(self, stream: Stream, chunk: Chunk) -> None:
-        stream.heard = self.parts.clock.elapsed()
-        stream.began = stream.began or stream.heard
-        stream.tokens.extend(chunk.tokens)
-        stream.versions = extend_versions(stream.versions, chunk)
-        stream.upstream = chunk.upstream
-        stream.finish_reason = chunk.finish_reason
+        stream.extend(chunk, self.parts.clock.elapsed())
         model = self.order.spec.model
         self.parts.newest.learn(model, chunk.weight_version)
         self._wait = FIRST_WAIT
@@ -332,15 +259,3 @@
         shared = max(stream.inherited, kept.inherited) if kept else 0
         wasted = len(stream.tokens) - shared
         self.parts.counters.add('tokens_wasted', wasted)
-
-
-def assemble_sample(key: SampleKey, stream: Stream) -> Sample:
-    """Make a sample of a stream that ended as it should."""
-    return Sample(
-        group=key.group,
-        index=key.index,
-        text=''.join(stream.tokens),
-        token_count=len(stream.tokens),
-        finish_reason=stream.finish_reason,
-        versions=stream.versions,
-    )
--- a/quetzalcourse/coordination/step_delivery.py
+++ b/quetzalcourse/coordination/step_delivery.py
@@ -7,10 +7,14 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.staleness import (
-    find_oldest_allowed,
-    is_deliverable,
+from quetzalcourse.coordination.delivery_rules import (
+    check_cursor,
+    present,
+    refuse_beyond,
+    refuse_cancelled,
+    seal_batch,
 )
+from quetzalcourse.coordination.staleness import find_oldest_allowed
 from quetzalcourse.coordination.step_rows import (
     decode,
     encode,
@@ -22,12 +26,10 @@
     refuse_store,
     refuse_unknown,
 )
-from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.rows import Transaction, Write
 from quetzalcourse.state.steps import (
     DeliveredBatch,
     DeliveryRecord,
-    DroppedSample,
     StepBatch,
 )
 
@@ -37,6 +39,7 @@
     from quetzalcourse.coordination.delivery_counts import DeliveryCounts
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.state.refusal import Refusal
     from quetzalcourse.state.rows import Row
     from quetzalcourse.state.steps import StepSpec
 
@@ -122,9 +125,9 @@
 
         def change(record: DeliveryRecord) -> Result[DeliveryRecord, Refusal]:
             if cursor > record.sealed:
-                return Err(_refuse_beyond(cursor, record.sealed))
+                return Err(refuse_beyond(cursor, record.sealed))
             if record.cancelled:
-                return Err(_refuse_cancelled())
+                return Err(refuse_cancelled())
             reached = max(cursor, record.acknowledged)
             return Ok(replace(record, acknowledged=reached))
 
@@ -217,81 +220,3 @@
             )
         )
         return isinstance(answer, Ok) and answer.ok_value.applied
-
-
-def seal_batch(
-    record: DeliveryRecord,
-    batch: StepBatch,
-    oldest_allowed: int,
-    total: int,
-) -> DeliveryRecord:
-    """Decide what the trainer gets of a batch.
-
-    :param oldest_allowed: samples with older tokens are dropped.
-    :param total: samples that make the step whole.
-    """
-    dropped = tuple(
-        DroppedSample(batch.position, sample.group, sample.index)
-        for sample in batch.samples
-        if not is_deliverable(sample, oldest_allowed)
-    )
-    delivered = record.delivered + len(batch.samples) - len(dropped)
-    whole_at = record.whole_at
-    if whole_at is None and delivered == total:
-        whole_at = batch.position
-    return replace(
-        record,
-        sealed=batch.position + 1,
-        delivered=delivered,
-        dropped=record.dropped + dropped,
-        whole_at=whole_at,
-    )
-
-
-def present(batch: StepBatch, record: DeliveryRecord) -> DeliveredBatch:
-    """Leave out what was dropped from a batch."""
-    dropped = {
-        sample.key
-        for sample in record.dropped
-        if sample.position == batch.position
-    }
-    return DeliveredBatch(
-        batch.position,
-        tuple(sample for sample in batch.samples if sample.key not in dropped),
-        whole=record.whole_at == batch.position,
-    )
-
-
-def check_cursor(record: DeliveryRecord, cursor: int) -> Refusal | None:
-    """Refuse a cursor that was never given out, or is acknowledged."""
-    if record.cancelled:
-        return _refuse_cancelled()
-    if cursor > record.sealed:
-        return _refuse_beyond(cursor, record.sealed)
-    if cursor >= record.acknowledged:
-        return None
-    return Refusal(
-        RefusalCode.conflict,
-        f'Batches before {record.acknowledged} are acknowledged '
-        'and not delivered again.',
-        not_run=True,
-        step='read cursor',
-    )
-
-
-def _refuse_beyond(cursor: int, sealed: int) -> Refusal:
-    return Refusal(
-        RefusalCode.invalid_body,
-        f'Cursor {cursor} lies beyond {sealed}, the last one given out.',
-        not_run=True,
-        step='read cursor',
-    )
-
-
-def _refuse_cancelled() -> Refusal:
-    return Refusal(
-        RefusalCode.cancelled,
-        'The step was cancelled.',
-        not_run=True,
-        step='read cursor',
-    )
--- a/quetzalcourse/tests/coordination/sample_making_tests.py
+++ b/quetzalcourse/tests/coordination/sample_making_tests.py
@@ -11,8 +11,8 @@
 from quetzalcourse.coordination.sample_making import (
     MakingParts,
     SampleMaking,
-    SampleOrder,
 )
+from quetzalcourse.coordination.sample_stream import SampleOrder
 from quetzalcourse.coordination.staleness import NewestVersions, is_labelled
 from quetzalcourse.coordination.stragglers import RescueKind
 from quetzalcourse.standins.rollouts import ScriptedEngine, ScriptedGeneration
