Limit the weight store's stand-in, and split the steps' directory

The stand-in answered any number of questions, so nothing showed what the daemon makes of a refusal by rate.

--- a/quetzalcourse/coordination/steps.py
+++ b/quetzalcourse/coordination/steps.py
@@ -3,36 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
-from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import msgspec
 from result import Err, Ok, Result
 
 from quetzalcourse.coordination.lease import Lease
+from quetzalcourse.coordination.step_directory import StepDirectory
 from quetzalcourse.coordination.step_lease import StepLease
 from quetzalcourse.coordination.step_rows import (
     OPEN_PREFIX,
     StepLostError,
     decode,
-    encode,
-    name_delivery,
     name_lease,
     name_open,
-    name_prompts,
     name_step,
     parse_open,
     refuse_store,
-    refuse_unknown,
 )
 from quetzalcourse.coordination.step_runner import StepRunner, cancel_all
 from quetzalcourse.coordination.watchers import is_watcher
 from quetzalcourse.log import get_log
 from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.state.refusal import Refusal, RefusalCode
-from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 from quetzalcourse.state.steps import (
     DeliveredBatch,
     DeliveryRecord,
@@ -44,13 +37,11 @@
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import MemberView, Objects
     from quetzalcourse.coordination.step_runner import RunParts
-    from quetzalcourse.state.rows import Commit, StoreFault
 
 STEP_TERMS = LeaseTerms(timedelta(seconds=6), timedelta(seconds=1))
 SCAN_INTERVAL = timedelta(seconds=2)
 WATCH_INTERVAL = timedelta(seconds=1)
 OPEN_LOOKS = 5
-REMEMBERED_STEPS = 1024
 SCANNED = 'open steps'
 log = get_log('steps')
 
@@ -72,11 +63,10 @@
         """Begin with no step running."""
         self._parts = parts
         self._table = parts.table
-        self._objects = objects
+        self._directory = StepDirectory(parts.table, objects)
         self._members = members
         self._clock = parts.dispatch.clock
         self._delivery = parts.delivery
-        self._specs: OrderedDict[str, StepSpec] = OrderedDict()
         self._running: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
 
@@ -91,18 +81,17 @@
         :param prompts: a prompt for each group.
         :returns: the step as it is stored.
         """
-        content = encode(prompts)
-        spec = replace(spec, prompts_name=name_prompts(content))
-        stored = await self._objects.put(spec.prompts_name, content)
+        stored = await self._directory.put_prompts(spec, prompts)
         if isinstance(stored, Err):
             return Err(refuse_store(stored.err_value))
-        written = await self._write_step(spec)
+        spec = stored.ok_value
+        written = await self._directory.write(spec)
         if isinstance(written, Ok) and written.ok_value.applied:
             self._start(spec)
             return Ok(spec)
         # Either the step was there before, or the answer was lost and the
         # step may be there now: what is stored decides.
-        found = await self.find(spec.trainer, spec.step)
+        found = await self._directory.find(spec.trainer, spec.step)
         if isinstance(found, Err):
             return Err(refuse_store())
         if found.ok_value.body_digest != spec.body_digest:
@@ -111,27 +100,6 @@
             self._start(found.ok_value)
         return found
 
-    async def find(
-        self,
-        trainer: str,
-        step: int,
-    ) -> Result[StepSpec, Refusal]:
-        """Read a step, which never changes once it was created."""
-        key = name_step(trainer, step)
-        known = self._specs.get(key)
-        if known is not None:
-            return Ok(known)
-        answer = await self._table.read(key)
-        if isinstance(answer, Err):
-            return Err(refuse_store(answer.err_value))
-        if answer.ok_value is None:
-            return Err(refuse_unknown(trainer, step))
-        spec = decode(answer.ok_value, StepSpec)
-        self._specs[key] = spec
-        if len(self._specs) > REMEMBERED_STEPS:
-            self._specs.popitem(last=False)
-        return Ok(spec)
-
     async def read(
         self,
         trainer: str,
@@ -142,7 +110,7 @@
 
         :param cursor: position of the first batch wanted.
         """
-        found = await self.find(trainer, step)
+        found = await self._directory.find(trainer, step)
         if isinstance(found, Err):
             return found
         return await self._delivery.read(found.ok_value, cursor)
@@ -154,7 +122,7 @@
         cursor: int,
     ) -> Result[DeliveryRecord, Refusal]:
         """Note that the trainer keeps the batches before a cursor."""
-        found = await self.find(trainer, step)
+        found = await self._directory.find(trainer, step)
         if isinstance(found, Err):
             return found
         return await self._delivery.acknowledge(found.ok_value, cursor)
@@ -165,7 +133,7 @@
         step: int,
     ) -> Result[DeliveryRecord, Refusal]:
         """Give a step up; its runner ends it within seconds."""
-        found = await self.find(trainer, step)
+        found = await self._directory.find(trainer, step)
         if isinstance(found, Err):
             return found
         return await self._delivery.cancel(found.ok_value)
@@ -176,7 +144,7 @@
         step: int,
     ) -> Result[StepProgress, Refusal]:
         """Tell how far a step is, whichever daemon runs it."""
-        found = await self.find(trainer, step)
+        found = await self._directory.find(trainer, step)
         if isinstance(found, Err):
             return found
         spec = found.ok_value
@@ -209,22 +177,6 @@
         self._stopping = True
         await cancel_all(tuple(self._running.values()))
 
-    async def _write_step(self, spec: StepSpec) -> Result[Commit, StoreFault]:
-        trainer, step = spec.trainer, spec.step
-        key = name_step(trainer, step)
-        return await self._table.transact(
-            Transaction(
-                (Condition(key, ABSENT),),
-                (
-                    Write(key, encode(spec)),
-                    Write(
-                        name_delivery(trainer, step), encode(DeliveryRecord())
-                    ),
-                    Write(name_open(trainer, step), encode(RunReport())),
-                ),
-            )
-        )
-
     async def _scan(self) -> None:
         answer = await self._table.scan(OPEN_PREFIX)
         if isinstance(answer, Err):
@@ -233,7 +185,7 @@
             trainer, step = parse_open(row.key)
             if name_step(trainer, step) in self._running:
                 continue
-            found = await self.find(trainer, step)
+            found = await self._directory.find(trainer, step)
             if isinstance(found, Ok):
                 self._start(found.ok_value)
 
@@ -279,23 +231,21 @@
         budget = self._parts.dispatch.budget
         budget.steps += 1
         try:
-            prompts = await self._load_prompts(spec, held)
+            prompts = await self._wait_for_prompts(spec, held)
             await StepRunner(self._parts, spec, prompts, held).run()
         finally:
             budget.steps -= 1
             await held.release()
 
-    async def _load_prompts(
+    async def _wait_for_prompts(
         self,
         spec: StepSpec,
         lease: StepLease,
     ) -> tuple[str, ...]:
         while True:
-            answer = await self._objects.get(spec.prompts_name)
-            if isinstance(answer, Ok) and answer.ok_value is not None:
-                return msgspec.json.decode(
-                    answer.ok_value, type=tuple[str, ...]
-                )
+            prompts = await self._directory.get_prompts(spec)
+            if prompts is not None:
+                return prompts
             await self._clock.sleep(SCAN_INTERVAL)
             await lease.renew()
 
--- a/quetzalcourse/protocol/platform.py
+++ b/quetzalcourse/protocol/platform.py
@@ -126,11 +126,14 @@
     :param ignore_tokens: take orders and reports with an old token.
     :param unavailable: kinds of upstreams that can't be had.
     :param reclaimed: data centres whose cheap upstreams are being taken.
+    :param weight_requests: requests a second that the weight store takes;
+        0 for any number.
     """
 
     down: bool = False
     slow_seconds: float = 0.0
     lose_answers: int = 0
+    weight_requests: int = 0
     ignore_tokens: bool = False
     unavailable: tuple[str, ...] = ()
     reclaimed: tuple[str, ...] = ()
--- a/quetzalcourse/standins/platform.py
+++ b/quetzalcourse/standins/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from bisect import bisect_right
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -111,6 +112,7 @@
         self.orders = OrderBook()
         self.vms: list[VmEntry] = []
         self.weights: dict[str, int] = {}
+        self._weight_asked: deque[float] = deque(maxlen=10_000)
         listener = open_listener(address)
         self.address = read_address(listener)
         app = build_app(f'platform-{self.address}', BODY_BYTES)
@@ -211,6 +213,13 @@
         return encode_answer(self.vms)
 
     async def _tell_weights(self, _: Request, model: str) -> HTTPResponse:
+        now = asyncio.get_running_loop().time()
+        while self._weight_asked and self._weight_asked[0] <= now - 1:
+            self._weight_asked.popleft()
+        limit = self.faults.weight_requests
+        if limit and len(self._weight_asked) >= limit:
+            return answers.empty(status=429)
+        self._weight_asked.append(now)
         return encode_answer(self.weights.get(model, 0))
 
     async def _score(self, request: Request) -> HTTPResponse:
