--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -80,6 +80,7 @@
         self.peering = Peering(
             settings, self.incarnation, self.clock, self.counters
         )
+        self.lifecycle.on_stop(self.peering.stop)
         self.members = self.peering.members
         self.peers = self.peering.link
 
@@ -107,7 +108,9 @@
         self.lifecycle.run('steps', self.steps.follow_open_steps)
         self.charge.start(self.lifecycle)
         self.weights.start(self.lifecycle)
-        log.info('Daemon started.', address=self.address)
+        log.info(
+            'Daemon started.', address=self.address, peers=self.peers.address
+        )
 
     async def on_drain(self) -> None:
         """Hand over what this daemon owns and finish what is being served.
--- a/quetzalcourse/peering.py
+++ b/quetzalcourse/peering.py
@@ -121,7 +121,6 @@
     async def start(self, lifecycle: Lifecycle) -> None:
         """Begin to talk to the other daemons and to follow the store."""
         self.link.start(self.members.own)
-        lifecycle.on_stop(self._stop)
         lifecycle.run('membership', self.members.run)
         lifecycle.run('seeds', self._follow_seeds)
         await self.follower.poll()
@@ -129,6 +128,11 @@
         lifecycle.run('links', self._clean_links)
         lifecycle.run('cuts', self.cuts.run)
 
+    async def stop(self) -> None:
+        """Tell the other daemons that this one ends, and close the link."""
+        self.members.announce_gone()
+        self.link.stop()
+
     def describe(self) -> dict[str, Any]:
         """Tell the state of all this for ``/status``."""
         age = self.news.tell_age()
@@ -197,7 +201,3 @@
         while True:
             await self._clock.sleep(LINK_CLEANING)
             self.link.close_unused()
-
-    async def _stop(self) -> None:
-        self.members.announce_gone()
-        self.link.stop()
--- a/quetzalcourse/standins/processes.py
+++ b/quetzalcourse/standins/processes.py
@@ -11,6 +11,7 @@
 import tomli_w
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 START_SECONDS = 30.0
@@ -27,6 +28,8 @@
     def __init__(self, folder: Path, settings: dict[str, Any]) -> None:
         """Keep the settings."""
         self.address = ''
+        self.peers = ''
+        self.line_listeners: list[Callable[[str], None]] = []
         self.lines: list[str] = []
         self._path = folder / f'{settings["vm"]}.toml'
         self._settings = settings
@@ -88,6 +91,10 @@
         async for line in stream:
             text = line.decode().rstrip()
             self.lines.append(text)
+            for listener in self.line_listeners:
+                listener(text)
             if STARTED in text:
-                self.address = json.loads(text)['address']
+                started = json.loads(text)
+                self.address = started['address']
+                self.peers = started['peers']
                 self._started.set()
--- /dev/null
+++ b/quetzalcourse/tests/stop_tests.py
@@ -0,0 +1,173 @@
+"""Graceful stops: signals during the start, hooks, and rolling restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from quetzalcourse.application import Application
+from quetzalcourse.daemon import run_application
+from quetzalcourse.lifecycle import Lifecycle
+from quetzalcourse.settings.process import PlatformSettings
+from quetzalcourse.standins.deployment import (
+    MODEL,
+    READER_KEY,
+    Deployment,
+    build_settings,
+)
+from quetzalcourse.standins.platform import PlatformStandin
+from quetzalcourse.standins.processes import DaemonProcess
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.transport.clock import SystemClock
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+HEADERS = {'Authorization': f'Bearer {READER_KEY}'}
+STREAM = {
+    'model': MODEL,
+    'prompt': 'a short answer',
+    'max_tokens': 60,
+    'stream': True,
+}
+SECRET = 'a shared secret of the test'
+
+
+async def test_signal_during_the_start_ends_it() -> None:
+    # A VM is taken away while its daemon still waits for a slow platform.
+    # It has served nobody, so it ends at once and with success.
+    platform = PlatformStandin()
+    platform.faults.slow_seconds = 60.0
+    await platform.start()
+    signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
+    patient = PlatformSettings(address=platform.address, timeout_seconds=60)
+    settings = build_settings(platform.address)
+    application = Application(settings.model_copy(update={'platform': patient}))
+    running = asyncio.ensure_future(run_application(application, signals))
+    await settle()
+    signals.put_nowait(signal.SIGTERM)
+    async with asyncio.timeout(30):
+        assert await running == 0
+    await platform.stop()
+
+
+async def test_hooks_run_in_order_and_survive_faults() -> None:
+    # One part fails to hand over. The others still must, and everything is
+    # closed in the reverse order of its opening.
+    calls: list[str] = []
+    counters = Counters()
+    lifecycle = Lifecycle(FakeClock(), counters)
+
+    async def fail() -> None:
+        raise ValueError('no answer')
+
+    def note(name: str):  # type: ignore[no-untyped-def]
+        async def hook() -> None:
+            calls.append(name)
+
+        return hook
+
+    lifecycle.on_start(note('start'))
+    lifecycle.on_drain(fail)
+    lifecycle.on_drain(note('drain'))
+    lifecycle.on_stop(note('opened first'))
+    lifecycle.on_stop(fail)
+    lifecycle.on_stop(note('opened last'))
+    await lifecycle.start()
+    await lifecycle.drain()
+    await lifecycle.stop()
+    assert calls == ['start', 'drain', 'opened last', 'opened first']
+    assert counters.read('part_faults', part='drain') == 1
+    assert counters.read('part_faults', part='stop') == 1
+
+
+async def test_failed_part_is_started_again() -> None:
+    # A background task meets a fault. Left alone it would be missing
+    # without a word, and the daemon would go on with old news.
+    clock = SystemClock()
+    counters = Counters()
+    lifecycle = Lifecycle(clock, counters)
+    runs = asyncio.Event()
+    started: list[int] = []
+
+    async def body() -> None:
+        started.append(1)
+        if len(started) == 1:
+            raise ValueError('no answer')
+        runs.set()
+        await asyncio.Event().wait()
+
+    lifecycle.run('follower', body)
+    await runs.wait()
+    assert counters.read('part_faults', part='follower') == 1
+    await lifecycle.stop()
+
+
+async def test_rolling_restart_cuts_nothing(tmp_path: Path) -> None:
+    # Operators replace every daemon, one after another, while callers read
+    # streams. Callers must see whole answers only, and every exit be clean.
+    deployment = Deployment(engine_count=1, token_seconds=0.005)
+    await deployment.on_start()
+    daemons = [
+        build_daemon(tmp_path, deployment, number) for number in range(6)
+    ]
+    await asyncio.gather(*(daemon.on_start() for daemon in daemons))
+    ready = [daemon.address for daemon in daemons]
+    answers: list[asyncio.Future[bytes]] = []
+    async with aiohttp.ClientSession(headers=HEADERS) as session:
+        for stopped in daemons[:3]:
+            answers.extend(
+                asyncio.ensure_future(read_stream(session, address))
+                for address in ready * 2
+            )
+            await asyncio.sleep(0.05)
+            stopped.send_signal(signal.SIGTERM)
+            ready.remove(stopped.address)
+            assert await stopped.wait() == 0
+        contents = await asyncio.gather(*answers)
+    assert all(content.endswith(b'[DONE]\n\n') for content in contents)
+    assert len({strip_ids(content) for content in contents}) == 1
+    for daemon in daemons:
+        await daemon.on_stop()
+    await deployment.on_stop()
+
+
+def build_daemon(
+    folder: Path,
+    deployment: Deployment,
+    number: int,
+) -> DaemonProcess:
+    """Prepare a daemon process that knows the deployment's platform."""
+    return DaemonProcess(
+        folder,
+        {
+            'vm': f'vm-{number}',
+            'data_centre': 'lac-hall',
+            'listen': {'callers': '127.0.0.1:0', 'peers': '127.0.0.1:0'},
+            'platform': {'address': deployment.platform.address},
+            'peering': {
+                'secrets': [SECRET],
+                'seeds': [deployment.daemon.peers.address],
+            },
+            'drain': {'balancer_seconds': 0.5, 'deadline_seconds': 60.0},
+        },
+    )
+
+
+async def read_stream(session: aiohttp.ClientSession, address: str) -> bytes:
+    """Read one whole stream."""
+    url = f'http://{address}/v1/completions'
+    async with session.post(url, json=STREAM) as answer:
+        return await answer.read()
+
+
+def strip_ids(content: bytes) -> bytes:
+    """Keep the text of a stream only, which is the same for all."""
+    return b''.join(
+        line.partition(b'"text":')[2].partition(b',')[0]
+        for line in content.split(b'\n')
+    )
