Let one strange or restarted engine not mislead the others

Cause: a load report that was no JSON ended the round in which all engines are asked, so a notice of another engine was not heard. An engine that came back within three missed reports was still believed to hold its old cache, and its new changes were ignored, as it counts them from one again.

The test with a gateway's answer fails without the change of the client and passes with it; the table of silent engines has a row for a restart.

--- a/quetzalcourse/coordination/observer.py
+++ b/quetzalcourse/coordination/observer.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Err, Ok
 
+from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
 
 if TYPE_CHECKING:
@@ -100,8 +101,8 @@
     async def _observe(self, upstream: Upstream) -> None:
         name = upstream.name
         answer = await self._control.observe(upstream)
-        if not isinstance(answer, Ok):
-            self._on_missed(name)
+        if isinstance(answer, Err):
+            self._on_missed(name, answer.err_value)
             return
         report = answer.ok_value
         self._missed[name] = 0
@@ -112,12 +113,15 @@
         if isinstance(changes, Ok):
             self._prefixes.on_changes(name, changes.ok_value)
 
-    def _on_missed(self, name: str) -> None:
+    def _on_missed(self, name: str, problem: OrderProblem) -> None:
         self._counters.add('reports_missed', upstream=name)
         missed = self._missed.get(name, 0) + 1
         self._missed[name] = missed
         if missed >= MAX_MISSED:
             self._reports.on_lost(name)
+        # Nobody listens there, so whoever listens next begins with an empty
+        # cache and counts its changes from one again.
+        if missed >= MAX_MISSED or problem is OrderProblem.not_sent:
             self._prefixes.on_restart(name)
 
     def _check(self) -> None:
--- a/quetzalcourse/standins/engine.py
+++ b/quetzalcourse/standins/engine.py
@@ -50,6 +50,7 @@
     :param lose_cache_events: lose so many of the next cache events.
     :param leaving: give notice in the load report.
     :param gateway_status: answer as a gateway in front of the engine does.
+    :param strange_report: answer something else than a load report.
     :param padding: make every token longer by so many characters.
     """
 
@@ -63,6 +64,7 @@
     lose_cache_events: int = 0
     leaving: bool = False
     gateway_status: int = 0
+    strange_report: bool = False
     padding: int = 0
 
 
@@ -266,6 +268,8 @@
         return answers.empty()
 
     async def _report(self, _: Request) -> HTTPResponse:
+        if self.faults.strange_report:
+            return answers.text('welcome')
         now = asyncio.get_running_loop().time()
         self._reports.append((now, self.report_load()))
         asked = now - self.faults.report_lag_seconds
--- a/quetzalcourse/tests/coordination/upstream_view_tests.py
+++ b/quetzalcourse/tests/coordination/upstream_view_tests.py
@@ -77,6 +77,7 @@
         self.changes: dict[str, list[CacheChange]] = {}
         self.departures: list[Departure] = []
         self.slow = ''
+        self.problem = OrderProblem.unanswered
         self.router = Router('hall', self.leaving, self.reports, self.prefixes)
         self.observer = Observer(
             'hall',
@@ -105,7 +106,7 @@
             await self.clock.sleep(timedelta(seconds=REPORT_SECONDS))
             return Err(OrderProblem.unanswered)
         report = self.answers.get(upstream.name)
-        return Ok(report) if report else Err(OrderProblem.unanswered)
+        return Ok(report) if report else Err(self.problem)
 
     async def order(
         self,
@@ -207,16 +208,31 @@
         assert view.rank()[0] != 'b'
 
 
-async def test_silent_engine_is_not_believed() -> None:
-    # An engine that answers no more may have been replaced by an empty one.
+@pytest.mark.parametrize(
+    ('problem', 'rounds', 'believed', 'warm'),
+    [
+        (OrderProblem.unanswered, 2, True, True),
+        (OrderProblem.unanswered, 3, False, False),
+        (OrderProblem.not_sent, 1, True, False),
+    ],
+)
+async def test_silent_engine_is_not_believed(
+    problem: OrderProblem,
+    rounds: int,
+    believed: bool,
+    warm: bool,
+) -> None:
+    # An engine that answers no more may have been replaced by an empty one,
+    # and one that nobody listens for has lost its cache.
     view = View()
     await view.observer.observe_all(far=True)
     view.router.on_sent('a', make_request())
     del view.answers['a']
-    for _ in range(3):
+    view.problem = problem
+    for _ in range(rounds):
         await view.observer.observe_all(far=True)
-    assert view.reports.find('a') is None
-    assert not view.prefixes.holds('a', hash_prefix('prompt'))
+    assert (view.reports.find('a') is not None) is believed
+    assert view.prefixes.holds('a', hash_prefix('prompt')) is warm
 
 
 async def test_leaving_engine_gets_no_work() -> None:
--- a/quetzalcourse/tests/transport/engine_failure_tests.py
+++ b/quetzalcourse/tests/transport/engine_failure_tests.py
@@ -49,6 +49,19 @@
     await deployment.on_stop()
 
 
+async def test_strange_report_stops_no_other() -> None:
+    # A gateway answers in an engine's place. If that ended the round, no
+    # daemon would hear that another engine is about to leave.
+    deployment = Deployment()
+    await deployment.on_start()
+    deployment.engines[0].faults.strange_report = True
+    deployment.engines[1].faults.leaving = True
+    upstreams = deployment.daemon.upstreams
+    await upstreams.observer.observe_all(far=True)
+    assert upstreams.leaving.list_leaving() == ['engine-1']
+    await deployment.on_stop()
+
+
 async def break_engine(
     engine: EngineStandin,
     fault: str,
--- a/quetzalcourse/transport/engine_control.py
+++ b/quetzalcourse/transport/engine_control.py
@@ -102,4 +102,9 @@
             return Err(OrderProblem.stale_token)
         if answer.status != HTTP_OK:
             return Err(OrderProblem.refused)
-        return Ok(msgspec.json.decode(content, type=kind))
+        # One engine behind a gateway that answers in its place would else
+        # end the round in which all others are asked.
+        try:
+            return Ok(msgspec.json.decode(content, type=kind))
+        except msgspec.DecodeError:
+            return Err(OrderProblem.unanswered)
