Measure what a token costs a daemon

Cause: at the size to design for a daemon passes 12,000 tokens a second, and nobody knew what one costs.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/lint-imports
 
 tests: $(STAMP)
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 8 --dist worksteal
 
 bench: $(STAMP)
 	$(BIN)/python -m bench $(if $(ONLY),--only $(ONLY))
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import tracemalloc
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +13,9 @@
     from collections.abc import Callable, Sequence
 
 KILOBYTE = 1024
+TICKS = os.sysconf('SC_CLK_TCK')
+USER_FIELD = 11
+SYSTEM_FIELD = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +75,13 @@
     return _read_status(pid, 'VmRSS:')
 
 
+def read_processor_time(pid: int) -> float:
+    """Read the processor time of a process so far, in seconds."""
+    stat = Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[USER_FIELD]) + int(fields[SYSTEM_FIELD])) / TICKS
+
+
 def _read_status(pid: int, name: str) -> int:
     lines = Path(f'/proc/{pid}/status').read_text().splitlines()
     line = next(line for line in lines if line.startswith(name))
