Repeat a human's lost request for a slot after 200 ms

Cause: a report to an owner, or its answer, that was lost was repeated by the next renewal only, so a human waited up to two seconds beside free slots. The test of it fails without the change.

Change: while a human waits, reports without an answer are repeated.

Tried and taken back: asking a further owner every 50 ms.

--- a/quetzalcourse/coordination/demand.py
+++ b/quetzalcourse/coordination/demand.py
@@ -21,7 +21,7 @@
 ACTIVE_DETOUR = 0.25
 IDLE_DETOUR = 0.5
 PATIENCE = {
-    TrafficClass.human: timedelta(milliseconds=50),
+    TrafficClass.human: timedelta(milliseconds=200),
     TrafficClass.training: timedelta(seconds=1),
 }
 
--- a/quetzalcourse/coordination/owner_grants.py
+++ b/quetzalcourse/coordination/owner_grants.py
@@ -6,7 +6,11 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.demand import choose_upstream, is_due
+from quetzalcourse.coordination.demand import (
+    PATIENCE,
+    choose_upstream,
+    is_due,
+)
 from quetzalcourse.coordination.owned_slots import (
     Answers,
     OwnedSlots,
@@ -61,9 +65,11 @@
         self._upstreams: dict[str, Upstream] = {}
         self._usages: dict[str, SlotUsage] = {}
         self._waiters: dict[int, SlotWaiter] = {}
+        self._humans: dict[int, SlotWaiter] = {}
         self._due: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._batching = False
+        self._hurrying = False
         self._stopped = False
         self._on_free: Callable[[str], None] = _ignore
         self._on_revoked: Callable[[str, int], None] = _ignore
@@ -132,10 +138,16 @@
         """Ask an owner for a request for which there was no room."""
         self._waiters[waiter.order] = waiter
         self._ask(waiter)
+        if waiter.key.traffic_class is TrafficClass.human:
+            self._humans[waiter.order] = waiter
+            if not (self._hurrying or self._stopped):
+                self._hurrying = True
+                self._spawn(self._hurry())
 
     def on_unqueued(self, waiter: SlotWaiter) -> None:
         """Ask no more for a request that waits no more."""
         self._waiters.pop(waiter.order, None)
+        self._humans.pop(waiter.order, None)
         for name in waiter.asked:
             usage = self._find_usage(name)
             times = usage.waiting[waiter.key]
@@ -183,6 +195,23 @@
         self._due.clear()
         self._report(due)
 
+    async def _hurry(self) -> None:
+        while self._humans:
+            await self._clock.sleep(PATIENCE[TrafficClass.human])
+            self._repeat_unanswered(self._clock.elapsed())
+        self._hurrying = False
+
+    def _repeat_unanswered(self, now: timedelta) -> None:
+        # A report or its answer was lost. The next renewal would repeat it,
+        # but until then a human waits beside slots that are free.
+        names = {
+            name for waiter in self._humans.values() for name in waiter.asked
+        }
+        usages = [self._find_usage(name) for name in sorted(names)]
+        self._report(
+            [usage.upstream for usage in usages if usage.is_unanswered(now)]
+        )
+
     async def _renew(self) -> None:
         while True:
             await self._clock.sleep(self._terms.renewal / TICKS_PER_RENEWAL)
--- a/quetzalcourse/coordination/slot_holder.py
+++ b/quetzalcourse/coordination/slot_holder.py
@@ -154,6 +154,8 @@
             return True
         if self.report.applied < current.number:
             return True
+        if self.count_waiting(TrafficClass.human):
+            return True
         return now - self.answered >= renewal * RENEWAL_PART
 
     def allow(
--- a/quetzalcourse/coordination/slot_usage.py
+++ b/quetzalcourse/coordination/slot_usage.py
@@ -16,6 +16,7 @@
 NEVER = timedelta(seconds=-1)
 KEPT_SEQUENCES = 64
 STARTS_PER_SPARE = 10
+ANSWER_PART = 10
 
 
 @dataclass(slots=True)
@@ -137,6 +138,13 @@
         self.expires = sent + self.terms.term
         return now < self.expires
 
+    def is_unanswered(self, now: timedelta) -> bool:
+        """Tell whether the last report or its answer seems to be lost."""
+        answered = 0 if self.allowance is None else self.allowance.answers
+        if answered >= self._sequence:
+            return False
+        return now - self.reported >= self.terms.renewal / ANSWER_PART
+
     def is_idle(self, now: timedelta) -> bool:
         """Tell whether the owner needs to hear nothing more."""
         if self.running or self.waiting or self.tokens:
--- a/quetzalcourse/tests/coordination/slot_sharing_tests.py
+++ b/quetzalcourse/tests/coordination/slot_sharing_tests.py
@@ -88,6 +88,23 @@
     await deployment.stop()
 
 
+async def test_lost_request_for_a_slot_is_repeated_soon() -> None:
+    # The message that asks for a human's slot is lost. Slots are free, but
+    # the human would wait for the next renewal, seconds later.
+    deployment = Deployment(2, MANIFEST)
+    await deployment.pass_time(RECOVERY)
+    owner = find_owning(deployment)
+    other = next(one for one in deployment.holders if one is not owner)
+    deployment.network.cut(other.member, owner.member)
+    other.ask(HUMAN)
+    await deployment.pass_time(0.1)
+    assert not other.grants
+    deployment.network.heal()
+    await deployment.pass_time(TERMS.renewal.total_seconds() / 4)
+    assert len(other.grants) == 1
+    await deployment.stop()
+
+
 async def test_humans_take_slots_back_from_training() -> None:
     # Training fills all but the headroom. More humans than that come at
     # once; they would wait for the end of long training streams.
@@ -178,7 +195,9 @@
     names = sorted(grant.upstream.name for grant in near.grants)
     assert names == ['cheap', 'cheap', 'engine', 'engine', 'engine', 'engine']
     assert len(tasks) == len(near.grants)
+    # Cut off, it may use what was allowed before for one term and no more.
     near.follow(manifest, [near.member])
+    await deployment.pass_time(TERMS.term.total_seconds())
     near.ask(HUMAN, ('far',))
     await deployment.pass_time(2)
     assert near.admission.waiting() == 1
