Prove that a step outlives the process that runs it

Takeovers were proved on virtual time only. The client has a timeout for one address, as a stopped process accepts connections and never answers.

--- a/quetzalcourse/client.py
+++ b/quetzalcourse/client.py
@@ -74,6 +74,7 @@
     :param key: the client account's key.
     :param poll: pause between readings that brought nothing.
     :param patience: how long a call is tried before it fails.
+    :param call_timeout: how long one address may take to answer.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         key: str,
         poll: timedelta = POLL,
         patience: timedelta = PATIENCE,
+        call_timeout: timedelta = CALL_TIMEOUT,
     ) -> None:
         """Keep the addresses; nothing is connected yet."""
         if not addresses:
@@ -91,10 +93,11 @@
         self._headers = {'Authorization': f'Bearer {key}'}
         self._poll = poll
         self._patience = patience
+        self._call_timeout = call_timeout.total_seconds()
 
     async def __aenter__(self) -> TrainerClient:
         """Open the connections."""
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT.total_seconds())
+        timeout = aiohttp.ClientTimeout(total=self._call_timeout)
         self._session = aiohttp.ClientSession(
             headers=self._headers, timeout=timeout
         )
--- /dev/null
+++ b/quetzalcourse/tests/step_process_tests.py
@@ -0,0 +1,83 @@
+"""A step outlives the process that runs it."""
+
+from __future__ import annotations
+
+import signal
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from quetzalcourse.client import TrainerClient
+from quetzalcourse.protocol.callers import StepBody
+from quetzalcourse.standins.deployment import (
+    TRAINER,
+    TRAINER_KEY,
+    Deployment,
+)
+from quetzalcourse.standins.processes import DaemonProcess
+from quetzalcourse.standins.tokens import make_token, plan_length
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+BODY = StepBody(
+    trainer=TRAINER,
+    step=3,
+    prompts=[f'line {group}' for group in range(12)],
+    samples_per_group=8,
+    weight_version=1,
+)
+TOTAL = 96
+
+
+def build_document(platform: str) -> dict[str, Any]:
+    return {
+        'vm': 'vm-9',
+        'data_centre': 'lac-hall',
+        'listen': {'callers': '127.0.0.1:0', 'peers': '127.0.0.1:0'},
+        'platform': {'address': platform},
+    }
+
+
+def expect_text(group: int, index: int) -> str:
+    prompt = BODY.prompts[group]
+    length = plan_length(prompt, index, BODY.max_tokens)
+    return ''.join(make_token(prompt, index, at) for at in range(length))
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+async def test_step_outlives_its_process(
+    tmp_path: Path,
+    number: signal.Signals,
+) -> None:
+    # The process that runs a step is killed, or stands still for longer
+    # than its lease, while the trainer reads. A trainer would miss what it
+    # had begun, or get it from both.
+    deployment = Deployment(token_seconds=0.02)
+    await deployment.on_start()
+    process = DaemonProcess(
+        tmp_path, build_document(deployment.platform.address)
+    )
+    await process.on_start()
+    client = TrainerClient(
+        [f'http://{process.address}', deployment.url],
+        TRAINER_KEY,
+        poll=timedelta(milliseconds=100),
+        call_timeout=timedelta(seconds=1),
+    )
+    places: list[tuple[int, int]] = []
+    try:
+        async with client as trainer:
+            await trainer.create(BODY)
+            async for sample in trainer.samples(TRAINER, BODY.step):
+                if not places:
+                    process.send_signal(number)
+                if len(places) == TOTAL - 1 and number is signal.SIGSTOP:
+                    process.send_signal(signal.SIGCONT)
+                places.append((sample.group, sample.index))
+                assert sample.text == expect_text(*places[-1])
+    finally:
+        await process.on_stop()
+        await deployment.on_stop()
+    assert len(places) == len(set(places)) == TOTAL
