Let the test of orders see a sender that ignores its check

Cause: the pauses between check and hand-over were shorter than a term, so no order was ever late enough to meet the next holder's.

Change: one sending in five is held up for 8 to 30 seconds before its check.

--- a/quetzalcourse/tests/coordination/fleet_tests.py
+++ b/quetzalcourse/tests/coordination/fleet_tests.py
@@ -182,7 +182,9 @@
         may_send: Callable[[], bool],
     ) -> Result[None, OrderProblem]:
         """Take an order if its sender still may send it."""
-        await asyncio.sleep(draw_pause(self.source, 3))
+        # The sender may be stopped while the connection is opened.
+        stopped = self.source.random() < 0.2
+        await asyncio.sleep(self.source.uniform(8, 30) if stopped else 0.05)
         if not may_send():
             return Err(OrderProblem.not_sent)
         self.tokens.append(order.token)
