--- a/quetzalcourse/tests/usage_world.py
+++ b/quetzalcourse/tests/usage_world.py
@@ -116,7 +116,9 @@
         )
         counters = Counters()
         self.members = FakeMembers(self.member, [self.member])
-        self.counter = UsageCounter(clock, self.member.incarnation, LENGTH)
+        self.counter = UsageCounter(
+            clock, self.member.incarnation, world.length
+        )
         self.copies = UsageCopies(
             self.counter,
             UsageRows(table),
@@ -136,7 +138,7 @@
             lease,
             clock,
             counters,
-            LENGTH,
+            world.length,
             GRACE,
         )
         self.tasks = [
@@ -162,9 +164,11 @@
         self,
         source: random.Random,
         longest_pause: float = 3.0,
+        length: timedelta = LENGTH,
     ) -> None:
         self.source = source
         self.longest_pause = longest_pause
+        self.length = length
         self.store = FakeStore()
         self.network = FakeNetwork()
         self.billing = Billing(source)
