--- a/quetzalcourse/coordination/fleet.py
+++ b/quetzalcourse/coordination/fleet.py
@@ -26,7 +26,9 @@
     Human callers' work goes on kinds that stay; training fills what these
     have to spare and then the kinds with the least price for a token.
     Upstreams are added at once and given back late: only once demand has
-    fallen by the slack, after the cool-down, and a few at a time.
+    fallen by the slack, the cool-down after the last growth, and a few at a
+    time. Giving back doesn't start the cool-down anew: a burst's upstreams
+    would be paid for long after its end.
     """
     wanted = _find_wanted(plan, demand, view, 1)
     kept = _find_wanted(plan, demand, view, 1 + plan.slack)
@@ -70,7 +72,8 @@
     }
     lasting = [kind for kind in _rank(plan) if not kind.cheap]
     human = demand.human_tokens * need
-    rest = _fill(plan, view, counts, lasting, human, plan.smallest)
+    _fill(plan, view, counts, lasting, human, plan.smallest)
+    rest = human - _measure_capacity(plan, view, counts, lasting)
     training = demand.training_tokens * need + min(rest, 0)
     _fill(plan, view, counts, _rank(plan), training, 0)
     return counts
@@ -83,14 +86,13 @@
     kinds: list[FleetKind],
     tokens: float,
     smallest: int,
-) -> float:
+) -> None:
     """Add upstreams until they generate enough.
 
     They are spread over the data centres, so that losing one loses little.
 
     :param tokens: tokens a second that are still to be covered.
     :param smallest: fewest upstreams to add.
-    :returns: what is not covered, below zero for what is to spare.
     """
     left = tokens
     missing = smallest
@@ -103,7 +105,24 @@
             counts[place] += 1
             left -= kind.tokens_per_second
             missing -= 1
-    return left
+
+
+def _is_fresh(plan: FleetPlan, view: FleetView, place: FleetPlace) -> bool:
+    return view.since_growth.get(place, plan.cool_down) < plan.cool_down
+
+
+def _measure_capacity(
+    plan: FleetPlan,
+    view: FleetView,
+    counts: Counts,
+    kinds: list[FleetKind],
+) -> float:
+    names = {kind.name for kind in kinds}
+    return sum(
+        plan.kinds[place.kind].tokens_per_second * count
+        for place, count in counts.items()
+        if place.kind in names and place not in view.unavailable
+    )
 
 
 def _find_emptiest(
@@ -136,7 +155,7 @@
     if wanted >= current:
         return min(wanted, current + plan.largest_change)
     fallen = min(current, max(wanted, kept))
-    if view.unchanged.get(place, plan.cool_down) < plan.cool_down:
+    if _is_fresh(plan, view, place):
         return current
     return max(fallen, current - plan.largest_change)
 
@@ -161,10 +180,7 @@
                     break
                 fitted[place] -= 1
                 over_budget = True
-    capacity = plan.utilisation * sum(
-        plan.kinds[place.kind].tokens_per_second * count
-        for place, count in fitted.items()
-        if place not in view.unavailable
-    )
-    unmet = demand.human_tokens + demand.training_tokens - capacity
+    capacity = _measure_capacity(plan, view, fitted, _rank(plan))
+    wanted = demand.human_tokens + demand.training_tokens
+    unmet = wanted - plan.utilisation * capacity
     return FleetDecision(fitted, max(0, unmet), over_budget)
--- a/quetzalcourse/coordination/fleet_keeper.py
+++ b/quetzalcourse/coordination/fleet_keeper.py
@@ -53,7 +53,7 @@
         self._counters = counters
         self._plan = FleetPlan()
         self._known: dict[FleetPlace, int] = {}
-        self._changed_at: dict[FleetPlace, timedelta] = {}
+        self._grown_at: dict[FleetPlace, timedelta] = {}
         self._began: timedelta | None = None
 
     def on_manifest(self, manifest: Manifest) -> None:
@@ -75,7 +75,7 @@
         if isinstance(listed, Err):
             return
         counts = {one.place: one.count for one in listed.ok_value}
-        self._note_changes(counts)
+        self._note_growth(counts)
         spent = await self._spending.update(
             measure_rate(self._plan, counts), self._plan.budget_period
         )
@@ -93,12 +93,12 @@
             self._began = now
         return now - self._began >= 2 * INTERVAL
 
-    def _note_changes(self, counts: dict[FleetPlace, int]) -> None:
+    def _note_growth(self, counts: dict[FleetPlace, int]) -> None:
         now = self._clock.elapsed()
         for place, count in counts.items():
-            if self._known.get(place) != count:
-                self._known[place] = count
-                self._changed_at[place] = now
+            if count > self._known.get(place, 0):
+                self._grown_at[place] = now
+            self._known[place] = count
 
     def _build_view(
         self,
@@ -114,8 +114,8 @@
         return FleetView(
             counts=counts,
             unavailable=self._orders.list_refused() | reclaimed,
-            unchanged={
-                place: now - since for place, since in self._changed_at.items()
+            since_growth={
+                place: now - since for place, since in self._grown_at.items()
             },
             budget_left=budget - spent.spent,
             period_left=period - used,
--- a/quetzalcourse/state/fleet.py
+++ b/quetzalcourse/state/fleet.py
@@ -79,14 +79,14 @@
 
     :param counts: upstreams of each place.
     :param unavailable: places that can't be had now.
-    :param unchanged: time since the last change of each place.
+    :param since_growth: time since each place last grew.
     :param budget_left: money left in the budget's period.
     :param period_left: time left in it.
     """
 
     counts: dict[FleetPlace, int]
     unavailable: frozenset[FleetPlace] = frozenset()
-    unchanged: dict[FleetPlace, timedelta] = field(default_factory=dict)
+    since_growth: dict[FleetPlace, timedelta] = field(default_factory=dict)
     budget_left: float = 0.0
     period_left: timedelta = timedelta(hours=24)
 
--- a/quetzalcourse/tests/coordination/fleet_tests.py
+++ b/quetzalcourse/tests/coordination/fleet_tests.py
@@ -59,7 +59,7 @@
     firm: tuple[int, int],
     spot: tuple[int, int],
     unavailable: frozenset[FleetPlace] = frozenset(),
-    unchanged: timedelta = LONG,
+    since_growth: timedelta = LONG,
     budget_left: float = RICH,
 ) -> FleetView:
     """Make a fleet from the counts in both data centres."""
@@ -67,7 +67,7 @@
     return FleetView(
         dict(zip(places, (*firm, *spot), strict=True)),
         unavailable,
-        dict.fromkeys(places, unchanged),
+        dict.fromkeys(places, since_growth),
         budget_left,
     )
 
@@ -94,7 +94,7 @@
         ((270, 0), make_view((3, 2), (0, 0)), (3, 2, 0, 0)),
         (
             (100, 0),
-            make_view((3, 2), (0, 0), unchanged=timedelta(minutes=1)),
+            make_view((3, 2), (0, 0), since_growth=timedelta(minutes=1)),
             (3, 2, 0, 0),
         ),
         ((100, 0), make_view((3, 2), (0, 0)), (1, 1, 0, 0)),
