--- a/quetzalcourse/peering.py
+++ b/quetzalcourse/peering.py
@@ -11,13 +11,14 @@
 
 from quetzalcourse.coordination.cuts import Cuts, News
 from quetzalcourse.coordination.following import StoreFollower
+from quetzalcourse.coordination.key_spread import KeySpread
 from quetzalcourse.coordination.key_table import KeyTable
+from quetzalcourse.coordination.manifest_spread import ManifestSpread
 from quetzalcourse.coordination.membership import (
     Digest,
     Membership,
     MembershipPlan,
 )
-from quetzalcourse.coordination.spread import KeySpread, ManifestSpread
 from quetzalcourse.state.members import Member
 from quetzalcourse.transport.peer_link import PeerLink
 
--- a/quetzalcourse/tests/coordination/keys_tests.py
+++ b/quetzalcourse/tests/coordination/keys_tests.py
@@ -18,7 +18,7 @@
 from quetzalcourse.coordination.keys import KeyRing, hash_secret
 from quetzalcourse.coordination.manifest import ManifestKeeper
 from quetzalcourse.coordination.membership import Digest
-from quetzalcourse.coordination.spread import KeySpread
+from quetzalcourse.coordination.key_spread import KeySpread
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.keys import KeyRecord, bury
 from quetzalcourse.state.manifest import KeyHash
--- a/quetzalcourse/tests/coordination/manifest_tests.py
+++ b/quetzalcourse/tests/coordination/manifest_tests.py
@@ -28,7 +28,7 @@
     join_sections,
     split_sections,
 )
-from quetzalcourse.coordination.spread import ManifestSpread
+from quetzalcourse.coordination.manifest_spread import ManifestSpread
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import (
     ClientAccount,
