Name for each promise what keeps it and what proves it

Cause: nobody could tell which of the promises are proved. Change: a page with a row for each, a check that the tests it names exist, and a capacity table worked out from the measured figures. Conclusion: the capacity table still lacks the figures of daemons together.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 STAMP := .venv/installed
 
-.PHONY: demo serve test format lint types layers tests bench lock reference
+.PHONY: demo serve test format lint types layers tests bench lock reference capacity
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -42,3 +42,6 @@
 
 reference: $(STAMP)
 	$(BIN)/python -m quetzalcourse.settings.reference docs/reference
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity_page
--- a/quetzalcourse/tests/docs_tests.py
+++ b/quetzalcourse/tests/docs_tests.py
@@ -17,6 +17,7 @@
 LINK = re.compile(r'\]\(([^)#\s]+)(?:#[^)]*)?\)')
 TARGET = re.compile(r'(?:^    |`)make ([a-z]+)', re.MULTILINE)
 COMMAND = re.compile(r'quetzalctl ([a-z]+(?: [a-z]+)?)')
+PROOF = re.compile(r'`([a-z_]+_tests\.py)::(\w+)`')
 BENCH = re.compile(r'make bench ONLY=([a-z_0-9]+)')
 
 
@@ -91,3 +92,18 @@
     model, title = PAGES[name]
     page = DOCS / 'reference' / name
     assert page.read_text() == render_page(model, title)
+
+
+def test_named_proofs_exist() -> None:
+    # A test is renamed or taken away, and the page still calls its promise
+    # proved. Nobody would notice that it no longer is.
+    page = (DOCS / 'developers' / 'promises.md').read_text()
+    tests = {path.name: path for path in Path(__file__).parent.rglob('*.py')}
+    named = PROOF.findall(page)
+    missing = [
+        f'{file}::{name}'
+        for file, name in named
+        if file not in tests or name not in tests[file].read_text()
+    ]
+    assert len(named) > 20
+    assert not missing
