--- a/quetzalcourse/tests/stop_tests.py
+++ b/quetzalcourse/tests/stop_tests.py
@@ -112,10 +112,15 @@
     # streams. Callers must see whole answers only, and every exit be clean.
     deployment = Deployment(engine_count=1, token_seconds=0.005)
     await deployment.on_start()
+    first = build_daemon(tmp_path, deployment, 0, [])
+    await first.on_start()
+    seeds = [first.peers]
     daemons = [
-        build_daemon(tmp_path, deployment, number) for number in range(6)
+        build_daemon(tmp_path, deployment, number, seeds)
+        for number in range(1, 6)
     ]
     await asyncio.gather(*(daemon.on_start() for daemon in daemons))
+    daemons.insert(0, first)
     ready = [daemon.address for daemon in daemons]
     answers: list[asyncio.Future[bytes]] = []
     async with aiohttp.ClientSession(headers=HEADERS) as session:
@@ -140,8 +145,9 @@
     folder: Path,
     deployment: Deployment,
     number: int,
+    seeds: list[str],
 ) -> DaemonProcess:
-    """Prepare a daemon process that knows the deployment's platform."""
+    """Prepare a daemon process that knows the platform and others."""
     return DaemonProcess(
         folder,
         {
@@ -151,7 +157,7 @@
             'platform': {'address': deployment.platform.address},
             'peering': {
                 'secrets': [SECRET],
-                'seeds': [deployment.daemon.peers.address],
+                'seeds': seeds,
             },
             'drain': {'balancer_seconds': 0.5, 'deadline_seconds': 60.0},
         },
