Count a daemon's requests for the reports of engines

Cause: every daemon asks every engine for its report and its cache's changes, which grows with engines times daemons; it was in no figure.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -168,6 +168,15 @@
         f'{TOKENS_PER_S} / {DAEMONS} / `tokens_per_core_s` + '
         f'{REQUESTS_PER_S} / {DAEMONS} × `processor_us_per_request`',
     ),
+    Row(
+        'entry for requests',
+        'requests for the reports of engines',
+        'requests/s',
+        40,
+        lambda figures: figures['engine_requests_per_s'],
+        '`engine_requests_per_s` at 890 engines; the limit is what 12 KB/s '
+        'carry at 300 bytes',
+    ),
     Row(
         'step runner',
         'writes of the store',
--- /dev/null
+++ b/bench/suites/observation.py
@@ -0,0 +1,88 @@
+"""How often a daemon asks the engines of a whole deployment."""
+
+from __future__ import annotations
+
+from result import Ok
+
+from bench.figure import Figure
+from bench.slopes import fit_slope
+from quetzalcourse.coordination.leaving import Leaving
+from quetzalcourse.coordination.observer import FAR_ROUNDS, INTERVAL, Observer
+from quetzalcourse.coordination.prefixes import PrefixHints
+from quetzalcourse.coordination.reports import EngineReports
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.engines import EngineReport
+from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
+from quetzalcourse.transport.clock import SystemClock
+
+FIGURES = ('engine_requests_per_s',)
+SIZES = (8, 127, 890)
+DATA_CENTRES = 7
+
+
+class CountingControl:
+    """Counts the requests to engines and answers as an idle engine does."""
+
+    def __init__(self) -> None:
+        """Begin at none."""
+        self.requests = 0
+
+    async def observe(self, _: Upstream) -> Ok[EngineReport]:
+        """Count a report."""
+        self.requests += 1
+        return Ok(EngineReport(64, 0, 0, 1, ('verse',), ()))
+
+    async def list_changes(self, _: Upstream, after: int) -> Ok[list]:
+        """Count a look at the cache's changes."""
+        self.requests += 1
+        return Ok([])
+
+
+async def measure() -> list[Figure]:
+    """Run whole cycles of rounds at each size."""
+    rates = [await count_requests(size) for size in SIZES]
+    slope = fit_slope(SIZES, rates)
+    points = ', '.join(
+        f'{size} engines {rate:.0f}'
+        for size, rate in zip(SIZES, rates, strict=True)
+    )
+    return [
+        Figure(
+            'engine_requests_per_s',
+            rates[-1],
+            'requests/s a daemon',
+            baseline=rates[0],
+            detail=f'{points}; {slope.each:.2f} for each further engine',
+        )
+    ]
+
+
+async def count_requests(engines: int) -> float:
+    """Count a daemon's requests to engines, a second."""
+    clock = SystemClock()
+    control = CountingControl()
+    observer = Observer(
+        'centre-0',
+        control,  # type: ignore[arg-type]
+        Leaving(clock),
+        EngineReports(),
+        PrefixHints(),
+        clock,
+        Counters(),
+        lambda _: 0,
+    )
+    upstreams = {
+        f'engine-{number}': Upstream(
+            f'engine-{number}',
+            UpstreamKind.engine,
+            f'centre-{number % DATA_CENTRES}',
+            '127.0.0.1:1',
+            64,
+            ('verse',),
+        )
+        for number in range(engines)
+    }
+    observer.on_manifest(Manifest(upstreams=upstreams))
+    for turn in range(FAR_ROUNDS):
+        await observer.observe_all(far=turn == 0)
+    return control.requests / (FAR_ROUNDS * INTERVAL.total_seconds())
