--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -207,10 +207,10 @@
         'requests/s',
         STORE_READS,
         lambda figures: (
-            figures['charge_store_requests_per_s']
-            + figures['charge_store_slope'] * (DAEMONS - 9)
+            figures['lease_store_requests_per_s']
+            + figures['lease_store_requests_slope'] * (DAEMONS - 9)
         ),
-        '`charge_store_requests_per_s` + `charge_store_slope` × 341',
+        '`lease_store_requests_per_s` + `lease_store_requests_slope` × 341',
     ),
     Row(
         'every daemon',
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from quetzalcourse.coordination.manifest import ManifestKeeper
+from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
 from quetzalcourse.standins.deployment import (
     MODEL,
     Standin,
--- a/bench/slot_policies.py
+++ b/bench/slot_policies.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.ownership import rank_members
+from quetzalcourse.coordination.slots.ownership import rank_members
 from quetzalcourse.state.generation import TrafficClass
 
 if TYPE_CHECKING:
--- a/bench/slot_world.py
+++ b/bench/slot_world.py
@@ -13,8 +13,8 @@
 
 from bench.slot_policies import AloneOnReports, FixedShares
 from bench.virtual_time import VirtualClock
-from quetzalcourse.coordination.admission import Admission
-from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.coordination.slots.admission import Admission
+from quetzalcourse.coordination.slots.owner_grants import OwnerGrants
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import TrafficClass
--- a/bench/suites/capacity.py
+++ b/bench/suites/capacity.py
@@ -10,11 +10,14 @@
 
 from bench.figure import SHOWN, Figure, at_most
 from bench.slopes import Slope, fit_slope, measure_kept, read_resident
-from quetzalcourse.coordination.admission import Admission
-from quetzalcourse.coordination.keys import KeyRing
-from quetzalcourse.coordination.routing import Router
-from quetzalcourse.coordination.sections import join_sections, split_sections
-from quetzalcourse.coordination.service_levels import EVENTS
+from quetzalcourse.coordination.slots.admission import Admission
+from quetzalcourse.coordination.manifest.keys import KeyRing
+from quetzalcourse.coordination.routing.routing import Router
+from quetzalcourse.coordination.manifest.sections import (
+    join_sections,
+    split_sections,
+)
+from quetzalcourse.coordination.service_levels.service_levels import EVENTS
 from quetzalcourse.standins.deployment import build_settings
 from quetzalcourse.standins.processes import DaemonProcess
 from quetzalcourse.state.counters import Counters
--- a/bench/suites/fleet.py
+++ b/bench/suites/fleet.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from bench.figure import Figure, at_least, at_most
-from quetzalcourse.coordination.fleet import measure_rate, plan_fleet
+from quetzalcourse.coordination.fleet.fleet import measure_rate, plan_fleet
 from quetzalcourse.state.fleet import Demand, FleetPlace, FleetView
 from quetzalcourse.state.manifest import FleetKind, FleetPlan
 
--- a/bench/suites/goodput.py
+++ b/bench/suites/goodput.py
@@ -11,12 +11,12 @@
 
 from bench.figure import Figure, at_least, at_most
 from bench.virtual_time import VirtualClock, run_virtual
-from quetzalcourse.coordination.admission import Admission
-from quetzalcourse.coordination.attempt import AttemptError
-from quetzalcourse.coordination.generation import Generation
-from quetzalcourse.coordination.health import Health
-from quetzalcourse.coordination.retries import RetryBudget
-from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.slots.admission import Admission
+from quetzalcourse.coordination.requests.attempt import AttemptError
+from quetzalcourse.coordination.requests.generation import Generation
+from quetzalcourse.coordination.routing.health import Health
+from quetzalcourse.coordination.requests.retries import RetryBudget
+from quetzalcourse.coordination.routing.routing import Router
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import (
--- a/bench/suites/charge.py
+++ b/bench/suites/leases.py
@@ -1,4 +1,4 @@
-"""Who is in charge: take-over, orders, usage under kills, store requests."""
+"""Leases: take-over, orders, usage under kills, store requests."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.figure import SHOWN, Figure, at_most
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.lease import LeaseTerms
@@ -30,8 +30,8 @@
     'orders_by_two_holders',
     'windows_reported_twice',
     'usage_error_ratio',
-    'charge_store_requests_per_s',
-    'charge_store_requests_slope',
+    'lease_store_requests_per_s',
+    'lease_store_requests_slope',
 )
 TERMS = LeaseTerms(
     timedelta(seconds=10), timedelta(seconds=2), timedelta(seconds=2)
@@ -147,7 +147,7 @@
 
 
 async def measure_paused_senders() -> Figure:
-    """Stop holders past their term and count orders of two in charge.
+    """Stop holders past their term and count orders of two holders.
 
     The baseline sends as soon as it wakes up, without the check.
     """
@@ -296,14 +296,14 @@
     )
     return [
         Figure(
-            'charge_store_requests_per_s',
+            'lease_store_requests_per_s',
             rates[0],
             'requests/s at 9 daemons',
             SHOWN,
             detail=f'lease on usage and its rows; {listed}',
         ),
         Figure(
-            'charge_store_requests_slope',
+            'lease_store_requests_slope',
             slope,
             'requests/s a daemon',
             at_most(0.02),
--- a/bench/suites/observation.py
+++ b/bench/suites/observation.py
@@ -6,10 +6,14 @@
 
 from bench.figure import Figure
 from bench.slopes import fit_slope
-from quetzalcourse.coordination.leaving import Leaving
-from quetzalcourse.coordination.observer import FAR_ROUNDS, INTERVAL, Observer
-from quetzalcourse.coordination.prefixes import PrefixHints
-from quetzalcourse.coordination.reports import EngineReports
+from quetzalcourse.coordination.routing.leaving import Leaving
+from quetzalcourse.coordination.routing.observer import (
+    FAR_ROUNDS,
+    INTERVAL,
+    Observer,
+)
+from quetzalcourse.coordination.routing.prefixes import PrefixHints
+from quetzalcourse.coordination.routing.reports import EngineReports
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import EngineReport
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
--- a/bench/suites/prefixes.py
+++ b/bench/suites/prefixes.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 
 from bench.figure import Figure, at_least
-from quetzalcourse.coordination.prefixes import PrefixHints
-from quetzalcourse.coordination.reports import EngineReports
-from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.routing.prefixes import PrefixHints
+from quetzalcourse.coordination.routing.reports import EngineReports
+from quetzalcourse.coordination.routing.routing import Router
 from quetzalcourse.state.engines import CacheChange, EngineReport
 from quetzalcourse.state.generation import GenerationRequest, TrafficClass
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
--- a/bench/suites/step_watch.py
+++ b/bench/suites/step_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from bench.figure import Figure, at_most
-from quetzalcourse.coordination.lease import decode_record
+from quetzalcourse.coordination.leases.lease import decode_record
 from quetzalcourse.protocol.platform import unpack_row
 from quetzalcourse.standins.rollouts import ScriptedEngine
 from quetzalcourse.standins.virtual_time import run_virtual
--- a/bench/suites/steps.py
+++ b/bench/suites/steps.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from bench.figure import Figure, at_most
-from quetzalcourse.coordination.dispatch_order import LengthMemory
+from quetzalcourse.coordination.steps.dispatch_order import LengthMemory
 from quetzalcourse.standins.rollouts import ScriptedEngine
 from quetzalcourse.standins.virtual_time import run_virtual
 from quetzalcourse.tests.step_world import (
--- a/bench/suites/together.py
+++ b/bench/suites/together.py
@@ -17,8 +17,8 @@
     read_resident_megabytes,
 )
 from bench.figure import Figure, at_most
-from quetzalcourse.coordination.key_table import KeyTable
-from quetzalcourse.coordination.keys import hash_secret
+from quetzalcourse.coordination.manifest.key_table import KeyTable
+from quetzalcourse.coordination.manifest.keys import hash_secret
 from quetzalcourse.standins.deployment import MODEL, READER_KEY, SERVICE
 from quetzalcourse.state.keys import KeyRecord, bury
 
--- a/bench/suites/waves.py
+++ b/bench/suites/waves.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from bench.figure import SHOWN, Figure, at_least, at_most
-from quetzalcourse.coordination.waves import Wave
+from quetzalcourse.coordination.weights.waves import Wave
 from quetzalcourse.state.waves import EngineView, WavePlan
 
 FIGURES = (
--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -9,14 +9,16 @@
 
 import aiohttp
 
-from quetzalcourse.charge import build_charge
-from quetzalcourse.coordination.burn_ledger import BurnLedger
-from quetzalcourse.coordination.human_service import HumanService
-from quetzalcourse.coordination.keys import KeyRing
-from quetzalcourse.coordination.manifest import ManifestKeeper
-from quetzalcourse.coordination.service_levels import ServiceLevels
-from quetzalcourse.coordination.status import StatusBoard
-from quetzalcourse.coordination.step_assembly import build_steps
+from quetzalcourse.lease_parts import build_lease_parts
+from quetzalcourse.coordination.service_levels.burn_ledger import BurnLedger
+from quetzalcourse.coordination.service_levels.human_service import HumanService
+from quetzalcourse.coordination.manifest.keys import KeyRing
+from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
+from quetzalcourse.coordination.service_levels.service_levels import (
+    ServiceLevels,
+)
+from quetzalcourse.coordination.membership.status import StatusBoard
+from quetzalcourse.coordination.steps.step_assembly import build_steps
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
 from quetzalcourse.peering import Peering
@@ -98,7 +100,7 @@
         await self.lifecycle.start()
         self.lifecycle.on_stop(self._server.stop)
         self.lifecycle.on_stop(self.slots.on_stop)
-        self.lifecycle.on_stop(self.charge.on_stop)
+        self.lifecycle.on_stop(self.lease_parts.on_stop)
         self.lifecycle.on_stop(self.generation.stop)
         self.lifecycle.on_stop(self.steps.stop)
         self.lifecycle.on_stop(self.burn_ledger.flush)
@@ -106,7 +108,7 @@
         self.lifecycle.run('burn ledger', self.burn_ledger.run)
         self.lifecycle.run('upstreams', self.upstreams.observer.run)
         self.lifecycle.run('steps', self.steps.follow_open_steps)
-        self.charge.start(self.lifecycle)
+        self.lease_parts.start(self.lifecycle)
         self.weights.start(self.lifecycle)
         log.info(
             'Daemon started.', address=self.address, peers=self.peers.address
@@ -183,7 +185,7 @@
             self.service_levels,
             self.members,
         )
-        self.charge = build_charge(
+        self.lease_parts = build_lease_parts(
             self.settings,
             self.incarnation,
             self._session,
@@ -202,8 +204,8 @@
             self.clock,
             self.counters,
         )
-        self.generation.usage = self.charge.usage
-        self.upstreams.services.usage = self.charge.usage
+        self.generation.usage = self.lease_parts.usage
+        self.upstreams.services.usage = self.lease_parts.usage
         self.burn_ledger = BurnLedger(
             self.platform, self.clock, self.counters, self.incarnation
         )
@@ -212,7 +214,7 @@
         self.peering.follow(self.platform, self.manifest, self.keys)
         self.peering.on_vms(self.upstreams.leaving.on_vms)
         self.status.add('peering', self.peering.describe)
-        self.status.add('leases', self.charge.describe)
+        self.status.add('leases', self.lease_parts.describe)
         self.status.add('weights', self.weights.describe)
 
     def on_manifest(self, manifest: Manifest) -> None:
@@ -222,7 +224,7 @@
         self.upstreams.on_manifest(manifest)
         self.weights.waves.on_manifest(manifest)
         self.service_levels.on_manifest(manifest)
-        self.charge.fleet.on_manifest(manifest)
+        self.lease_parts.fleet.on_manifest(manifest)
         self.activity.ready = not self.activity.draining
         log.info('Manifest in force.', version=manifest.version)
 
--- a/quetzalcourse/commands/apply.py
+++ b/quetzalcourse/commands/apply.py
@@ -10,7 +10,7 @@
 
 from quetzalcourse.commands.output import write_json, write_line
 from quetzalcourse.commands.platform import add_platform_option, open_platform
-from quetzalcourse.coordination.manifest import (
+from quetzalcourse.coordination.manifest.manifest import (
     ManifestConflict,
     ManifestKeeper,
 )
--- a/quetzalcourse/commands/burn_page.py
+++ b/quetzalcourse/commands/burn_page.py
@@ -5,13 +5,13 @@
 import html
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.burn import ALERT_RULES, Alert
+from quetzalcourse.coordination.service_levels.burn import ALERT_RULES, Alert
 from quetzalcourse.state.service_levels import Window
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from quetzalcourse.coordination.burn import LevelBurn
+    from quetzalcourse.coordination.service_levels.burn import LevelBurn
 
 BAR_HEIGHT = 18
 BAR_GAP = 6
--- a/quetzalcourse/commands/key.py
+++ b/quetzalcourse/commands/key.py
@@ -13,8 +13,8 @@
 
 from quetzalcourse.commands.output import write_json, write_line, write_table
 from quetzalcourse.commands.platform import open_platform
-from quetzalcourse.coordination.key_table import KeyTable
-from quetzalcourse.coordination.keys import KEY_SEPARATOR, hash_secret
+from quetzalcourse.coordination.manifest.key_table import KeyTable
+from quetzalcourse.coordination.manifest.keys import KEY_SEPARATOR, hash_secret
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
 from quetzalcourse.state.keys import KeyRecord, bury, check_record
--- a/quetzalcourse/commands/report.py
+++ b/quetzalcourse/commands/report.py
@@ -13,12 +13,12 @@
 from quetzalcourse.commands.burn_page import render_page
 from quetzalcourse.commands.output import write_json, write_line, write_table
 from quetzalcourse.commands.platform import open_platform
-from quetzalcourse.coordination.burn import (
+from quetzalcourse.coordination.service_levels.burn import (
     LevelBurn,
     LevelEvents,
     compute_burns,
 )
-from quetzalcourse.coordination.burn_ledger import read_sums
+from quetzalcourse.coordination.service_levels.burn_ledger import read_sums
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
 from quetzalcourse.protocol.exposition import read_events
--- a/quetzalcourse/commands/usage.py
+++ b/quetzalcourse/commands/usage.py
@@ -11,8 +11,8 @@
 
 from quetzalcourse.commands.output import write_json, write_line, write_table
 from quetzalcourse.commands.platform import add_platform_option, open_platform
-from quetzalcourse.coordination.usage_reports import name_report
-from quetzalcourse.coordination.usage_rows import name_row, read_entries
+from quetzalcourse.coordination.usage.usage_reports import name_report
+from quetzalcourse.coordination.usage.usage_rows import name_row, read_entries
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
 from quetzalcourse.state.usage import (
--- a/quetzalcourse/coordination/fleet_demand.py
+++ b/quetzalcourse/coordination/fleet/fleet_demand.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
-from quetzalcourse.coordination.lease_keeper import choose_candidates
+from quetzalcourse.coordination.leases.lease_keeper import choose_candidates
 from quetzalcourse.state.fleet import Demand
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import MemberView, Peers
-    from quetzalcourse.coordination.usage import UsageCounter
+    from quetzalcourse.coordination.usage.usage import UsageCounter
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
--- a/quetzalcourse/coordination/fleet_keeper.py
+++ b/quetzalcourse/coordination/fleet/fleet_keeper.py
@@ -1,4 +1,4 @@
-"""Keeps the fleet at what demand and budget ask for, while in charge."""
+"""Keeps the fleet at what demand and budget ask for, under a lease."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 
 from result import Err
 
-from quetzalcourse.coordination.fleet import measure_rate, plan_fleet
+from quetzalcourse.coordination.fleet.fleet import measure_rate, plan_fleet
 from quetzalcourse.log import get_log
 from quetzalcourse.state.fleet import FleetPlace, FleetView, SpendingRecord
 from quetzalcourse.state.manifest import FleetPlan, Manifest
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.fleet_demand import DemandShares
-    from quetzalcourse.coordination.lease import Lease
-    from quetzalcourse.coordination.orders import FleetOrders
+    from quetzalcourse.coordination.fleet.fleet_demand import DemandShares
+    from quetzalcourse.coordination.leases.lease import Lease
+    from quetzalcourse.coordination.fleet.orders import FleetOrders
     from quetzalcourse.coordination.ports import UpstreamOrders
-    from quetzalcourse.coordination.spending import Spending
+    from quetzalcourse.coordination.fleet.spending import Spending
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.fleet import Demand, FleetCount, FleetDecision
--- a/quetzalcourse/coordination/orders.py
+++ b/quetzalcourse/coordination/fleet/orders.py
@@ -1,4 +1,4 @@
-"""Orders for upstreams: written down first, sent in charge, reconciled."""
+"""Orders for upstreams: written first, sent under a lease, reconciled."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.coordination.sendings import Sendings
-from quetzalcourse.coordination.usage_reports import scan_rows
-from quetzalcourse.coordination.usage_rows import expect
+from quetzalcourse.coordination.fleet.sendings import Sendings
+from quetzalcourse.coordination.usage.usage_reports import scan_rows
+from quetzalcourse.coordination.usage.usage_rows import expect
 from quetzalcourse.log import get_log
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.fleet import FleetOrder, FleetPlace, OrderIntent
 from quetzalcourse.state.rows import Row, Transaction, Write
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.lease import Lease
+    from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import Table, UpstreamOrders
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/coordination/spending.py
+++ b/quetzalcourse/coordination/fleet/spending.py
@@ -8,12 +8,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.usage_rows import expect
+from quetzalcourse.coordination.usage.usage_rows import expect
 from quetzalcourse.state.fleet import SpendingRecord
 from quetzalcourse.state.rows import FaultKind, StoreFault, Transaction, Write
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.lease import Lease
+    from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.clock import Clock
 
@@ -30,7 +30,8 @@
     """Bring the spending up to now.
 
     The time since the last update is charged at the rate of then, so that
-    upstreams cost on while nobody was in charge. A new period starts at zero.
+    upstreams cost on while no daemon held the lease. A new period starts at
+    zero.
 
     :param record: what was kept last, if anything.
     :param now: seconds since the epoch.
--- /dev/null
+++ b/quetzalcourse/coordination/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing tokens, and keeping them renewed."""
--- a/quetzalcourse/coordination/lease_keeper.py
+++ b/quetzalcourse/coordination/leases/lease_keeper.py
@@ -11,7 +11,7 @@
 from quetzalcourse.state.lease import LeaseState
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.lease import Lease
+    from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import MemberView
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -122,7 +122,8 @@
         line = log.bind(lease=status.lease, token=status.token)
         if status.state is LeaseState.nobody:
             line.warning(
-                'Nobody is in charge.', silent_seconds=status.silent_seconds
+                'No daemon holds the lease.',
+                silent_seconds=status.silent_seconds,
             )
         elif status.state is LeaseState.held:
             line.info('Lease is held here.')
--- /dev/null
+++ b/quetzalcourse/coordination/manifest/__init__.py
@@ -0,0 +1,1 @@
+"""The manifest and the keys in force."""
--- a/quetzalcourse/coordination/following.py
+++ b/quetzalcourse/coordination/manifest/following.py
@@ -7,17 +7,20 @@
 
 from result import Err
 
-from quetzalcourse.coordination.key_table import KEYS_KEY, read_sequence
-from quetzalcourse.coordination.manifest import MANIFEST_KEY
+from quetzalcourse.coordination.manifest.key_table import (
+    KEYS_KEY,
+    read_sequence,
+)
+from quetzalcourse.coordination.manifest.manifest import MANIFEST_KEY
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
     from datetime import datetime
     from random import Random
 
-    from quetzalcourse.coordination.key_table import KeyTable
-    from quetzalcourse.coordination.keys import KeyRing
-    from quetzalcourse.coordination.manifest import ManifestKeeper
+    from quetzalcourse.coordination.manifest.key_table import KeyTable
+    from quetzalcourse.coordination.manifest.keys import KeyRing
+    from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
     from quetzalcourse.coordination.ports import MemberView, Table
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.keys import KeyRecord
--- a/quetzalcourse/coordination/key_spread.py
+++ b/quetzalcourse/coordination/manifest/key_spread.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
-from quetzalcourse.coordination.receivers import choose_receivers
+from quetzalcourse.coordination.manifest.receivers import choose_receivers
 from quetzalcourse.state.members import Member, Topic
 from quetzalcourse.state.spread import KeyNews, SpreadKind
 
 if TYPE_CHECKING:
     from random import Random
 
-    from quetzalcourse.coordination.keys import KeyRing
-    from quetzalcourse.coordination.membership import Digest
+    from quetzalcourse.coordination.manifest.keys import KeyRing
+    from quetzalcourse.coordination.membership.membership import Digest
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/coordination/manifest.py
+++ b/quetzalcourse/coordination/manifest/manifest.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.sections import (
+from quetzalcourse.coordination.manifest.sections import (
     NO_HEAD,
     ManifestHead,
     decode_head,
--- a/quetzalcourse/coordination/manifest_spread.py
+++ b/quetzalcourse/coordination/manifest/manifest_spread.py
@@ -8,8 +8,11 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.coordination.receivers import choose_receivers
-from quetzalcourse.coordination.sections import ManifestHead, list_missing
+from quetzalcourse.coordination.manifest.receivers import choose_receivers
+from quetzalcourse.coordination.manifest.sections import (
+    ManifestHead,
+    list_missing,
+)
 from quetzalcourse.log import get_log
 from quetzalcourse.state.members import Member, Topic
 from quetzalcourse.state.spread import ManifestNews, SpreadKind
@@ -17,8 +20,8 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from quetzalcourse.coordination.manifest import ManifestKeeper
-    from quetzalcourse.coordination.membership import Digest
+    from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
+    from quetzalcourse.coordination.membership.membership import Digest
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- /dev/null
+++ b/quetzalcourse/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons are live, and what is cut off."""
--- a/quetzalcourse/coordination/cuts.py
+++ b/quetzalcourse/coordination/membership/cuts.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from datetime import datetime
 
-    from quetzalcourse.coordination.following import StoreFollower
-    from quetzalcourse.coordination.membership import Digest
+    from quetzalcourse.coordination.manifest.following import StoreFollower
+    from quetzalcourse.coordination.membership.membership import Digest
     from quetzalcourse.coordination.ports import MemberView
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/coordination/membership.py
+++ b/quetzalcourse/coordination/membership/membership.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from quetzalcourse.coordination.probes import Probes, Rotation
-from quetzalcourse.coordination.roster import Roster
+from quetzalcourse.coordination.membership.probes import Probes, Rotation
+from quetzalcourse.coordination.membership.roster import Roster
 from quetzalcourse.log import get_log
 from quetzalcourse.state.heartbeats import (
     Change,
--- /dev/null
+++ b/quetzalcourse/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""One request from admission to the last byte, whatever fails."""
--- a/quetzalcourse/coordination/closings.py
+++ b/quetzalcourse/coordination/requests/closings.py
@@ -8,9 +8,9 @@
 from quetzalcourse.state.generation import NEVER_RAN, AttemptState
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.slots.admission import Admission
     from quetzalcourse.coordination.ports import Engines
-    from quetzalcourse.coordination.work import Work
+    from quetzalcourse.coordination.requests.work import Work
     from quetzalcourse.state.slots import Grant
 
 
--- a/quetzalcourse/coordination/generation.py
+++ b/quetzalcourse/coordination/requests/generation.py
@@ -7,17 +7,17 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.assembly import Assembly, ChunkError
-from quetzalcourse.coordination.attempt import AttemptError
-from quetzalcourse.coordination.closings import Closings
-from quetzalcourse.coordination.durations import Durations
-from quetzalcourse.coordination.guard import (
+from quetzalcourse.coordination.requests.assembly import Assembly, ChunkError
+from quetzalcourse.coordination.requests.attempt import AttemptError
+from quetzalcourse.coordination.requests.closings import Closings
+from quetzalcourse.coordination.requests.durations import Durations
+from quetzalcourse.coordination.requests.guard import (
     AttemptInterruptedError,
     Guard,
     Interruption,
 )
-from quetzalcourse.coordination.interruptions import Interruptions
-from quetzalcourse.coordination.work import Work
+from quetzalcourse.coordination.requests.interruptions import Interruptions
+from quetzalcourse.coordination.requests.work import Work
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import (
     NEVER_RAN,
@@ -29,12 +29,12 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from quetzalcourse.coordination.admission import Admission
-    from quetzalcourse.coordination.health import Health
+    from quetzalcourse.coordination.slots.admission import Admission
+    from quetzalcourse.coordination.routing.health import Health
     from quetzalcourse.coordination.ports import Engines
-    from quetzalcourse.coordination.retries import RetryBudget
-    from quetzalcourse.coordination.routing import Router
-    from quetzalcourse.coordination.usage import UsageCounter
+    from quetzalcourse.coordination.requests.retries import RetryBudget
+    from quetzalcourse.coordination.routing.routing import Router
+    from quetzalcourse.coordination.usage.usage import UsageCounter
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.generation import Chunk, GenerationRequest
--- a/quetzalcourse/coordination/interruptions.py
+++ b/quetzalcourse/coordination/requests/interruptions.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.guard import Guard, Interruption
+from quetzalcourse.coordination.requests.guard import Guard, Interruption
 from quetzalcourse.state.generation import TrafficClass
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.leaving import Departure
+    from quetzalcourse.coordination.routing.leaving import Departure
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.generation import GenerationRequest
     from quetzalcourse.state.slots import Grant
--- a/quetzalcourse/coordination/services.py
+++ b/quetzalcourse/coordination/requests/services.py
@@ -18,11 +18,11 @@
 from quetzalcourse.state.usage import UsageFigures
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.admission import Admission
-    from quetzalcourse.coordination.health import Health
-    from quetzalcourse.coordination.retries import RetryBudget
-    from quetzalcourse.coordination.routing import Router
-    from quetzalcourse.coordination.usage import UsageCounter
+    from quetzalcourse.coordination.slots.admission import Admission
+    from quetzalcourse.coordination.routing.health import Health
+    from quetzalcourse.coordination.requests.retries import RetryBudget
+    from quetzalcourse.coordination.routing.routing import Router
+    from quetzalcourse.coordination.usage.usage import UsageCounter
     from quetzalcourse.state.clock import Clock
 
 SERVICE_PATIENCE = timedelta(seconds=30)
--- a/quetzalcourse/coordination/work.py
+++ b/quetzalcourse/coordination/requests/work.py
@@ -11,8 +11,8 @@
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.assembly import Assembly
-    from quetzalcourse.coordination.attempt import AttemptError
+    from quetzalcourse.coordination.requests.assembly import Assembly
+    from quetzalcourse.coordination.requests.attempt import AttemptError
     from quetzalcourse.state.generation import GenerationRequest
 
 MAX_FRUITLESS = 4
--- /dev/null
+++ b/quetzalcourse/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams could run a request, best first."""
--- a/quetzalcourse/coordination/observer.py
+++ b/quetzalcourse/coordination/routing/observer.py
@@ -14,10 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.leaving import Departure, Leaving
+    from quetzalcourse.coordination.routing.leaving import Departure, Leaving
     from quetzalcourse.coordination.ports import EngineControl
-    from quetzalcourse.coordination.prefixes import PrefixHints
-    from quetzalcourse.coordination.reports import EngineReports
+    from quetzalcourse.coordination.routing.prefixes import PrefixHints
+    from quetzalcourse.coordination.routing.reports import EngineReports
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
--- a/quetzalcourse/coordination/routing.py
+++ b/quetzalcourse/coordination/routing/routing.py
@@ -6,15 +6,15 @@
 
 import xxhash
 
-from quetzalcourse.coordination.prefixes import PrefixHints, hash_prefix
-from quetzalcourse.coordination.reports import EngineReports
+from quetzalcourse.coordination.routing.prefixes import PrefixHints, hash_prefix
+from quetzalcourse.coordination.routing.reports import EngineReports
 from quetzalcourse.state.generation import GenerationRequest, TrafficClass
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.leaving import Leaving
+    from quetzalcourse.coordination.routing.leaving import Leaving
 
 CROWDED_SHARE = 0.75
 Rank = tuple[bool, bool, bool, int]
--- /dev/null
+++ b/quetzalcourse/coordination/service_levels/__init__.py
@@ -0,0 +1,1 @@
+"""Promises, their events and the burn of their budgets."""
--- a/quetzalcourse/coordination/burn_ledger.py
+++ b/quetzalcourse/coordination/service_levels/burn_ledger.py
@@ -10,8 +10,8 @@
 import xxhash
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.burn import LevelEvents
-from quetzalcourse.coordination.service_levels import EVENTS
+from quetzalcourse.coordination.service_levels.burn import LevelEvents
+from quetzalcourse.coordination.service_levels.service_levels import EVENTS
 from quetzalcourse.state.rows import StoreFault, Transaction, Write
 from quetzalcourse.state.service_levels import EventCount
 
--- a/quetzalcourse/coordination/human_service.py
+++ b/quetzalcourse/coordination/service_levels/human_service.py
@@ -12,7 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from quetzalcourse.coordination.service_levels import ServiceLevels
+    from quetzalcourse.coordination.service_levels.service_levels import (
+        ServiceLevels,
+    )
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.generation import Chunk
 
--- /dev/null
+++ b/quetzalcourse/coordination/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Who may use the slots of an upstream, and when."""
--- a/quetzalcourse/coordination/admission.py
+++ b/quetzalcourse/coordination/slots/admission.py
@@ -7,12 +7,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.account_limits import AccountLimits
-from quetzalcourse.coordination.deadlines import DeadlineWatch
-from quetzalcourse.coordination.fair_queue import FairQueue
-from quetzalcourse.coordination.held_slots import HeldSlots
-from quetzalcourse.coordination.lone import build_lone
-from quetzalcourse.coordination.ownership import hash_name
+from quetzalcourse.coordination.slots.account_limits import AccountLimits
+from quetzalcourse.coordination.slots.deadlines import DeadlineWatch
+from quetzalcourse.coordination.slots.fair_queue import FairQueue
+from quetzalcourse.coordination.slots.held_slots import HeldSlots
+from quetzalcourse.coordination.slots.lone import build_lone
+from quetzalcourse.coordination.slots.ownership import hash_name
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import TrafficClass
--- a/quetzalcourse/coordination/demand.py
+++ b/quetzalcourse/coordination/slots/demand.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from quetzalcourse.coordination.slot_usage import SlotUsage
+    from quetzalcourse.coordination.slots.slot_usage import SlotUsage
     from quetzalcourse.state.manifest import Upstream
     from quetzalcourse.state.members import Member
     from quetzalcourse.state.slots import SlotWaiter
--- a/quetzalcourse/coordination/load_watch.py
+++ b/quetzalcourse/coordination/slots/load_watch.py
@@ -11,7 +11,7 @@
 from quetzalcourse.state.manifest import Upstream, UpstreamKind
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.owned_slots import OwnedSlots
+    from quetzalcourse.coordination.slots.owned_slots import OwnedSlots
     from quetzalcourse.coordination.ports import EngineControl
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/coordination/lone.py
+++ b/quetzalcourse/coordination/slots/lone.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.coordination.slots.owner_grants import OwnerGrants
 from quetzalcourse.state.members import Member
 
 if TYPE_CHECKING:
--- a/quetzalcourse/coordination/owned_slots.py
+++ b/quetzalcourse/coordination/slots/owned_slots.py
@@ -5,12 +5,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.ownership import (
+from quetzalcourse.coordination.slots.ownership import (
     count_fallback,
     find_owner,
     rank_members,
 )
-from quetzalcourse.coordination.slot_owner import SlotOwner
+from quetzalcourse.coordination.slots.slot_owner import SlotOwner
 from quetzalcourse.state.slots import Allowance
 
 if TYPE_CHECKING:
--- a/quetzalcourse/coordination/owner_grants.py
+++ b/quetzalcourse/coordination/slots/owner_grants.py
@@ -6,18 +6,18 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.demand import (
+from quetzalcourse.coordination.slots.demand import (
     PATIENCE,
     choose_upstream,
     is_due,
 )
-from quetzalcourse.coordination.owned_slots import (
+from quetzalcourse.coordination.slots.owned_slots import (
     Answers,
     OwnedSlots,
     list_fallback,
 )
-from quetzalcourse.coordination.ownership import find_owner, hash_name
-from quetzalcourse.coordination.slot_usage import SlotUsage
+from quetzalcourse.coordination.slots.ownership import find_owner, hash_name
+from quetzalcourse.coordination.slots.slot_usage import SlotUsage
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.slots import SlotTerms
 
--- a/quetzalcourse/coordination/slot_holder.py
+++ b/quetzalcourse/coordination/slots/slot_holder.py
@@ -6,12 +6,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.division import Claim
+from quetzalcourse.coordination.slots.division import Claim
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.slots import Allowance, SlotReport
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.division import Target
+    from quetzalcourse.coordination.slots.division import Target
 
 NEVER = timedelta(days=-1)
 RENEWAL_PART = 0.75
--- a/quetzalcourse/coordination/slot_owner.py
+++ b/quetzalcourse/coordination/slots/slot_owner.py
@@ -7,19 +7,19 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.division import (
+from quetzalcourse.coordination.slots.division import (
     Accounts,
     Target,
     divide_slots,
 )
-from quetzalcourse.coordination.slot_holder import SlotHolder
-from quetzalcourse.coordination.token_ledger import TokenLedger
+from quetzalcourse.coordination.slots.slot_holder import SlotHolder
+from quetzalcourse.coordination.slots.token_ledger import TokenLedger
 from quetzalcourse.state.generation import TrafficClass
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from quetzalcourse.coordination.division import Claim
+    from quetzalcourse.coordination.slots.division import Claim
     from quetzalcourse.state.manifest import Upstream
     from quetzalcourse.state.slots import Allowance, SlotReport, SlotTerms
 
--- /dev/null
+++ b/quetzalcourse/coordination/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Training steps: each sample once, with its weights, on time."""
--- a/quetzalcourse/coordination/delivery_counts.py
+++ b/quetzalcourse/coordination/steps/delivery_counts.py
@@ -6,13 +6,15 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.staleness import find_oldest
+from quetzalcourse.coordination.steps.staleness import find_oldest
 from quetzalcourse.state.service_levels import Indicator
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from quetzalcourse.coordination.service_levels import ServiceLevels
+    from quetzalcourse.coordination.service_levels.service_levels import (
+        ServiceLevels,
+    )
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.steps import (
--- a/quetzalcourse/coordination/delivery_rules.py
+++ b/quetzalcourse/coordination/steps/delivery_rules.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from quetzalcourse.coordination.staleness import is_deliverable
+from quetzalcourse.coordination.steps.staleness import is_deliverable
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.steps import (
     DeliveredBatch,
--- a/quetzalcourse/coordination/dispatching.py
+++ b/quetzalcourse/coordination/steps/dispatching.py
@@ -10,13 +10,16 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
-from quetzalcourse.coordination.dispatch_order import Backlog, LengthMemory
-from quetzalcourse.coordination.sample_making import (
+from quetzalcourse.coordination.steps.dispatch_order import (
+    Backlog,
+    LengthMemory,
+)
+from quetzalcourse.coordination.steps.sample_making import (
     MakingParts,
     SampleMaking,
 )
-from quetzalcourse.coordination.sample_stream import SampleOrder
-from quetzalcourse.coordination.stragglers import (
+from quetzalcourse.coordination.steps.sample_stream import SampleOrder
+from quetzalcourse.coordination.steps.stragglers import (
     Rescue,
     RunningSample,
     plan_rescues,
@@ -26,7 +29,7 @@
     from collections.abc import Iterable
 
     from quetzalcourse.coordination.ports import Generator
-    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.coordination.steps.staleness import NewestVersions
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.steps import Sample, SampleKey, StepSpec
--- a/quetzalcourse/coordination/leased_rows.py
+++ b/quetzalcourse/coordination/steps/leased_rows.py
@@ -7,12 +7,12 @@
 
 from result import Err, Ok
 
-from quetzalcourse.coordination.step_rows import StepLostError
+from quetzalcourse.coordination.steps.step_rows import StepLostError
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import Table
-    from quetzalcourse.coordination.step_lease import StepLease
+    from quetzalcourse.coordination.steps.step_lease import StepLease
     from quetzalcourse.state.clock import Clock
 
 RETRY = timedelta(seconds=1)
--- a/quetzalcourse/coordination/sample_making.py
+++ b/quetzalcourse/coordination/steps/sample_making.py
@@ -8,18 +8,18 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.sample_stream import (
+from quetzalcourse.coordination.steps.sample_stream import (
     SampleOrder,
     Stream,
     UnusableError,
     assemble_sample,
 )
-from quetzalcourse.coordination.staleness import (
+from quetzalcourse.coordination.steps.staleness import (
     find_oldest,
     find_oldest_allowed,
     is_deliverable,
 )
-from quetzalcourse.coordination.stragglers import (
+from quetzalcourse.coordination.steps.stragglers import (
     RescueKind,
     RunningSample,
 )
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Sequence
 
     from quetzalcourse.coordination.ports import Generator
-    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.coordination.steps.staleness import NewestVersions
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.steps import Sample
--- a/quetzalcourse/coordination/sample_pipeline.py
+++ b/quetzalcourse/coordination/steps/sample_pipeline.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.staleness import (
+from quetzalcourse.coordination.steps.staleness import (
     find_oldest_allowed,
     is_deliverable,
 )
@@ -15,12 +15,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.dispatching import (
+    from quetzalcourse.coordination.steps.dispatching import (
         Dispatcher,
         DispatchParts,
     )
-    from quetzalcourse.coordination.scoring import StepScoring
-    from quetzalcourse.coordination.step_log import StepLog
+    from quetzalcourse.coordination.steps.scoring import StepScoring
+    from quetzalcourse.coordination.steps.step_log import StepLog
     from quetzalcourse.state.steps import (
         RunReport,
         Sample,
--- a/quetzalcourse/coordination/sample_stream.py
+++ b/quetzalcourse/coordination/steps/sample_stream.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.staleness import extend_versions
+from quetzalcourse.coordination.steps.staleness import extend_versions
 from quetzalcourse.exceptions import QuetzalcourseError
 from quetzalcourse.state.steps import (
     Sample,
--- a/quetzalcourse/coordination/scoring.py
+++ b/quetzalcourse/coordination/steps/scoring.py
@@ -11,14 +11,18 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.step_rows import decode, encode, name_claims
+from quetzalcourse.coordination.steps.step_rows import (
+    decode,
+    encode,
+    name_claims,
+)
 from quetzalcourse.state.rows import FaultKind
 from quetzalcourse.state.steps import SampleKey
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from quetzalcourse.coordination.leased_rows import LeasedRows
+    from quetzalcourse.coordination.steps.leased_rows import LeasedRows
     from quetzalcourse.coordination.ports import Scorer, Table
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/coordination/step_assembly.py
+++ b/quetzalcourse/coordination/steps/step_assembly.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from quetzalcourse.coordination.delivery_counts import DeliveryCounts
-from quetzalcourse.coordination.dispatch_order import LengthMemory
-from quetzalcourse.coordination.dispatching import (
+from quetzalcourse.coordination.steps.delivery_counts import DeliveryCounts
+from quetzalcourse.coordination.steps.dispatch_order import LengthMemory
+from quetzalcourse.coordination.steps.dispatching import (
     DispatchParts,
     MakingBudget,
     RescuePlan,
@@ -19,14 +19,16 @@
     Table,
     WeightStore,
 )
-from quetzalcourse.coordination.staleness import NewestVersions
-from quetzalcourse.coordination.step_delivery import StepDelivery
-from quetzalcourse.coordination.step_runner import RunParts
-from quetzalcourse.coordination.steps import Steps
-from quetzalcourse.coordination.stragglers import plan_rescues
+from quetzalcourse.coordination.steps.staleness import NewestVersions
+from quetzalcourse.coordination.steps.step_delivery import StepDelivery
+from quetzalcourse.coordination.steps.step_runner import RunParts
+from quetzalcourse.coordination.steps.steps import Steps
+from quetzalcourse.coordination.steps.stragglers import plan_rescues
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.service_levels import ServiceLevels
+    from quetzalcourse.coordination.service_levels.service_levels import (
+        ServiceLevels,
+    )
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
--- a/quetzalcourse/coordination/step_delivery.py
+++ b/quetzalcourse/coordination/steps/step_delivery.py
@@ -7,15 +7,15 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.delivery_rules import (
+from quetzalcourse.coordination.steps.delivery_rules import (
     check_cursor,
     present,
     refuse_beyond,
     refuse_cancelled,
     seal_batch,
 )
-from quetzalcourse.coordination.staleness import find_oldest_allowed
-from quetzalcourse.coordination.step_rows import (
+from quetzalcourse.coordination.steps.staleness import find_oldest_allowed
+from quetzalcourse.coordination.steps.step_rows import (
     decode,
     encode,
     expect_row,
@@ -36,9 +36,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from quetzalcourse.coordination.delivery_counts import DeliveryCounts
+    from quetzalcourse.coordination.steps.delivery_counts import DeliveryCounts
     from quetzalcourse.coordination.ports import Table
-    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.coordination.steps.staleness import NewestVersions
     from quetzalcourse.state.refusal import Refusal
     from quetzalcourse.state.rows import Row
     from quetzalcourse.state.steps import StepSpec
--- a/quetzalcourse/coordination/step_directory.py
+++ b/quetzalcourse/coordination/steps/step_directory.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.step_rows import (
+from quetzalcourse.coordination.steps.step_rows import (
     decode,
     encode,
     name_delivery,
--- a/quetzalcourse/coordination/step_lease.py
+++ b/quetzalcourse/coordination/steps/step_lease.py
@@ -6,8 +6,8 @@
 
 from result import Err
 
-from quetzalcourse.coordination.lease import Lease, decode_record
-from quetzalcourse.coordination.step_rows import StepLostError
+from quetzalcourse.coordination.leases.lease import Lease, decode_record
+from quetzalcourse.coordination.steps.step_rows import StepLostError
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import Table
--- a/quetzalcourse/coordination/step_log.py
+++ b/quetzalcourse/coordination/steps/step_log.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.step_rows import (
+from quetzalcourse.coordination.steps.step_rows import (
     decode,
     encode,
     name_batch,
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from quetzalcourse.coordination.leased_rows import LeasedRows
+    from quetzalcourse.coordination.steps.leased_rows import LeasedRows
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.rows import StoreFault
     from quetzalcourse.state.steps import RunReport, StepSpec
--- a/quetzalcourse/coordination/step_runner.py
+++ b/quetzalcourse/coordination/steps/step_runner.py
@@ -9,12 +9,15 @@
 
 from result import Ok, Result
 
-from quetzalcourse.coordination.dispatching import Dispatcher, DispatchParts
-from quetzalcourse.coordination.leased_rows import LeasedRows
-from quetzalcourse.coordination.sample_pipeline import SamplePipeline
-from quetzalcourse.coordination.scoring import StepScoring
-from quetzalcourse.coordination.step_log import StepLog
-from quetzalcourse.coordination.step_rows import encode, name_open
+from quetzalcourse.coordination.steps.dispatching import (
+    Dispatcher,
+    DispatchParts,
+)
+from quetzalcourse.coordination.steps.leased_rows import LeasedRows
+from quetzalcourse.coordination.steps.sample_pipeline import SamplePipeline
+from quetzalcourse.coordination.steps.scoring import StepScoring
+from quetzalcourse.coordination.steps.step_log import StepLog
+from quetzalcourse.coordination.steps.step_rows import encode, name_open
 from quetzalcourse.state.rows import Transaction, Write
 from quetzalcourse.state.steps import DeliveryRecord, RunReport
 
@@ -22,8 +25,8 @@
     from collections.abc import Awaitable, Callable
 
     from quetzalcourse.coordination.ports import Scorer, Table
-    from quetzalcourse.coordination.step_delivery import StepDelivery
-    from quetzalcourse.coordination.step_lease import StepLease
+    from quetzalcourse.coordination.steps.step_delivery import StepDelivery
+    from quetzalcourse.coordination.steps.step_lease import StepLease
     from quetzalcourse.state.refusal import Refusal
     from quetzalcourse.state.steps import StepSpec
 
--- a/quetzalcourse/coordination/steps.py
+++ b/quetzalcourse/coordination/steps/steps.py
@@ -8,10 +8,10 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.step_directory import StepDirectory
-from quetzalcourse.coordination.step_lease import StepLease
-from quetzalcourse.coordination.step_rows import (
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.steps.step_directory import StepDirectory
+from quetzalcourse.coordination.steps.step_lease import StepLease
+from quetzalcourse.coordination.steps.step_rows import (
     OPEN_PREFIX,
     StepLostError,
     decode,
@@ -21,8 +21,8 @@
     parse_open,
     refuse_store,
 )
-from quetzalcourse.coordination.step_runner import StepRunner, cancel_all
-from quetzalcourse.coordination.watchers import is_watcher
+from quetzalcourse.coordination.steps.step_runner import StepRunner, cancel_all
+from quetzalcourse.coordination.steps.watchers import is_watcher
 from quetzalcourse.log import get_log
 from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.state.refusal import Refusal, RefusalCode
@@ -36,7 +36,7 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import MemberView, Objects
-    from quetzalcourse.coordination.step_runner import RunParts
+    from quetzalcourse.coordination.steps.step_runner import RunParts
 
 STEP_TERMS = LeaseTerms(timedelta(seconds=6), timedelta(seconds=1))
 SCAN_INTERVAL = timedelta(seconds=2)
--- /dev/null
+++ b/quetzalcourse/coordination/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage counted once and reported in one form."""
--- a/quetzalcourse/coordination/usage_copies.py
+++ b/quetzalcourse/coordination/usage/usage_copies.py
@@ -21,8 +21,8 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.ports import MemberView, Peers
-    from quetzalcourse.coordination.usage import UsageCounter
-    from quetzalcourse.coordination.usage_rows import UsageRows
+    from quetzalcourse.coordination.usage.usage import UsageCounter
+    from quetzalcourse.coordination.usage.usage_rows import UsageRows
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.members import Member
--- a/quetzalcourse/coordination/usage_reports.py
+++ b/quetzalcourse/coordination/usage/usage_reports.py
@@ -8,8 +8,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.sendings import Sendings
-from quetzalcourse.coordination.usage_rows import (
+from quetzalcourse.coordination.fleet.sendings import Sendings
+from quetzalcourse.coordination.usage.usage_rows import (
     LATE_PREFIX,
     encode_row,
     expect,
@@ -45,7 +45,7 @@
 )
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.lease import Lease
+    from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import Table, UsageReports
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- /dev/null
+++ b/quetzalcourse/coordination/weights/__init__.py
@@ -0,0 +1,1 @@
+"""New weights onto engines, in waves."""
--- a/quetzalcourse/coordination/wave_runner.py
+++ b/quetzalcourse/coordination/weights/wave_runner.py
@@ -9,7 +9,7 @@
 
 from result import Err
 
-from quetzalcourse.coordination.waves import Wave
+from quetzalcourse.coordination.weights.waves import Wave
 from quetzalcourse.log import get_log
 from quetzalcourse.state.engines import EngineOrder, OrderKind, OrderProblem
 from quetzalcourse.state.manifest import Manifest, UpstreamKind
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.lease import Lease
+    from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import EngineControl
-    from quetzalcourse.coordination.staleness import NewestVersions
+    from quetzalcourse.coordination.steps.staleness import NewestVersions
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.engines import EngineReport
--- a/quetzalcourse/charge.py
+++ b/quetzalcourse/lease_parts.py
@@ -1,4 +1,4 @@
-"""The parts that one daemon of many does for all, built and wired."""
+"""The parts that a lease holder does for all daemons, built and wired."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.fleet_demand import DemandShares
-from quetzalcourse.coordination.fleet_keeper import FleetKeeper
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.lease_keeper import LeaseKeeper
-from quetzalcourse.coordination.orders import FleetOrders
-from quetzalcourse.coordination.spending import Spending
-from quetzalcourse.coordination.usage import UsageCounter
-from quetzalcourse.coordination.usage_copies import UsageCopies
-from quetzalcourse.coordination.usage_reports import UsageReporter
-from quetzalcourse.coordination.usage_rows import UsageRows
+from quetzalcourse.coordination.fleet.fleet_demand import DemandShares
+from quetzalcourse.coordination.fleet.fleet_keeper import FleetKeeper
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.fleet.orders import FleetOrders
+from quetzalcourse.coordination.fleet.spending import Spending
+from quetzalcourse.coordination.usage.usage import UsageCounter
+from quetzalcourse.coordination.usage.usage_copies import UsageCopies
+from quetzalcourse.coordination.usage.usage_reports import UsageReporter
+from quetzalcourse.coordination.usage.usage_rows import UsageRows
 from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.transport.order_client import OrderClient
 
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ChargeParts:
+class LeaseParts:
     """Leases of the deployment, and the work that their holders do."""
 
     keepers: tuple[LeaseKeeper, ...]
@@ -93,7 +93,7 @@
     )
 
 
-def build_charge(
+def build_lease_parts(
     settings: ProcessSettings,
     incarnation: str,
     session: aiohttp.ClientSession,
@@ -102,7 +102,7 @@
     members: MemberView,
     clock: Clock,
     counters: Counters,
-) -> ChargeParts:
+) -> LeaseParts:
     """Build the parts and connect them.
 
     :param incarnation: name of this run of the daemon.
@@ -152,4 +152,4 @@
         LeaseKeeper(lease, members, clock, counters)
         for lease in (usage_lease, order_lease)
     )
-    return ChargeParts(keepers, usage, copies, reporter, demand, orders, fleet)
+    return LeaseParts(keepers, usage, copies, reporter, demand, orders, fleet)
--- a/quetzalcourse/peering.py
+++ b/quetzalcourse/peering.py
@@ -9,12 +9,12 @@
 
 from result import Ok
 
-from quetzalcourse.coordination.cuts import Cuts, News
-from quetzalcourse.coordination.following import StoreFollower
-from quetzalcourse.coordination.key_spread import KeySpread
-from quetzalcourse.coordination.key_table import KeyTable
-from quetzalcourse.coordination.manifest_spread import ManifestSpread
-from quetzalcourse.coordination.membership import (
+from quetzalcourse.coordination.membership.cuts import Cuts, News
+from quetzalcourse.coordination.manifest.following import StoreFollower
+from quetzalcourse.coordination.manifest.key_spread import KeySpread
+from quetzalcourse.coordination.manifest.key_table import KeyTable
+from quetzalcourse.coordination.manifest.manifest_spread import ManifestSpread
+from quetzalcourse.coordination.membership.membership import (
     Digest,
     Membership,
     MembershipPlan,
@@ -25,8 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.keys import KeyRing
-    from quetzalcourse.coordination.manifest import ManifestKeeper
+    from quetzalcourse.coordination.manifest.keys import KeyRing
+    from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
     from quetzalcourse.lifecycle import Lifecycle
     from quetzalcourse.settings.process import ProcessSettings
     from quetzalcourse.state.clock import Clock
--- a/quetzalcourse/protocol/exposition.py
+++ b/quetzalcourse/protocol/exposition.py
@@ -6,8 +6,11 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from quetzalcourse.coordination.burn import LevelEvents
-from quetzalcourse.coordination.service_levels import EVENTS, WINDOW_EVENTS
+from quetzalcourse.coordination.service_levels.burn import LevelEvents
+from quetzalcourse.coordination.service_levels.service_levels import (
+    EVENTS,
+    WINDOW_EVENTS,
+)
 from quetzalcourse.state.service_levels import EventCount, Window
 
 if TYPE_CHECKING:
--- a/quetzalcourse/slot_parts.py
+++ b/quetzalcourse/slot_parts.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.admission import Admission
-from quetzalcourse.coordination.load_watch import LoadWatch
-from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.coordination.slots.admission import Admission
+from quetzalcourse.coordination.slots.load_watch import LoadWatch
+from quetzalcourse.coordination.slots.owner_grants import OwnerGrants
 from quetzalcourse.transport.engine_control import EngineControlClient
 from quetzalcourse.transport.slot_link import PeerSlotLink
 
--- a/quetzalcourse/standins/deployment.py
+++ b/quetzalcourse/standins/deployment.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.application import Application
-from quetzalcourse.coordination.keys import hash_secret
-from quetzalcourse.coordination.manifest import ManifestKeeper
+from quetzalcourse.coordination.manifest.keys import hash_secret
+from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
 from quetzalcourse.settings.process import ProcessSettings
 from quetzalcourse.standins.engine import EngineStandin
 from quetzalcourse.standins.platform import PlatformStandin
--- a/quetzalcourse/tests/commands/key_tests.py
+++ b/quetzalcourse/tests/commands/key_tests.py
@@ -11,7 +11,7 @@
 
 from quetzalcourse.__main__ import main
 from quetzalcourse.application import Application
-from quetzalcourse.coordination.keys import hash_secret
+from quetzalcourse.coordination.manifest.keys import hash_secret
 from quetzalcourse.standins.deployment import Deployment, build_settings
 
 if TYPE_CHECKING:
--- a/quetzalcourse/tests/commands/report_tests.py
+++ b/quetzalcourse/tests/commands/report_tests.py
@@ -10,8 +10,13 @@
 from quetzalcourse.__main__ import main
 from quetzalcourse.commands.burn_page import render_page
 from quetzalcourse.commands.report import build_document, print_burns
-from quetzalcourse.coordination.burn import LevelBurn, compute_burns
-from quetzalcourse.coordination.service_levels import ServiceLevels
+from quetzalcourse.coordination.service_levels.burn import (
+    LevelBurn,
+    compute_burns,
+)
+from quetzalcourse.coordination.service_levels.service_levels import (
+    ServiceLevels,
+)
 from quetzalcourse.protocol.exposition import read_events
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import Manifest, ServiceLevel
@@ -24,7 +29,7 @@
 
     from syrupy.assertion import SnapshotAssertion
 
-    from quetzalcourse.coordination.burn import LevelEvents
+    from quetzalcourse.coordination.service_levels.burn import LevelEvents
 
 PERIOD = timedelta(days=28)
 LEVELS = {
--- a/quetzalcourse/tests/coordination/fleet_tests.py
+++ b/quetzalcourse/tests/coordination/fleet/fleet_tests.py
@@ -11,10 +11,10 @@
 from hypothesis import given, settings, strategies
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.fleet import measure_rate, plan_fleet
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.orders import FleetOrders
-from quetzalcourse.coordination.spending import advance_spending
+from quetzalcourse.coordination.fleet.fleet import measure_rate, plan_fleet
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.fleet.orders import FleetOrders
+from quetzalcourse.coordination.fleet.spending import advance_spending
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import OrderProblem
@@ -156,7 +156,7 @@
         assert measure_rate(PLAN, decision.counts) <= budget_left / 24 + 1e-6
 
 
-def test_spending_goes_on_while_nobody_is_in_charge() -> None:
+def test_spending_goes_on_without_a_holder() -> None:
     # The holder dies and the next one begins two hours later. Upstreams
     # cost money all the while, and the budget would look better than it is.
     day = 24 * 3600
--- a/quetzalcourse/tests/coordination/lease_tests.py
+++ b/quetzalcourse/tests/coordination/leases/lease_tests.py
@@ -1,4 +1,4 @@
-"""Leases: never two in charge, and what ends or outlasts a charge."""
+"""Leases: never two holders, and what ends or outlasts a term."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from hypothesis import given, settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from quetzalcourse.coordination.lease import Lease
+from quetzalcourse.coordination.leases.lease import Lease
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.lease import LeaseState, LeaseTerms, find_margin
 from quetzalcourse.state.rows import Transaction, Write
@@ -149,7 +149,7 @@
     assert await commit_under(pair.store, pair.second)
 
 
-async def test_store_down_past_the_term_leaves_nobody_in_charge() -> None:
+async def test_store_down_past_the_term_leaves_no_holder() -> None:
     # The store goes down. Whoever looks at any daemon must see that nobody
     # gives orders, and the holder itself must stop.
     pair = Pair()
@@ -319,7 +319,7 @@
         self.tokens.append(token)
 
     @invariant()
-    def at_most_one_is_in_charge(self) -> None:
+    def at_most_one_holds_the_lease(self) -> None:
         assert sum(lease.held for lease in self.leases) <= 1
         assert self.tokens == sorted(self.tokens)
 
@@ -334,7 +334,7 @@
 LeaseMachine.TestCase.settings = settings(
     derandomize=True, max_examples=40, stateful_step_count=20, deadline=None
 )
-test_never_two_in_charge = LeaseMachine.TestCase
+test_never_two_holders = LeaseMachine.TestCase
 
 
 class Sender:
@@ -386,7 +386,7 @@
 @pytest.mark.parametrize('releases', [False, True])
 @given(seed=strategies.integers(0, 10**6))
 @settings(derandomize=True, max_examples=20, deadline=None)
-def test_no_schedule_has_two_in_charge(releases: bool, seed: int) -> None:
+def test_no_schedule_has_two_holders(releases: bool, seed: int) -> None:
     # Everything at once, for five minutes: contenders pause, their clocks
     # drift, the store is slow, down, and applies writes that were given up
     # on. Two senders in one term would order upstreams twice over.
--- a/quetzalcourse/tests/coordination/manifest_tests.py
+++ b/quetzalcourse/tests/coordination/manifest/manifest_tests.py
@@ -16,19 +16,19 @@
 from hypothesis.strategies import booleans, integers, sampled_from
 from result import Err, Ok
 
-from quetzalcourse.coordination.manifest import (
+from quetzalcourse.coordination.manifest.manifest import (
     MANIFEST_KEY,
     ManifestConflict,
     ManifestKeeper,
 )
-from quetzalcourse.coordination.membership import Digest
-from quetzalcourse.coordination.sections import (
+from quetzalcourse.coordination.membership.membership import Digest
+from quetzalcourse.coordination.manifest.sections import (
     NO_HEAD,
     hash_content,
     join_sections,
     split_sections,
 )
-from quetzalcourse.coordination.manifest_spread import ManifestSpread
+from quetzalcourse.coordination.manifest.manifest_spread import ManifestSpread
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import (
     ClientAccount,
--- a/quetzalcourse/tests/coordination/membership_tests.py
+++ b/quetzalcourse/tests/coordination/membership/membership_tests.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from quetzalcourse.coordination.membership import Membership
-from quetzalcourse.coordination.roster import Roster
+from quetzalcourse.coordination.membership.membership import Membership
+from quetzalcourse.coordination.membership.roster import Roster
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.heartbeats import Standing, describe
 from quetzalcourse.state.members import Member, Topic
--- a/quetzalcourse/tests/coordination/idempotency_tests.py
+++ b/quetzalcourse/tests/coordination/requests/idempotency_tests.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalcourse.coordination.idempotency import (
+from quetzalcourse.coordination.requests.idempotency import (
     Claims,
     KeyedCall,
     digest_call,
--- a/quetzalcourse/tests/coordination/upstream_view_tests.py
+++ b/quetzalcourse/tests/coordination/routing/upstream_view_tests.py
@@ -10,12 +10,12 @@
 import pytest
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.health import Health
-from quetzalcourse.coordination.leaving import Departure, Leaving
-from quetzalcourse.coordination.observer import Observer
-from quetzalcourse.coordination.prefixes import PrefixHints, hash_prefix
-from quetzalcourse.coordination.reports import EngineReports
-from quetzalcourse.coordination.routing import Router
+from quetzalcourse.coordination.routing.health import Health
+from quetzalcourse.coordination.routing.leaving import Departure, Leaving
+from quetzalcourse.coordination.routing.observer import Observer
+from quetzalcourse.coordination.routing.prefixes import PrefixHints, hash_prefix
+from quetzalcourse.coordination.routing.reports import EngineReports
+from quetzalcourse.coordination.routing.routing import Router
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import (
     CacheChange,
--- a/quetzalcourse/tests/coordination/burn_ledger_tests.py
+++ b/quetzalcourse/tests/coordination/service_levels/burn_ledger_tests.py
@@ -6,8 +6,11 @@
 
 import pytest
 
-from quetzalcourse.coordination.burn_ledger import BurnLedger, read_sums
-from quetzalcourse.coordination.service_levels import EVENTS
+from quetzalcourse.coordination.service_levels.burn_ledger import (
+    BurnLedger,
+    read_sums,
+)
+from quetzalcourse.coordination.service_levels.service_levels import EVENTS
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import ServiceLevel
 from quetzalcourse.state.service_levels import EventCount
--- a/quetzalcourse/tests/coordination/burn_tests.py
+++ b/quetzalcourse/tests/coordination/service_levels/burn_tests.py
@@ -6,14 +6,16 @@
 
 import pytest
 
-from quetzalcourse.coordination.burn import (
+from quetzalcourse.coordination.service_levels.burn import (
     Alert,
     LevelEvents,
     compute_burn,
     find_worst,
     judge_rates,
 )
-from quetzalcourse.coordination.service_levels import ServiceLevels
+from quetzalcourse.coordination.service_levels.service_levels import (
+    ServiceLevels,
+)
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import Manifest, ServiceLevel
 from quetzalcourse.state.service_levels import (
--- a/quetzalcourse/tests/coordination/slot_owner_tests.py
+++ b/quetzalcourse/tests/coordination/slots/slot_owner_tests.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from quetzalcourse.coordination.division import (
+from quetzalcourse.coordination.slots.division import (
     Accounts,
     Claim,
     divide_slots,
 )
-from quetzalcourse.coordination.slot_owner import SlotOwner
+from quetzalcourse.coordination.slots.slot_owner import SlotOwner
 from quetzalcourse.protocol.slots import (
     decode_slots,
     encode_allowances,
--- a/quetzalcourse/tests/coordination/slot_sharing_tests.py
+++ b/quetzalcourse/tests/coordination/slots/slot_sharing_tests.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from quetzalcourse.coordination.ownership import find_owner
+from quetzalcourse.coordination.slots.ownership import find_owner
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.slots import SlotTerms
 from quetzalcourse.tests.slots import (
--- a/quetzalcourse/tests/coordination/sample_making_tests.py
+++ b/quetzalcourse/tests/coordination/steps/sample_making_tests.py
@@ -8,13 +8,16 @@
 
 import pytest
 
-from quetzalcourse.coordination.sample_making import (
+from quetzalcourse.coordination.steps.sample_making import (
     MakingParts,
     SampleMaking,
 )
-from quetzalcourse.coordination.sample_stream import SampleOrder
-from quetzalcourse.coordination.staleness import NewestVersions, is_labelled
-from quetzalcourse.coordination.stragglers import RescueKind
+from quetzalcourse.coordination.steps.sample_stream import SampleOrder
+from quetzalcourse.coordination.steps.staleness import (
+    NewestVersions,
+    is_labelled,
+)
+from quetzalcourse.coordination.steps.stragglers import RescueKind
 from quetzalcourse.standins.rollouts import ScriptedEngine, ScriptedGeneration
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/tests/coordination/step_delivery_tests.py
+++ b/quetzalcourse/tests/coordination/steps/step_delivery_tests.py
@@ -6,11 +6,13 @@
 
 import pytest
 
-from quetzalcourse.coordination.delivery_counts import DeliveryCounts
-from quetzalcourse.coordination.service_levels import ServiceLevels
-from quetzalcourse.coordination.staleness import NewestVersions
-from quetzalcourse.coordination.step_delivery import StepDelivery
-from quetzalcourse.coordination.step_rows import (
+from quetzalcourse.coordination.steps.delivery_counts import DeliveryCounts
+from quetzalcourse.coordination.service_levels.service_levels import (
+    ServiceLevels,
+)
+from quetzalcourse.coordination.steps.staleness import NewestVersions
+from quetzalcourse.coordination.steps.step_delivery import StepDelivery
+from quetzalcourse.coordination.steps.step_rows import (
     encode,
     name_batch,
     name_delivery,
--- a/quetzalcourse/tests/coordination/steps_tests.py
+++ b/quetzalcourse/tests/coordination/steps/steps_tests.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err
 
-from quetzalcourse.coordination.step_rows import name_open, name_step
+from quetzalcourse.coordination.steps.step_rows import name_open, name_step
 from quetzalcourse.standins.rollouts import ScriptedEngine
 from quetzalcourse.standins.virtual_time import run_virtual
 from quetzalcourse.state.refusal import RefusalCode
--- a/quetzalcourse/tests/coordination/stragglers_tests.py
+++ b/quetzalcourse/tests/coordination/steps/stragglers_tests.py
@@ -6,8 +6,11 @@
 
 import pytest
 
-from quetzalcourse.coordination.dispatch_order import Backlog, LengthMemory
-from quetzalcourse.coordination.stragglers import (
+from quetzalcourse.coordination.steps.dispatch_order import (
+    Backlog,
+    LengthMemory,
+)
+from quetzalcourse.coordination.steps.stragglers import (
     RescueKind,
     RunningSample,
     plan_rescues,
--- a/quetzalcourse/tests/coordination/usage_tests.py
+++ b/quetzalcourse/tests/coordination/usage/usage_tests.py
@@ -10,8 +10,8 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from quetzalcourse.coordination.usage import UsageCounter
-from quetzalcourse.coordination.usage_rows import UsageRows
+from quetzalcourse.coordination.usage.usage import UsageCounter
+from quetzalcourse.coordination.usage.usage_rows import UsageRows
 from quetzalcourse.standins.virtual_time import run_virtual
 from quetzalcourse.state.usage import (
     UsageEntry,
--- a/quetzalcourse/tests/coordination/wave_runner_tests.py
+++ b/quetzalcourse/tests/coordination/weights/wave_runner_tests.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.staleness import NewestVersions
-from quetzalcourse.coordination.wave_runner import WaveRunner
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.steps.staleness import NewestVersions
+from quetzalcourse.coordination.weights.wave_runner import WaveRunner
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import (
--- a/quetzalcourse/tests/coordination/waves_tests.py
+++ b/quetzalcourse/tests/coordination/weights/waves_tests.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalcourse.coordination.waves import Wave
+from quetzalcourse.coordination.weights.waves import Wave
 from quetzalcourse.state.waves import EngineView, WavePlan
 
 SECOND = timedelta(seconds=1)
--- a/quetzalcourse/tests/engines.py
+++ b/quetzalcourse/tests/engines.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.attempt import AttemptError
+from quetzalcourse.coordination.requests.attempt import AttemptError
 from quetzalcourse.state.generation import AttemptState, Chunk
 
 if TYPE_CHECKING:
--- a/quetzalcourse/tests/slots.py
+++ b/quetzalcourse/tests/slots.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.admission import Admission
-from quetzalcourse.coordination.owner_grants import OwnerGrants
+from quetzalcourse.coordination.slots.admission import Admission
+from quetzalcourse.coordination.slots.owner_grants import OwnerGrants
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.manifest import Manifest, Upstream, UpstreamKind
--- a/quetzalcourse/tests/step_process_tests.py
+++ b/quetzalcourse/tests/step_process_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -46,6 +47,15 @@
     return ''.join(make_token(prompt, index, at) for at in range(length))
 
 
+async def expect_half_done(trainer: TrainerClient) -> None:
+    """Make sure that the process is in the midst of the step."""
+    progress = await trainer.observe(TRAINER, BODY.step)
+    assert progress.delivery.whole_at is None
+    assert progress.run is not None
+    assert progress.run.holder.startswith('vm-9-')
+    assert 0 < progress.run.committed < TOTAL
+
+
 @pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
 async def test_step_outlives_its_process(
     tmp_path: Path,
@@ -72,12 +82,41 @@
             await trainer.create(BODY)
             async for sample in trainer.samples(TRAINER, BODY.step):
                 if not places:
+                    await expect_half_done(trainer)
                     process.send_signal(number)
                 if len(places) == TOTAL - 1 and number is signal.SIGSTOP:
                     process.send_signal(signal.SIGCONT)
                 places.append((sample.group, sample.index))
                 assert sample.text == expect_text(*places[-1])
+                assert sample.versions
+            finished = await trainer.observe(TRAINER, BODY.step)
+            await asyncio.sleep(1)
+            later = await trainer.observe(TRAINER, BODY.step)
     finally:
         await process.on_stop()
         await deployment.on_stop()
     assert len(places) == len(set(places)) == TOTAL
+    assert finished.delivery.delivered == TOTAL
+    assert later.delivery == finished.delivery
+
+
+async def test_outage_of_the_store_holds_the_step() -> None:
+    # The platform's store is down while a step runs. What was generated
+    # must be kept and delivered once when the store is back.
+    deployment = Deployment(engine_count=1, token_seconds=0.02)
+    await deployment.on_start()
+    places: list[tuple[int, int]] = []
+    async with TrainerClient(
+        [deployment.url], TRAINER_KEY, poll=timedelta(milliseconds=100)
+    ) as trainer:
+        await trainer.create(BODY)
+        while not deployment.engines[0].record.started:
+            await asyncio.sleep(0.01)
+        deployment.platform.faults.down = True
+        await asyncio.sleep(2)
+        deployment.platform.faults.down = False
+        async for sample in trainer.samples(TRAINER, BODY.step):
+            places.append((sample.group, sample.index))
+            assert sample.text == expect_text(*places[-1])
+    await deployment.on_stop()
+    assert len(places) == len(set(places)) == TOTAL
--- a/quetzalcourse/tests/step_world.py
+++ b/quetzalcourse/tests/step_world.py
@@ -10,8 +10,10 @@
 
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.service_levels import ServiceLevels
-from quetzalcourse.coordination.step_assembly import build_steps
+from quetzalcourse.coordination.service_levels.service_levels import (
+    ServiceLevels,
+)
+from quetzalcourse.coordination.steps.step_assembly import build_steps
 from quetzalcourse.standins.rollouts import ScriptedEngine, ScriptedGeneration
 from quetzalcourse.standins.virtual_time import VirtualClock
 from quetzalcourse.state.counters import Counters
@@ -24,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quetzalcourse.coordination.steps import Steps
+    from quetzalcourse.coordination.steps.steps import Steps
     from quetzalcourse.state.generation import GenerationRequest
     from quetzalcourse.state.steps import DeliveredBatch, Sample
 
--- a/quetzalcourse/tests/transport/key_sessions_tests.py
+++ b/quetzalcourse/tests/transport/key_sessions_tests.py
@@ -10,7 +10,7 @@
 import pytest_asyncio
 
 from quetzalcourse.application import Application
-from quetzalcourse.coordination.keys import hash_secret
+from quetzalcourse.coordination.manifest.keys import hash_secret
 from quetzalcourse.standins.deployment import (
     MODEL,
     READER_KEY,
--- a/quetzalcourse/tests/transport/order_client_tests.py
+++ b/quetzalcourse/tests/transport/order_client_tests.py
@@ -42,7 +42,7 @@
     return FleetOrder(order_id, token, PLACE, count, 0)
 
 
-async def test_nothing_is_sent_once_the_charge_ended(
+async def test_nothing_is_sent_once_the_lease_ended(
     platform: PlatformStandin,
     client: OrderClient,
 ) -> None:
--- a/quetzalcourse/tests/usage_process_tests.py
+++ b/quetzalcourse/tests/usage_process_tests.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from quetzalcourse.commands.usage import explain_report, sum_shares
-from quetzalcourse.coordination.manifest import ManifestKeeper
+from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
 from quetzalcourse.standins.deployment import (
     MODEL,
     READER_KEY,
@@ -61,7 +61,7 @@
 async def test_stopped_holder_sends_nothing_more(tmp_path: Path) -> None:
     # The daemon that reports is stopped past its term, another one takes
     # over, and the first is continued. Two senders would be at work, each
-    # believing that it is in charge. At last the second one is killed.
+    # believing that it holds the lease. At last the second one is killed.
     platform = PlatformStandin()
     engine = EngineStandin('engine-0', (MODEL,), slots=4)
     await platform.start()
--- a/quetzalcourse/tests/usage_world.py
+++ b/quetzalcourse/tests/usage_world.py
@@ -10,12 +10,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.lease_keeper import LeaseKeeper
-from quetzalcourse.coordination.usage import UsageCounter
-from quetzalcourse.coordination.usage_copies import UsageCopies
-from quetzalcourse.coordination.usage_reports import UsageReporter
-from quetzalcourse.coordination.usage_rows import UsageRows
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.usage.usage import UsageCounter
+from quetzalcourse.coordination.usage.usage_copies import UsageCopies
+from quetzalcourse.coordination.usage.usage_reports import UsageReporter
+from quetzalcourse.coordination.usage.usage_rows import UsageRows
 from quetzalcourse.standins.virtual_time import VirtualClock
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import OrderProblem
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -28,16 +28,20 @@
 
     from sanic.response import HTTPResponse
 
-    from quetzalcourse.coordination.generation import Generation
-    from quetzalcourse.coordination.human_service import HumanService
-    from quetzalcourse.coordination.idempotency import Claims
-    from quetzalcourse.coordination.keys import Identity, KeyRing
-    from quetzalcourse.coordination.manifest import ManifestKeeper
-    from quetzalcourse.coordination.routing import Router
-    from quetzalcourse.coordination.service_levels import ServiceLevels
-    from quetzalcourse.coordination.services import Services
-    from quetzalcourse.coordination.status import StatusBoard
-    from quetzalcourse.coordination.steps import Steps
+    from quetzalcourse.coordination.requests.generation import Generation
+    from quetzalcourse.coordination.service_levels.human_service import (
+        HumanService,
+    )
+    from quetzalcourse.coordination.requests.idempotency import Claims
+    from quetzalcourse.coordination.manifest.keys import Identity, KeyRing
+    from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
+    from quetzalcourse.coordination.routing.routing import Router
+    from quetzalcourse.coordination.service_levels.service_levels import (
+        ServiceLevels,
+    )
+    from quetzalcourse.coordination.requests.services import Services
+    from quetzalcourse.coordination.membership.status import StatusBoard
+    from quetzalcourse.coordination.steps.steps import Steps
     from quetzalcourse.settings.process import ProcessSettings
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/transport/engine_client.py
+++ b/quetzalcourse/transport/engine_client.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from quetzalcourse.coordination.attempt import Attempt, AttemptError
+from quetzalcourse.coordination.requests.attempt import Attempt, AttemptError
 from quetzalcourse.protocol.engines import (
     build_request,
     parse_chunk,
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -35,7 +35,7 @@
     from sanic import Sanic
     from sanic.response import HTTPResponse
 
-    from quetzalcourse.coordination.keys import Identity
+    from quetzalcourse.coordination.manifest.keys import Identity
     from quetzalcourse.state.generation import Chunk
     from quetzalcourse.transport.callers import CallerParts
 
--- a/quetzalcourse/transport/key_sessions.py
+++ b/quetzalcourse/transport/key_sessions.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, TypeVar
 
-from quetzalcourse.coordination.keys import refuse_key
+from quetzalcourse.coordination.manifest.keys import refuse_key
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.refusal import RefusalCode
 from quetzalcourse.transport.web import abort_connection
@@ -16,7 +16,7 @@
 
     from sanic import Request
 
-    from quetzalcourse.coordination.keys import Identity, KeyRing
+    from quetzalcourse.coordination.manifest.keys import Identity, KeyRing
     from quetzalcourse.state.generation import Chunk
 
 Answer = TypeVar('Answer')
--- a/quetzalcourse/transport/operator_routes.py
+++ b/quetzalcourse/transport/operator_routes.py
@@ -8,7 +8,7 @@
 from sanic import Request
 from sanic import response as answers
 
-from quetzalcourse.coordination.keys import match_secret
+from quetzalcourse.coordination.manifest.keys import match_secret
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.keys import KeyRecord, check_record
 from quetzalcourse.state.refusal import Refusal, RefusalCode
--- a/quetzalcourse/transport/order_client.py
+++ b/quetzalcourse/transport/order_client.py
@@ -30,11 +30,11 @@
 
 
 class SendingStoppedError(Exception):
-    """The sender was no longer in charge when the bytes were due."""
+    """The sender no longer held its lease when the bytes were due."""
 
 
 class GuardedBody:
-    """Body of a request, given out only while the sender is in charge.
+    """Body of a request, given out only while the sender holds its lease.
 
     The HTTP client connects, which takes time, and then sends the headers.
     Only then does it ask for the body, whose length the headers have told.
@@ -42,7 +42,7 @@
     one step of the loop: a process that was stopped past its term meets the
     check first, and a request without its body is none to the receiver.
 
-    :param may_send: whether the sender is in charge at this instant.
+    :param may_send: whether the sender holds its lease at this instant.
     """
 
     def __init__(self, content: bytes, may_send: Callable[[], bool]) -> None:
@@ -62,7 +62,7 @@
     async def read(self) -> AsyncIterator[bytes]:
         """Give the content out.
 
-        :raises SendingStoppedError: if the sender is not in charge.
+        :raises SendingStoppedError: if the sender does not hold its lease.
         """
         if not self._may_send():
             raise SendingStoppedError
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -12,12 +12,12 @@
 from sanic import Request
 from yarl import URL
 
-from quetzalcourse.coordination.idempotency import (
+from quetzalcourse.coordination.requests.idempotency import (
     Claim,
     KeyedCall,
     digest_call,
 )
-from quetzalcourse.coordination.services import ServiceCall, correct
+from quetzalcourse.coordination.requests.services import ServiceCall, correct
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import NEVER_RAN, AttemptState
 from quetzalcourse.state.refusal import Refusal, RefusalCode
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from sanic import Sanic
 
-    from quetzalcourse.coordination.admission import Grant
+    from quetzalcourse.coordination.slots.admission import Grant
     from quetzalcourse.transport.callers import CallerParts
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
--- a/quetzalcourse/transport/slot_link.py
+++ b/quetzalcourse/transport/slot_link.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from quetzalcourse.coordination.ownership import hash_name
+from quetzalcourse.coordination.slots.ownership import hash_name
 from quetzalcourse.log import get_log
 from quetzalcourse.protocol.slots import (
     decode_slots,
--- a/quetzalcourse/upstreams.py
+++ b/quetzalcourse/upstreams.py
@@ -6,23 +6,23 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.generation import Generation
-from quetzalcourse.coordination.health import Health
-from quetzalcourse.coordination.idempotency import Claims
-from quetzalcourse.coordination.leaving import Leaving
-from quetzalcourse.coordination.observer import Observer
-from quetzalcourse.coordination.prefixes import PrefixHints
-from quetzalcourse.coordination.reports import EngineReports
-from quetzalcourse.coordination.retries import RetryBudget
-from quetzalcourse.coordination.routing import Router
-from quetzalcourse.coordination.services import Services
+from quetzalcourse.coordination.requests.generation import Generation
+from quetzalcourse.coordination.routing.health import Health
+from quetzalcourse.coordination.requests.idempotency import Claims
+from quetzalcourse.coordination.routing.leaving import Leaving
+from quetzalcourse.coordination.routing.observer import Observer
+from quetzalcourse.coordination.routing.prefixes import PrefixHints
+from quetzalcourse.coordination.routing.reports import EngineReports
+from quetzalcourse.coordination.requests.retries import RetryBudget
+from quetzalcourse.coordination.routing.routing import Router
+from quetzalcourse.coordination.requests.services import Services
 from quetzalcourse.transport.engine_client import EngineClient
 from quetzalcourse.transport.engine_control import EngineControlClient
 
 if TYPE_CHECKING:
     import aiohttp
 
-    from quetzalcourse.coordination.admission import Admission
+    from quetzalcourse.coordination.slots.admission import Admission
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/weight_parts.py
+++ b/quetzalcourse/weight_parts.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
-from quetzalcourse.coordination.lease import Lease
-from quetzalcourse.coordination.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
 from quetzalcourse.coordination.ports import Table, WeightStore
-from quetzalcourse.coordination.staleness import NewestVersions
-from quetzalcourse.coordination.wave_runner import WaveRunner
+from quetzalcourse.coordination.steps.staleness import NewestVersions
+from quetzalcourse.coordination.weights.wave_runner import WaveRunner
 from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.state.waves import WavePlan
 from quetzalcourse.transport.engine_control import EngineControlClient
