Answer senders that stall in the body of a step

Cause: the routes of steps and of operators' keys let the HTTP library read the body, which waits for its end without limit; a trainer whose network stalled in mid-body never heard of it. Ruled out: the library's own request timeout, which covers the head only. Change: every route that takes a body reads it itself, through one allow_streaming in place of three copies; log lines carry the request's id. Conclusion: no route is left that waits for a body without a limit.

--- a/quetzalcourse/tests/transport/callers_tests.py
+++ b/quetzalcourse/tests/transport/callers_tests.py
@@ -144,6 +144,7 @@
     [
         (COMPLETIONS, 'Content-Length: 90', '{"model"', True),
         (CALL, 'Content-Length: 90', 'half', True),
+        ('/v1/steps', 'Content-Length: 90', '{"trainer"', True),
         (CALL, 'Transfer-Encoding: chunked', '4\r\nhalf\r\n', False),
     ],
 )
--- a/quetzalcourse/transport/bodies.py
+++ b/quetzalcourse/transport/bodies.py
@@ -9,12 +9,15 @@
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable, Coroutine
 
     from sanic import Request
+    from sanic.response import HTTPResponse
 
     from quetzalcourse.settings.process import LimitSettings
 
+    Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
+
 
 class BodySource:
     """Body of a caller's request.
@@ -110,6 +113,21 @@
         raise RefusedError(refusal)
 
 
+def allow_streaming(handler: Handler) -> Handler:
+    """Let a handler read its request's body itself.
+
+    Sanic reads the body before any other handler begins and waits for its
+    end however long that takes, so a sender that stalls would never hear
+    of it. It marks a streaming handler by an attribute, which a bound
+    method can't carry; a function around it can.
+    """
+
+    async def serve(request: Request, **names: Any) -> HTTPResponse | None:
+        return await handler(request, **names)
+
+    return serve
+
+
 async def read_body(request: Request, limits: LimitSettings) -> bytes:
     """Read the body of a request that is not passed on.
 
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -12,6 +12,7 @@
 from sanic import Request, Sanic
 from sanic import exceptions as sanic_errors
 from sanic import response as answers
+from structlog.contextvars import bind_contextvars, clear_contextvars
 
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.log import get_log
@@ -193,6 +194,10 @@
     if not request_id:
         request_id = request.app.ctx.request_ids.name_next()
         request.ctx.request_id = request_id
+        # Requests of one connection share a context, so what the one
+        # before bound would otherwise show in this one's lines.
+        clear_contextvars()
+        bind_contextvars(request_id=request_id)
     return request_id
 
 
--- a/quetzalcourse/transport/generation_routes.py
+++ b/quetzalcourse/transport/generation_routes.py
@@ -19,7 +19,7 @@
 from quetzalcourse.protocol.events import END_EVENT, encode_event
 from quetzalcourse.protocol.refusals import encode_refusal
 from quetzalcourse.state.generation import GenerationRequest, TrafficClass
-from quetzalcourse.transport.bodies import read_body
+from quetzalcourse.transport.bodies import allow_streaming, read_body
 from quetzalcourse.transport.callers import (
     JSON_TYPE,
     authenticate,
@@ -49,20 +49,19 @@
     def __init__(self, app: Sanic, parts: CallerParts) -> None:
         """Add the routes to the application."""
         self._parts = parts
-
-        # Sanic marks a streaming handler by an attribute, which a bound
-        # method can't carry. Other handlers wait for a body without end.
-        async def complete(request: Request) -> HTTPResponse | None:
-            return await self._complete(request)
-
-        async def chat(request: Request) -> HTTPResponse | None:
-            return await self._chat(request)
-
         app.add_route(
-            complete, '/v1/completions', methods=['POST'], stream=True
+            allow_streaming(self._complete),
+            '/v1/completions',
+            methods=['POST'],
+            name='complete',
+            stream=True,
         )
         app.add_route(
-            chat, '/v1/chat/completions', methods=['POST'], stream=True
+            allow_streaming(self._chat),
+            '/v1/chat/completions',
+            methods=['POST'],
+            name='chat',
+            stream=True,
         )
 
     async def _complete(self, request: Request) -> HTTPResponse | None:
--- a/quetzalcourse/transport/operator_routes.py
+++ b/quetzalcourse/transport/operator_routes.py
@@ -12,6 +12,7 @@
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.keys import KeyRecord, check_record
 from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.transport.bodies import allow_streaming, read_body
 from quetzalcourse.transport.callers import (
     BEARER,
     JSON_TYPE,
@@ -35,7 +36,11 @@
         self._parts = parts
         app.add_route(self._list, KEYS_PATH, methods=['GET'], name='list_keys')
         app.add_route(
-            self._change, KEYS_PATH, methods=['POST'], name='change_key'
+            allow_streaming(self._change),
+            KEYS_PATH,
+            methods=['POST'],
+            name='change_key',
+            stream=True,
         )
 
     async def _list(self, request: Request) -> HTTPResponse:
@@ -45,7 +50,8 @@
 
     async def _change(self, request: Request) -> HTTPResponse:
         self._check_operator(request)
-        record = decode_body(request.body, KeyRecord)
+        content = await read_body(request, self._parts.settings.limits)
+        record = decode_body(content, KeyRecord)
         fault = check_record(record)
         if fault:
             raise RefusedError(_refuse(RefusalCode.invalid_body, fault))
--- a/quetzalcourse/transport/service_routes.py
+++ b/quetzalcourse/transport/service_routes.py
@@ -21,7 +21,7 @@
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.generation import NEVER_RAN, AttemptState
 from quetzalcourse.state.refusal import Refusal, RefusalCode
-from quetzalcourse.transport.bodies import BodySource
+from quetzalcourse.transport.bodies import BodySource, allow_streaming
 from quetzalcourse.transport.callers import (
     authenticate,
     read_request_id,
@@ -86,16 +86,11 @@
         """Add the route to the application."""
         self._parts = parts
         self._session = session
-
-        # Sanic marks a streaming handler by an attribute, which a bound
-        # method can't carry.
-        async def call(request: Request, name: str, path: str) -> None:
-            await self._call(request, name, path)
-
         app.add_route(
-            call,
+            allow_streaming(self._call),
             '/services/<name:str>/<path:path>',
             methods=METHODS,
+            name='call',
             stream=True,
         )
 
--- a/quetzalcourse/transport/step_routes.py
+++ b/quetzalcourse/transport/step_routes.py
@@ -19,6 +19,7 @@
 )
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.steps import StepSpec
+from quetzalcourse.transport.bodies import allow_streaming, read_body
 from quetzalcourse.transport.callers import (
     JSON_TYPE,
     authenticate,
@@ -48,16 +49,27 @@
         """Add the routes to the application."""
         self._parts = parts
         self._steps = parts.steps
-        app.add_route(self._create, '/v1/steps', methods=['POST'])
+        app.add_route(
+            allow_streaming(self._create),
+            '/v1/steps',
+            methods=['POST'],
+            name='create_step',
+            stream=True,
+        )
         app.add_route(self._observe, STEP_PATH, methods=['GET'])
         app.add_route(self._cancel, STEP_PATH, methods=['DELETE'])
         app.add_route(self._read, f'{STEP_PATH}/samples', methods=['GET'])
         app.add_route(
-            self._acknowledge, f'{STEP_PATH}/acknowledge', methods=['POST']
+            allow_streaming(self._acknowledge),
+            f'{STEP_PATH}/acknowledge',
+            methods=['POST'],
+            name='acknowledge',
+            stream=True,
         )
 
     async def _create(self, request: Request) -> HTTPResponse:
-        body = decode_body(request.body, StepBody)
+        content = await read_body(request, self._parts.settings.limits)
+        body = decode_body(content, StepBody)
         trainer = self._find_trainer(request, body.trainer)
         faults = find_step_faults(body)
         if faults:
@@ -114,7 +126,8 @@
         step: int,
     ) -> HTTPResponse:
         self._find_trainer(request, trainer)
-        body = decode_body(request.body, AcknowledgeBody)
+        content = await read_body(request, self._parts.settings.limits)
+        body = decode_body(content, AcknowledgeBody)
         acknowledged = self._steps.acknowledge(trainer, step, body.cursor)
         return encode_answer(await self._wait(acknowledged))
 
