Tell a half-closed caller why its request ends

Cause: a caller that closed its sending side and went on reading got the end of the connection without a word. Ruled out: serving it on, since the same end of stream is all that shows when a caller's program is gone, and an engine would go on for nobody. Change: before the answer begins, it is told 409 cancelled with not_run false, and the request leaves nothing behind; the routes have one module that adds them.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -31,18 +31,15 @@
     prepare_app,
 )
 from quetzalcourse.transport.clock import SystemClock
+from quetzalcourse.transport.departures import CallerProtocol
 from quetzalcourse.transport.connections import (
     build_connector,
     send_once,
 )
-from quetzalcourse.transport.generation_routes import GenerationRoutes
-from quetzalcourse.transport.health_routes import HealthRoutes
 from quetzalcourse.transport.key_sessions import KeySessions
-from quetzalcourse.transport.operator_routes import OperatorRoutes
 from quetzalcourse.transport.platform_client import PlatformClient
-from quetzalcourse.transport.service_routes import ServiceRoutes
+from quetzalcourse.transport.routes import add_routes
 from quetzalcourse.transport.sockets import open_listener, read_address
-from quetzalcourse.transport.step_routes import StepRoutes
 from quetzalcourse.transport.web import WebServer, build_app
 from quetzalcourse.upstreams import build_upstreams
 from quetzalcourse.weight_parts import build_weights
@@ -249,9 +246,5 @@
             status=self.status,
         )
         prepare_app(app, parts, RequestIds(self.incarnation))
-        GenerationRoutes(app, parts)
-        ServiceRoutes(app, parts, self._session)
-        StepRoutes(app, parts)
-        HealthRoutes(app, parts)
-        OperatorRoutes(app, parts)
-        return WebServer(app, self._listener)
+        add_routes(app, parts, self._session)
+        return WebServer(app, self._listener, CallerProtocol)
--- a/quetzalcourse/tests/transport/callers_tests.py
+++ b/quetzalcourse/tests/transport/callers_tests.py
@@ -208,6 +208,35 @@
     transport.abort()
 
 
+@pytest.mark.parametrize(('sent', 'ran'), [(True, True), (False, False)])
+async def test_half_closed_caller_is_told(
+    deployment: Deployment,
+    sent: bool,
+    ran: bool,
+) -> None:
+    # A program closes its sending side, after its request or within it, and
+    # waits for the answer. It must learn why there is none, and its request
+    # must leave nothing behind.
+    deployment.engines[0].faults.stall = True
+    reader, writer = await connect(deployment)
+    body = write_body(max_tokens=2000, seed=LONG_SEED)
+    head = f'POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\n{KEY}\r\n'
+    content = body if sent else body[:9]
+    request = f'{head}Content-Length: {len(body)}\r\n\r\n{content}'
+    writer.write(request.encode())
+    while bool(deployment.daemon.admission.running('engine-0')) != ran:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    writer.write_eof()
+    answer = (await asyncio.wait_for(reader.read(), 20)).decode()
+    writer.close()
+    assert answer.startswith('HTTP/1.1 409 ')
+    error = read_error(answer)
+    assert (error['code'], error['not_run']) == ('cancelled', False)
+    deployment.engines[0].faults.stall = False
+    await expect_nothing_left(deployment)
+
+
 @pytest.mark.parametrize(
     ('method', 'status', 'body'),
     [('HEAD', 200, ''), ('OPTIONS', 200, 'OPTIONS shelves')],
--- /dev/null
+++ b/quetzalcourse/transport/routes.py
@@ -0,0 +1,34 @@
+"""All routes of the server for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalcourse.transport.generation_routes import GenerationRoutes
+from quetzalcourse.transport.health_routes import HealthRoutes
+from quetzalcourse.transport.operator_routes import OperatorRoutes
+from quetzalcourse.transport.service_routes import ServiceRoutes
+from quetzalcourse.transport.step_routes import StepRoutes
+
+if TYPE_CHECKING:
+    import aiohttp
+    from sanic import Sanic
+
+    from quetzalcourse.transport.callers import CallerParts
+
+
+def add_routes(
+    app: Sanic,
+    parts: CallerParts,
+    session: aiohttp.ClientSession,
+) -> None:
+    """Add every route to the application.
+
+    :param parts: what the routes need of the rest of the daemon.
+    :param session: shared connections to upstreams.
+    """
+    GenerationRoutes(app, parts)
+    ServiceRoutes(app, parts, session)
+    StepRoutes(app, parts)
+    HealthRoutes(app, parts)
+    OperatorRoutes(app, parts)
--- a/quetzalcourse/transport/web.py
+++ b/quetzalcourse/transport/web.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sanic import Request, Sanic
+from sanic.server.protocols.http_protocol import HttpProtocol
 
 if TYPE_CHECKING:
     import socket
@@ -74,18 +75,26 @@
 
     :param app: the application.
     :param listener: socket that already listens.
+    :param protocol: how a connection behaves.
     """
 
-    def __init__(self, app: Sanic, listener: socket.socket) -> None:
+    def __init__(
+        self,
+        app: Sanic,
+        listener: socket.socket,
+        protocol: type[HttpProtocol] = HttpProtocol,
+    ) -> None:
         """Keep the application and its socket."""
         self._app = app
         self._listener = listener
+        self._protocol = protocol
         self._server: AsyncioServer | None = None
 
     async def start(self) -> None:
         """Begin to serve."""
         server = await self._app.create_server(
             sock=self._listener,
+            protocol=self._protocol,
             return_asyncio_server=True,
         )
         if server is None:
