Count reports on time, and name the step in its log lines

Change: the reporter tells the delay of each report once it is noted as sent; the run of a step binds trainer and step.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -201,6 +201,7 @@
             self.clock,
             self.counters,
         )
+        self.lease_parts.reporter.on_sent = self.service_levels.on_report
         self.generation.usage = self.lease_parts.usage
         self.upstreams.services.usage = self.lease_parts.usage
         self.burn_ledger = BurnLedger(
--- a/quetzalcourse/coordination/service_levels/service_levels.py
+++ b/quetzalcourse/coordination/service_levels/service_levels.py
@@ -23,6 +23,7 @@
 SLOT = timedelta(seconds=30)
 LONGEST = max(WINDOW_LENGTHS.values())
 EVENTS = 'service_level_events'
+ALL_ACCOUNTS = 'all'
 WINDOW_EVENTS = 'service_level_window_events'
 
 
@@ -120,6 +121,13 @@
                 quick = level.threshold is None or duration <= level.threshold
                 self._count(level, client_account, good=quick)
 
+    def on_report(self, delay: timedelta) -> None:
+        """Count a usage report that was taken; it is of all accounts.
+
+        :param delay: time since the report was due.
+        """
+        self.observe(Indicator.reports_on_time, ALL_ACCOUNTS, delay)
+
     def publish(self) -> None:
         """Bring the counts of every window up to date in the counters."""
         for name, history in self._histories.items():
--- a/quetzalcourse/coordination/steps/step_runner.py
+++ b/quetzalcourse/coordination/steps/step_runner.py
@@ -18,6 +18,7 @@
 from quetzalcourse.coordination.steps.scoring import StepScoring
 from quetzalcourse.coordination.steps.step_log import StepLog
 from quetzalcourse.coordination.steps.step_rows import encode, name_open
+from quetzalcourse.log import bind_log
 from quetzalcourse.state.rows import Transaction, Write
 from quetzalcourse.state.steps import DeliveryRecord, RunReport
 
@@ -102,6 +103,7 @@
 
         :raises StepLostError: if another daemon took the step over.
         """
+        bind_log(trainer=self._spec.trainer, step=self._spec.step)
         record = await self._load()
         if not record.closed:
             missing = set(self._spec.list_keys()) - set(self._log.committed)
--- a/quetzalcourse/coordination/usage/usage_reports.py
+++ b/quetzalcourse/coordination/usage/usage_reports.py
@@ -45,6 +45,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import Table, UsageReports
     from quetzalcourse.state.clock import Clock
@@ -90,6 +91,7 @@
     :param lease: lease on usage reports, pursued elsewhere.
     :param length: length of a window.
     :param grace: time after a window's end for daemons to write their rows.
+    :ivar on_sent: called once a report, with the time since it was due.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self._length = length
         self._grace = grace
         self.sendings = Sendings()
+        self.on_sent: Callable[[timedelta], None] = _ignore
 
     async def run(self) -> None:
         """Do what is due until the task is cancelled."""
@@ -241,10 +244,13 @@
                 log.error('Usage report refused.', window=window)
             return False
         log.info('Usage report taken.', window=window)
-        return await self._transact(
+        noted = await self._transact(
             (expect(PROGRESS_KEY, row),),
             (write_progress(UsageProgress(progress.frozen, window)),),
         )
+        if noted:
+            self.on_sent(self._find_delay(window))
+        return noted
 
     async def _transact(
         self,
@@ -257,10 +263,17 @@
         return answer.is_ok() and answer.unwrap().applied
 
     def _measure_delay(self, window: str) -> None:
-        due = find_start(window) + self._length + self._grace
-        behind = max(timedelta(0), self._clock.now() - due)
+        behind = self._find_delay(window)
         self._counters.set('usage_behind_seconds', behind.total_seconds())
 
+    def _find_delay(self, window: str) -> timedelta:
+        due = find_start(window) + self._length + self._grace
+        return max(timedelta(0), self._clock.now() - due)
+
+
+def _ignore(_: timedelta) -> None:
+    """Take no note: nobody listens yet."""
+
 
 def write_progress(progress: UsageProgress) -> Write:
     """Write down what is dealt with."""
--- a/quetzalcourse/log.py
+++ b/quetzalcourse/log.py
@@ -37,6 +37,11 @@
     )
 
 
+def bind_log(**names: object) -> None:
+    """Show names in every line that the calling task logs from now on."""
+    structlog.contextvars.bind_contextvars(**names)
+
+
 def get_log(part: str) -> FilteringBoundLogger:
     """Get the log of a part.
 
--- a/quetzalcourse/tests/coordination/usage/usage_tests.py
+++ b/quetzalcourse/tests/coordination/usage/usage_tests.py
@@ -142,3 +142,29 @@
     (window,) = counter.list_windows()
     (entry,) = counter.read(window).entries
     assert entry.figures.generated_tokens == 6
+
+
+async def collect_delays(outage: timedelta) -> list[timedelta]:
+    """Report some windows, with the store down for a while."""
+    world = UsageWorld(random.Random(5), longest_pause=0.1)
+    daemon = world.start()
+    delays: list[timedelta] = []
+    daemon.reporter.on_sent = delays.append
+    (name,) = world.daemons
+    for round_number in range(6):
+        world.count(name)
+        world.store.down = bool(outage) and round_number == 2
+        pause = outage if world.store.down else LENGTH
+        await asyncio.sleep(pause.total_seconds())
+    daemon.end()
+    return delays
+
+
+@pytest.mark.parametrize('windows', [0, 4])
+def test_delay_of_each_report_is_told(windows: int) -> None:
+    # The store is down while windows end. Their reports come late, which
+    # has to show in the service level of reports.
+    delays = run_virtual(collect_delays(LENGTH * windows))
+    assert len(delays) >= 2
+    late = [delay for delay in delays if delay >= LENGTH]
+    assert bool(late) is bool(windows)
