--- a/quetzalcourse/tests/docs_tests.py
+++ b/quetzalcourse/tests/docs_tests.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bench.capacity_page import load_figures, render_table
 from quetzalcourse.__main__ import build_parser
 from quetzalcourse.settings.reference import PAGES, render_page
 
@@ -107,3 +108,10 @@
     ]
     assert len(named) > 20
     assert not missing
+
+
+def test_capacity_table_is_current() -> None:
+    # Figures are measured anew and the page keeps the old ones. Whoever
+    # plans with it plans for another system.
+    page = (DOCS / 'CAPACITY.md').read_text()
+    assert render_table(load_figures()) in page
