Read a process's time and memory in one place in the bench

Cause: two modules of the bench read the same files of /proc, each in its own way, and the capacity table fitted each line twice.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -64,7 +64,8 @@
 def extend(figures: dict[str, float], name: str, size: int) -> float:
     """Follow a figure measured at :data:`SIZES` to another size."""
     costs = [figures[f'{name}_{measured}'] for measured in SIZES]
-    return fit_slope(SIZES, costs).start + (fit_slope(SIZES, costs).each * size)
+    slope = fit_slope(SIZES, costs)
+    return slope.start + slope.each * size
 
 
 def sum_memory(figures: dict[str, float]) -> float:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import tempfile
 import time
@@ -36,7 +35,6 @@
 SLOTS = 512
 WAIT_SECONDS = 60.0
 POLL_SECONDS = 0.05
-KILOBYTE = 1024
 
 
 class CountingTable(TableStandin):
@@ -211,16 +209,3 @@
             self.forced.setdefault(version, []).append(time.monotonic())
         elif 'Members changed.' in line:
             self.lost += json.loads(line)['lost']
-
-
-def read_cpu_seconds(pid: int) -> float:
-    """Read the processor time that a process has used."""
-    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
-
-
-def read_resident_megabytes(pid: int) -> float:
-    """Read the resident memory of a process."""
-    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
-    resident = next(line for line in lines if line.startswith('VmRSS'))
-    return int(resident.split()[1]) / KILOBYTE
--- a/bench/suites/together.py
+++ b/bench/suites/together.py
@@ -11,12 +11,9 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from bench.cluster import (
-    Cluster,
-    read_cpu_seconds,
-    read_resident_megabytes,
-)
+from bench.cluster import Cluster
 from bench.figure import Figure, at_most
+from bench.slopes import read_processor_time, read_resident
 from quetzalcourse.coordination.manifest.key_table import KeyTable
 from quetzalcourse.coordination.manifest.keys import hash_secret
 from quetzalcourse.standins.deployment import MODEL, READER_KEY, SERVICE
@@ -44,6 +41,7 @@
 HEALTHY_SECONDS = 3.0
 CUT_SECONDS = 12.0
 MICROSECONDS = 1_000_000
+MEGABYTE = 1024 * 1024
 HIGHEST = 60 * MICROSECONDS
 # Bytes of Ethernet, IP and TCP headers and of the transport's own frame that
 # each message costs besides its content, and one bare acknowledgement.
@@ -200,13 +198,13 @@
     """Measure what daemons cost while nothing happens."""
     daemons = cluster.daemons
     before = [await cluster.read_metrics(daemon) for daemon in daemons]
-    cpu = [read_cpu_seconds(daemon.pid) for daemon in daemons]
+    cpu = [read_processor_time(daemon.pid) for daemon in daemons]
     reads = cluster.table.follow_reads
     began = time.monotonic()
     await asyncio.sleep(QUIET_SECONDS)
     length = time.monotonic() - began
     used = [
-        (read_cpu_seconds(daemon.pid) - earlier) / length
+        (read_processor_time(daemon.pid) - earlier) / length
         for daemon, earlier in zip(daemons, cpu, strict=True)
     ]
     reads = cluster.table.follow_reads - reads
@@ -219,7 +217,7 @@
         count_topic(last) - count_topic(first)
         for first, last in zip(before, after, strict=True)
     ]
-    memory = [read_resident_megabytes(daemon.pid) for daemon in daemons]
+    memory = [read_resident(daemon.pid) / MEGABYTE for daemon in daemons]
     return [
         Figure(
             f'control_bytes_per_s_{size}',
