Count orders by upstream run, fit results into rows, move items at a settled pace

Cause: orders named the entry's sequence, which counts its beats (288 of 288 refused); items placed in one go found the same upstream empty; a commit of many results passed the row limit.

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -15,6 +15,7 @@
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
 from quetzalcourse.coordination.slots.ownership import rank_members
+from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import MILLISECOND, Ownership
 
@@ -65,6 +66,7 @@
         self._orphaned: dict[str, timedelta] = {}
         self._taking: dict[str, asyncio.Task[None]] = {}
         self._removed_at = timedelta(0)
+        self._tasks = Tasks('takeover')
         directory.on_change(self.on_batch)
 
     def on_batch(self, view: BatchView) -> None:
@@ -128,7 +130,7 @@
         return RANK_WAIT * ranked.index(own) if own in ranked else RANK_WAIT * 9
 
     def _begin(self, view: BatchView) -> None:
-        task = asyncio.ensure_future(self._take(view))
+        task = self._tasks.begin(self._take(view))
         self._taking[view.id] = task
         task.add_done_callback(lambda _: self._taking.pop(view.id, None))
 
@@ -186,7 +188,7 @@
         ranked = rank_members(view.id, self._presence.list_live())
         if ranked and ranked[0] == self._presence.own:
             self._removed_at = now
-            task = asyncio.ensure_future(self._remove(view))
+            task = self._tasks.begin(self._remove(view))
             self._taking[view.id] = task
             task.add_done_callback(lambda _: self._taking.pop(view.id, None))
 
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -5,7 +5,8 @@
 - ``batches/ID/head``, ``owner``, ``progress`` and ``end`` are small and
   followed by every daemon;
 - ``items/ID/CHUNK`` hold the items and are read by owners alone;
-- ``results/ID/POSITION`` hold results and are never rewritten.
+- ``results/ID/POSITION.PIECE`` hold results and are never rewritten; those
+  of one commit are cut into pieces that fit a row each.
 """
 
 from __future__ import annotations
@@ -51,6 +52,9 @@
 CHUNK_BYTES = 48_000
 BATCH_BYTES = 650_000
 POSITION_DIGITS = 8
+PIECE_DIGITS = 3
+# Results of one commit; what is left over goes into the next.
+COMMIT_BYTES = 500_000
 
 
 class BatchRowsError(enum.StrEnum):
@@ -73,9 +77,33 @@
     return f'{TABLE}/{batch}/{name}'
 
 
-def name_result(batch: str, position: int) -> str:
-    """Name the row of the results from a position on."""
-    return f'{RESULTS}/{batch}/{position:0{POSITION_DIGITS}d}'
+def name_result(batch: str, position: int, piece: int = 0) -> str:
+    """Name a row of the results that begin at a position."""
+    number = f'{position:0{POSITION_DIGITS}d}.{piece:0{PIECE_DIGITS}d}'
+    return f'{RESULTS}/{batch}/{number}'
+
+
+def split_results(results: Sequence[ItemResult]) -> list[bytes]:
+    """Split results into the contents of rows."""
+    packed = msgspec.json.encode(results)
+    return [
+        packed[begin : begin + CHUNK_BYTES]
+        for begin in range(0, len(packed), CHUNK_BYTES)
+    ]
+
+
+def join_results(rows: Sequence[Row]) -> list[ItemResult]:
+    """Read results from their rows, in the order of their keys."""
+    commits: dict[str, list[bytes]] = {}
+    for row in rows:
+        commits.setdefault(row.key.rpartition('.')[0], []).append(row.content)
+    return [
+        result
+        for pieces in commits.values()
+        for result in msgspec.json.decode(
+            b''.join(pieces), type=list[ItemResult]
+        )
+    ]
 
 
 def split_items(items: Sequence[BatchItem]) -> list[bytes]:
@@ -186,13 +214,15 @@
         key = name_result(batch, position)
         owner = name_row(batch, OWNER)
         progress = msgspec.json.encode(position + len(results))
+        writes = [
+            Write(name_result(batch, position, number), piece)
+            for number, piece in enumerate(split_results(results))
+        ]
+        writes.append(Write(name_row(batch, PROGRESS), progress))
         answer = await self._table.transact(
             Transaction(
                 (Condition(owner, owner_version), Condition(key, ABSENT)),
-                (
-                    Write(key, msgspec.json.encode(results)),
-                    Write(name_row(batch, PROGRESS), progress),
-                ),
+                tuple(writes),
             )
         )
         return _read_commit(answer, owner)
@@ -231,14 +261,10 @@
 
         :param known: how many results are known, in whole rows.
         """
-        after = name_result(batch, known - 1) if known else ''
+        last_piece = 10**PIECE_DIGITS - 1
+        after = name_result(batch, known - 1, last_piece) if known else ''
         answer = await self._table.scan(f'{RESULTS}/{batch}/', after)
-        if isinstance(answer, Err):
-            return answer
-        results: list[ItemResult] = []
-        for row in answer.ok_value:
-            results += msgspec.json.decode(row.content, type=list[ItemResult])
-        return Ok(results)
+        return answer.map(join_results)
 
     async def remove(
         self,
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.batches.batch_rows import COMMIT_BYTES
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 
 if TYPE_CHECKING:
@@ -50,6 +51,21 @@
         self.finished.append(result)
         self.wake.set()
 
+    def take_finished(self) -> list[ItemResult]:
+        """Take as many finished results as one commit holds."""
+        size = 0
+        count = 0
+        for result in self.finished:
+            size += len(result.text)
+            if count and size > COMMIT_BYTES:
+                break
+            count += 1
+        taken = self.finished[:count]
+        self.finished = self.finished[count:]
+        if self.finished:
+            self.wake.set()
+        return taken
+
     def stop(self) -> None:
         """Stop all items; what was not committed is run again elsewhere."""
         for run in self.items:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -12,6 +12,7 @@
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.placement import Need
 from quetzalcourse.coordination.forwarding.route_table import choose_service
+from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import ResultState
 
@@ -79,11 +80,12 @@
         self._counters = counters
         self._on_committed = on_committed
         self._wake = asyncio.Event()
+        self._tasks = Tasks('batches')
 
     def add(self, batch: BatchRun) -> None:
         """Begin to run a batch."""
         self.batches[batch.head.id] = batch
-        batch.committer = asyncio.ensure_future(self._commit(batch))
+        batch.committer = self._tasks.begin(self._commit(batch))
         self._wake.set()
 
     def drop(self, batch_id: str, reason: str) -> BatchRun | None:
@@ -139,7 +141,10 @@
         run.upstream = upstream.name
         run.began = now
         run.moving = False
-        run.task = asyncio.ensure_future(self._attempt(batch, run, upstream))
+        # Counted here and not by the task, which begins later: all items
+        # that are placed in one go would find the same upstream empty.
+        self._pool.on_start(upstream)
+        run.task = self._tasks.begin(self._attempt(batch, run, upstream))
 
     def _find_need(self, batch: BatchRun, run: ItemRun) -> Need | None:
         route = self._routes.find(batch.head.route)
@@ -167,7 +172,6 @@
         run: ItemRun,
         upstream: Upstream,
     ) -> None:
-        self._pool.on_start(upstream)
         result = None
         try:
             result = await self._items.run(batch, run, upstream)
@@ -198,7 +202,7 @@
             await batch.wake.wait()
             await self._clock.sleep(COMMIT_GAP)
             batch.wake.clear()
-            results, batch.finished = batch.finished, []
+            results = batch.take_finished()
             if results and not await self._write(batch, results):
                 batch.committer = None
                 self.drop(batch.head.id, 'deposed')
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -24,7 +24,13 @@
 # most requests are over by then.
 REPORT_LIFE = timedelta(seconds=1.5)
 # Share of a new reading in the running mean of an upstream's pace.
-PACE_WEIGHT = 0.2
+PACE_WEIGHT = 0.1
+# Readings before a pace says anything: the first ones of a batch vary with
+# how its prompts are read between the tokens of others.
+PACE_READINGS = 12
+# One answer that was late may be a long request; this many in a row are an
+# upstream that fell silent.
+LATES_TO_REST = 2
 # How much longer a refusing upstream is left alone for one model, which is
 # about a third of a load of weights.
 BUSY_REST = timedelta(milliseconds=300)
@@ -40,7 +46,9 @@
     :param others: requests of other daemons when it told its load.
     :param faults: failed attempts since the last good one.
     :param closed_until: time since boot until which it rests.
-    :param pace: mean time between two events of its streams, 0 if unknown.
+    :param lates: answers in a row that did not come in time.
+    :param paces: readings of its pace.
+    :param mean_pace: running mean of the time between two events.
     :param versions: weight versions seen in answers, newer than registered.
     :param busy: models that it refuses for now, and until when.
     """
@@ -51,7 +59,9 @@
     others_at: timedelta = NOTHING
     faults: int = 0
     closed_until: timedelta = NOTHING
-    pace: float = 0
+    lates: int = 0
+    paces: int = 0
+    mean_pace: float = 0
     versions: dict[str, int] = field(default_factory=dict)
     busy: dict[str, timedelta] = field(default_factory=dict)
 
@@ -60,6 +70,16 @@
         """Id of the upstream."""
         return self.member.name
 
+    @property
+    def pace(self) -> float:
+        """Mean time in seconds between two events, 0 if unknown."""
+        return self.mean_pace if self.paces >= PACE_READINGS else 0
+
+    @property
+    def run(self) -> tuple[str, int]:
+        """Name of this run of the upstream."""
+        return self.member.name, self.member.started
+
     def count_load(self, now: timedelta) -> int:
         """Count the requests that it has, as far as is known."""
         fresh = now - self.others_at < REPORT_LIFE
@@ -97,15 +117,12 @@
     def replace(self, member: PoolMember) -> None:
         """Take an entry that is new or changed."""
         known = self._upstreams.get(member.name)
-        if known is None or known.member.address != member.address:
+        if known is None or _is_other_run(known.member, member):
             self._upstreams[member.name] = Upstream(member)
             self._log(member, 'Upstream registered.')
             return
         if known.member.leaving != member.leaving:
             self._log(member, 'Upstream leaves.')
-        if known.member.orders_seen > member.orders_seen:
-            # It started anew: what answers said before no longer holds.
-            known.versions.clear()
         known.member = member
 
     def remove(self, name: str) -> None:
@@ -178,6 +195,7 @@
         if upstream.faults:
             self._log(upstream.member, 'Upstream serves again.')
         upstream.faults = 0
+        upstream.lates = 0
         upstream.closed_until = NOTHING
 
     def on_failure(self, upstream: Upstream, reason: str) -> None:
@@ -194,6 +212,12 @@
             seconds=rest.total_seconds(),
         )
 
+    def on_late(self, upstream: Upstream) -> None:
+        """Learn that an answer did not come in time."""
+        upstream.lates += 1
+        if upstream.lates >= LATES_TO_REST:
+            self.on_failure(upstream, 'late')
+
     def on_busy(self, upstream: Upstream, model: str) -> None:
         """Learn that an upstream refuses a model, or all work, for now."""
         upstream.busy[model] = self._clock.elapsed() + BUSY_REST
@@ -205,8 +229,9 @@
 
     def on_pace(self, upstream: Upstream, seconds: float) -> None:
         """Learn the time between two events of a stream."""
-        known = upstream.pace or seconds
-        upstream.pace = known + (seconds - known) * PACE_WEIGHT
+        upstream.paces += 1
+        known = upstream.mean_pace or seconds
+        upstream.mean_pace = known + (seconds - known) * PACE_WEIGHT
 
     def _log(self, member: PoolMember, sentence: str) -> None:
         log.info(
@@ -215,3 +240,9 @@
             peer=member.address,
             data_centre=member.data_centre,
         )
+
+
+def _is_other_run(known: PoolMember, member: PoolMember) -> bool:
+    """Tell whether an entry is of another run, of which nothing is known."""
+    before = (known.address, known.started)
+    return before != (member.address, member.started)
--- /dev/null
+++ b/quetzalcourse/coordination/tasks.py
@@ -0,0 +1,54 @@
+"""Tasks that run beside the one that began them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+log = get_log('tasks')
+
+
+class Tasks:
+    """Keeps tasks until they end.
+
+    The loop itself holds a task only weakly: one that nobody else holds may
+    vanish in the middle of its work. A fault of one that nobody awaits would
+    show nowhere, so it is logged here.
+
+    :param name: what they are for, for the log.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Begin without tasks."""
+        self._name = name
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def begin(self, body: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Begin a task."""
+        task = asyncio.get_running_loop().create_task(body)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    def stop(self) -> None:
+        """Cancel all tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log.error(
+                'Task failed.',
+                name=self._name,
+                kind=type(error).__name__,
+                reason=str(error),
+            )
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
+from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.coordination.versions.load_plan import LoadView, plan_loads
 from quetzalcourse.log import get_log
 
@@ -105,10 +106,10 @@
         self._clock = clock
         self._counters = counters
         self._holder = holder
-        self._loading: dict[str, asyncio.Task[None]] = {}
+        self._tasks = Tasks('loads')
         self._models: dict[str, str] = {}
         self._rests: dict[str, timedelta] = {}
-        self._sequences: dict[str, int] = {}
+        self._sequences: dict[tuple[str, int], int] = {}
         self._wake = asyncio.Event()
 
     def on_named(self, model: str, version: int) -> None:
@@ -163,8 +164,7 @@
         if upstream is None:
             return
         self._models[load.upstream] = load.model
-        task = asyncio.ensure_future(self._load(load, upstream, service))
-        self._loading[load.upstream] = task
+        self._tasks.begin(self._load(load, upstream, service))
 
     async def _load(
         self,
@@ -176,7 +176,6 @@
             done = await self._try_load(load, upstream, service)
         finally:
             self._models.pop(load.upstream, None)
-            self._loading.pop(load.upstream, None)
             self._wake.set()
         if not done:
             self._rests[load.upstream] = self._clock.elapsed() + FAILED_REST
@@ -187,9 +186,12 @@
         upstream: Upstream,
         service: Service,
     ) -> bool:
+        sequence = await self._find_sequence(upstream)
+        if sequence is None or not self._lease.may_send:
+            return False
         order = LoadOrder(
             load,
-            self._find_sequence(upstream),
+            sequence,
             self._holder,
             self._lease.token,
             not self._is_pure(service),
@@ -209,7 +211,7 @@
             self._pool.on_version(upstream, load.model, load.version)
             return True
         if outcome is OrderOutcome.accepted:
-            self._sequences[load.upstream] = order.sequence + 1
+            self._sequences[upstream.run] = order.sequence + 1
             await self._clock.sleep(LOAD_TIME)
         elif outcome not in (OrderOutcome.unanswered, OrderOutcome.conflict):
             return False
@@ -222,7 +224,7 @@
                 return True
             report = await self._control.report(upstream)
             if report is not None:
-                self._sequences[load.upstream] = report.sequence
+                self._sequences[upstream.run] = report.sequence
                 for model, version in report.versions.items():
                     self._pool.on_version(upstream, model, version)
                 held = report.versions.get(load.model, 0)
@@ -233,9 +235,15 @@
             await self._clock.sleep(POLL)
         return False
 
-    def _find_sequence(self, upstream: Upstream) -> int:
-        known = self._sequences.get(upstream.name, 0)
-        return max(known, upstream.member.orders_seen)
+    async def _find_sequence(self, upstream: Upstream) -> int | None:
+        known = self._sequences.get(upstream.run)
+        if known is not None:
+            return known
+        report = await self._control.report(upstream)
+        if report is None:
+            return None
+        self._sequences[upstream.run] = report.sequence
+        return report.sequence
 
     def _is_pure(self, service: Service) -> bool:
         """Tell whether a route forbids to mix versions in one answer."""
--- a/quetzalcourse/platform/documents.py
+++ b/quetzalcourse/platform/documents.py
@@ -127,7 +127,11 @@
 
 
 class ServerMessage(msgspec.Struct):
-    """Entry of a server; ``seq`` counts the orders that it accepted."""
+    """Entry of a server.
+
+    ``born`` is when its run began. The ``seq`` of an entry counts how often
+    it was written, not the orders that ``seq`` of a report counts.
+    """
 
     service: str
     address: str
@@ -135,7 +139,7 @@
     slots: int
     state: Literal['ready', 'draining']
     models: list[ServerModelMessage] = []
-    seq: int = 0
+    born: int = 0
     spot: bool = False
     leaves_ms: float | None = None
 
@@ -188,7 +192,7 @@
             slots=max(message.slots, 1),
             leaving=message.state == 'draining',
             versions={model.name: model.version for model in message.models},
-            orders_seen=message.seq,
+            started=message.born,
             spot=message.spot,
             leaves_in=leaves_in,
         )
--- a/quetzalcourse/state/pool.py
+++ b/quetzalcourse/state/pool.py
@@ -15,7 +15,8 @@
     :param slots: requests that it runs at once.
     :param leaving: whether it takes no new work.
     :param versions: weight version of each model that it holds.
-    :param orders_seen: orders that it had accepted when it registered.
+    :param started: when this run of it began, 0 if it does not say; the
+        next run may have the same name and knows nothing of this one.
     :param leaves_in: time until it is gone, if it was told.
     """
 
@@ -26,7 +27,7 @@
     slots: int
     leaving: bool = False
     versions: dict[str, int] = field(default_factory=dict)
-    orders_seen: int = 0
+    started: int = 0
     spot: bool = False
     leaves_in: timedelta | None = None
 
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -155,7 +155,10 @@
                 self._finish(forwarding, upstream, answer)
         except CallLostError as error:
             not_run = error.state is LostState.not_sent
-            self._pool.on_failure(upstream, error.state.value)
+            if error.state is LostState.late:
+                self._pool.on_late(upstream)
+            else:
+                self._pool.on_failure(upstream, error.state.value)
             raise AttemptFailedError(
                 error.state.value, not_run=not_run
             ) from error
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -194,7 +194,7 @@
         :returns: whether it came to its end.
         """
         rest = b''
-        last_at = self._clock.elapsed()
+        last_at: timedelta | None = None
         async for piece in read_pieces(answer, STALL):
             *frames, rest = (rest + piece).split(FRAME_END)
             for frame in frames:
@@ -207,8 +207,7 @@
                 run.append(event, version)
             now = self._clock.elapsed()
             if frames:
-                pace = (now - last_at).total_seconds() / len(frames)
-                self._pool.on_pace(upstream, pace)
+                self._note_pace(upstream, last_at, now, len(frames))
                 last_at = now
             if run.moving:
                 self._miss(batch, run, upstream, 'moved')
@@ -217,6 +216,18 @@
             raise GarbledStreamError('broken event')
         return True
 
+    def _note_pace(
+        self,
+        upstream: Upstream,
+        last_at: timedelta | None,
+        now: timedelta,
+        events: int,
+    ) -> None:
+        # The time to the first event is that of the prompt and the queue.
+        if last_at is not None:
+            pace = (now - last_at).total_seconds() / events
+            self._pool.on_pace(upstream, pace)
+
     def _read_event(self, run: ItemRun, frame: bytes) -> StreamEvent:
         event = self._dialect.read_event(frame)
         if event is None:
--- a/quetzalcourse/transport/upstream_calls.py
+++ b/quetzalcourse/transport/upstream_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import re
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -22,8 +23,11 @@
 
 CONNECT_SECONDS = 0.3
 # Upstreams close idle connections after some seconds; a request that meets
-# the close may have run, so connections are closed here before.
+# the close may have run, so connections are closed here before. Until an
+# upstream says how long it waits, little is counted on.
 KEEP_ALIVE_SECONDS = 3.0
+KEEP_ALIVE_MARGIN = 1.5
+KEEP_ALIVE = re.compile(r'timeout=(\d+)')
 LARGEST_HEADER = 65536
 
 
@@ -57,6 +61,17 @@
     own would come to whoever follows.
     """
 
+    def learn_keep_alive(self, text: str) -> None:
+        """Keep idle connections as long as upstreams say that they do.
+
+        :param text: what an answer says of it.
+        """
+        told = KEEP_ALIVE.search(text)
+        if told is not None:
+            self._keepalive_timeout = max(
+                int(told[1]) - KEEP_ALIVE_MARGIN, KEEP_ALIVE_MARGIN
+            )
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """Take a kept connection on which nothing has arrived since."""
         while True:
@@ -74,12 +89,13 @@
 
     def __init__(self) -> None:
         """Begin without connections."""
+        self._connector = CleanConnector(
+            limit=0,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            socket_factory=open_socket,
+        )
         self._session = aiohttp.ClientSession(
-            connector=CleanConnector(
-                limit=0,
-                keepalive_timeout=KEEP_ALIVE_SECONDS,
-                socket_factory=open_socket,
-            ),
+            connector=self._connector,
             skip_auto_headers=PLAIN_HEADERS,
             auto_decompress=False,
             middlewares=(send_once,),
@@ -138,7 +154,7 @@
         )
         try:
             async with asyncio.timeout(patience.total_seconds()):
-                return await self._session.request(
+                answer = await self._session.request(
                     method,
                     url,
                     data=body,
@@ -152,6 +168,8 @@
             raise CallLostError(LostState.late, address) from None
         except (aiohttp.ClientError, OSError, ValueError):
             raise CallLostError(LostState.unanswered, address) from None
+        self._connector.learn_keep_alive(answer.headers.get('Keep-Alive', ''))
+        return answer
 
 
 async def read_pieces(
