--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -34,6 +34,7 @@
 # The daemons agree on who comes first; each next one waits this much
 # longer, in case those before it can't reach the store.
 RANK_WAIT = timedelta(milliseconds=400)
+KEPT = timedelta(minutes=2)
 REMOVAL_MARGIN = timedelta(seconds=30)
 REMOVAL_GAP = timedelta(seconds=1)
 log = get_log('batches')
@@ -42,7 +43,7 @@
 class BatchKeeper:
     """Keeps every open batch with a live owner.
 
-    :param kept: age of a batch until which its results are read.
+    ``kept`` is the age of a batch until which its results are read.
     """
 
     def __init__(
@@ -53,16 +54,15 @@
         presence: Presence,
         store_clock: StoreClock,
         clock: Clock,
-        kept: timedelta,
     ) -> None:
         """Watch the directory."""
+        self.kept = KEPT
         self._rows = rows
         self._directory = directory
         self._runner = runner
         self._presence = presence
         self._store_clock = store_clock
         self._clock = clock
-        self._kept = kept
         self._orphaned: dict[str, timedelta] = {}
         self._taking: dict[str, asyncio.Task[None]] = {}
         self._removed_at = timedelta(0)
@@ -183,7 +183,7 @@
         if now - self._removed_at < REMOVAL_GAP:
             return
         age = store_now - view.head.accepted_ms * MILLISECOND
-        if age < self._kept + REMOVAL_MARGIN:
+        if age < self.kept + REMOVAL_MARGIN:
             return
         ranked = rank_members(view.id, self._presence.list_live())
         if ranked and ranked[0] == self._presence.own:
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -165,7 +165,9 @@
         )
         return _read_commit(answer, key)
 
-    async def refuse(self, head: BatchHead) -> Result[Written | Row, StoreFault]:
+    async def refuse(
+        self, head: BatchHead
+    ) -> Result[Written | Row, StoreFault]:
         """Write a refusal in the place of a batch.
 
         A write of the batch whose answer was lost may still be on its way;
--- a/quetzalcourse/coordination/batches/result_reader.py
+++ b/quetzalcourse/coordination/batches/result_reader.py
@@ -9,6 +9,8 @@
 
 from result import Err, Ok, Result
 
+from quetzalcourse.coordination.tasks import wait_event
+
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.directory import (
@@ -95,7 +97,7 @@
         if isinstance(answer, Err):
             return answer
         if len(shelf.results) <= position and wait > timedelta(0):
-            await self._wait(shelf, wait)
+            await wait_event(shelf.news, wait)
             answer = await self._refresh(batch, shelf)
             if isinstance(answer, Err):
                 return answer
@@ -120,13 +122,6 @@
         shelf.used = self._clock.elapsed()
         return shelf
 
-    async def _wait(self, shelf: Shelf, wait: timedelta) -> None:
-        try:
-            async with asyncio.timeout(wait.total_seconds()):
-                await shelf.news.wait()
-        except TimeoutError:
-            return
-
     async def _refresh(
         self,
         batch: str,
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -12,7 +12,7 @@
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.placement import Need
 from quetzalcourse.coordination.forwarding.route_table import choose_service
-from quetzalcourse.coordination.tasks import Tasks
+from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import ResultState
 
@@ -111,11 +111,7 @@
             self._wake.clear()
             if not self.paused:
                 self._dispatch()
-            try:
-                async with asyncio.timeout(TICK.total_seconds()):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+            await wait_event(self._wake, TICK)
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
@@ -176,9 +172,7 @@
         try:
             result = await self._items.run(batch, run, upstream)
         finally:
-            self._pool.on_end(upstream)
-            run.task = None
-            self._wake.set()
+            self._on_end(run, upstream)
         if result is None:
             run.avoided = upstream.name
             run.state = ItemState.waiting
@@ -189,6 +183,11 @@
             )
         batch.finish(run, result)
 
+    def _on_end(self, run: ItemRun, upstream: Upstream) -> None:
+        self._pool.on_end(upstream)
+        run.task = None
+        self._wake.set()
+
     def _give_up(self, batch: BatchRun) -> None:
         for run in batch.items:
             if run.state is ItemState.finished:
@@ -234,9 +233,7 @@
 
     async def _stands(self, batch: BatchRun, results: list[ItemResult]) -> bool:
         while True:
-            answer = await self._rows.read_results(
-                batch.head.id, batch.listed
-            )
+            answer = await self._rows.read_results(batch.head.id, batch.listed)
             if isinstance(answer, Err):
                 await self._clock.sleep(COMMIT_RETRY)
                 continue
--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.log import get_log
-from quetzalcourse.state.rows import FaultKind, Row, StoreFault
+from quetzalcourse.state.rows import Row, StoreFault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -113,7 +113,7 @@
             return await self._load()
         answer = await self._feed.follow(self.table, self._version, WAIT)
         if isinstance(answer, Err):
-            if answer.err_value.kind is FaultKind.history_lost:
+            if answer.err_value.history_lost:
                 log.warning('History is lost, read again.', table=self.table)
                 self._version = UNKNOWN
                 return None
--- a/quetzalcourse/coordination/feeds/ports.py
+++ b/quetzalcourse/coordination/feeds/ports.py
@@ -9,7 +9,6 @@
 
     from result import Result
 
-    from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.rows import Changes, StoreFault
 
 
@@ -50,11 +49,3 @@
 
     def estimate(self) -> timedelta | None:
         """Estimate the store's time, ``None`` before its first answer."""
-
-
-class Store(Protocol):
-    """All that the platform's store does for the daemons."""
-
-    table: Table
-    feed: ChangeFeed
-    clock: StoreClock
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -73,7 +73,9 @@
     @property
     def pace(self) -> float:
         """Mean time in seconds between two events, 0 if unknown."""
-        return self.mean_pace if self.paces >= PACE_READINGS else 0
+        if self.paces < PACE_READINGS:
+            return 0
+        return self.mean_pace
 
     @property
     def run(self) -> tuple[str, int]:
@@ -82,8 +84,9 @@
 
     def count_load(self, now: timedelta) -> int:
         """Count the requests that it has, as far as is known."""
-        fresh = now - self.others_at < REPORT_LIFE
-        return self.running + (self.others if fresh else 0)
+        if now - self.others_at > REPORT_LIFE:
+            return self.running
+        return self.running + self.others
 
     def find_version(self, model: str) -> int:
         """Tell the newest weight version that it is known to hold."""
--- a/quetzalcourse/coordination/leases/lease.py
+++ b/quetzalcourse/coordination/leases/lease.py
@@ -88,6 +88,8 @@
     :param key: name of the row.
     :param holder: incarnation of this process.
     :param terms: term and margin.
+    :param fence_key: name of the row that holds the token alone, where the
+        table wants it near the lease's own.
     """
 
     def __init__(
@@ -97,10 +99,11 @@
         key: str,
         holder: str,
         terms: LeaseTerms,
+        fence_key: str = '',
     ) -> None:
         """Begin without the lease and without an observation."""
         self.key = key
-        self.fence_key = f'{key}/fence'
+        self.fence_key = fence_key or f'fence/{key}'
         self.token = 0
         self.terms = terms
         self._table = table
@@ -117,12 +120,20 @@
         self._seen = LeaseRecord('', 0, 0)
         self._lapsed = False
         self._answered_at = clock.elapsed()
+        self._taken_at = clock.elapsed()
 
     @property
     def held(self) -> bool:
         """Whether the lease is held at this instant."""
         return self._ends is not None and self._clock.elapsed() < self._ends
 
+    @property
+    def held_for(self) -> timedelta:
+        """How long ago this contender took the lease that it holds."""
+        if not self.held:
+            return timedelta(0)
+        return self._clock.elapsed() - self._taken_at
+
     @property
     def may_send(self) -> bool:
         """Whether an order may go out at this instant.
@@ -250,6 +261,7 @@
         # The claim is kept before it is sent: with its answer lost, only
         # the token in the row tells that the lease is this contender's.
         self._claimed = self._highest + 1
+        self._taken_at = self._clock.elapsed()
         self._fence_version = NEVER
         taken = LeaseRecord(self._name, self._claimed, 0)
         return await self._write(
--- a/quetzalcourse/coordination/tasks.py
+++ b/quetzalcourse/coordination/tasks.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from datetime import timedelta
 
 log = get_log('tasks')
 
@@ -52,3 +53,12 @@
                 kind=type(error).__name__,
                 reason=str(error),
             )
+
+
+async def wait_event(event: asyncio.Event, wait: timedelta) -> None:
+    """Wait until an event is set, or a time is over."""
+    try:
+        async with asyncio.timeout(wait.total_seconds()):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
-from quetzalcourse.coordination.tasks import Tasks
+from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.coordination.versions.load_plan import LoadView, plan_loads
 from quetzalcourse.log import get_log
 
@@ -125,11 +125,7 @@
             self._wake.clear()
             if self._lease.may_send:
                 self._plan()
-            try:
-                async with asyncio.timeout(TICK.total_seconds()):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+            await wait_event(self._wake, TICK)
 
     def _plan(self) -> None:
         manifest = self._routes.manifest
--- a/quetzalcourse/coordination/versions/load_plan.py
+++ b/quetzalcourse/coordination/versions/load_plan.py
@@ -53,31 +53,39 @@
     :param named: newest named version of each of its models.
     :param at_once: loads that may run at the same time.
     """
-    running = sum(bool(view.loading) for view in upstreams)
     busy = {view.name for view in upstreams if view.loading}
     loads: list[Load] = []
     share = -(-len(upstreams) // max(len(named), 1))
-    by_need = sorted(named, key=lambda model: _count_fit(upstreams, model, named))
+    by_need = sorted(
+        named, key=lambda model: _count_fit(upstreams, model, named[model])
+    )
     for model in by_need:
-        version = named[model]
-        current = sum(_has(view, model, version) for view in upstreams)
-        behind = sorted(
-            (
-                view
-                for view in upstreams
-                if not _has(view, model, version) and view.name not in busy
-            ),
-            key=lambda view: (view.versions.get(model, 0), view.name),
-        )
-        for view in behind[: max(share - current, 0)]:
-            if running >= at_once:
-                return loads
-            running += 1
-            busy.add(view.name)
-            loads.append(Load(view.name, model, version))
+        wanted = _list_wanted(upstreams, model, named[model], share)
+        for name in wanted:
+            if len(busy) < at_once and name not in busy:
+                busy.add(name)
+                loads.append(Load(name, model, named[model]))
     return loads
 
 
+def _list_wanted(
+    upstreams: Sequence[LoadView],
+    model: str,
+    version: int,
+    share: int,
+) -> list[str]:
+    """List the upstreams that should load a version, first those far behind.
+
+    :param share: how many upstreams should hold it.
+    """
+    behind = [view for view in upstreams if not _has(view, model, version)]
+    current = len(upstreams) - len(behind)
+    behind.sort(
+        key=lambda view: (bool(view.loading), view.versions.get(model, 0))
+    )
+    return [view.name for view in behind[: max(share - current, 0)]]
+
+
 def _has(view: LoadView, model: str, version: int) -> bool:
     """Tell whether an upstream has a version or is loading it."""
     return view.versions.get(model, 0) >= version or view.loading == model
@@ -86,8 +94,8 @@
 def _count_fit(
     upstreams: Sequence[LoadView],
     model: str,
-    named: Mapping[str, int],
+    version: int,
 ) -> int:
     """Count the upstreams that the newest step of a model may use."""
-    oldest = named[model] - 1
+    oldest = version - 1
     return sum(view.versions.get(model, 0) >= oldest for view in upstreams)
--- a/quetzalcourse/deployment.py
+++ b/quetzalcourse/deployment.py
@@ -22,18 +22,37 @@
 class StoreParts(Protocol):
     """The platform's store: rows, changes and a clock."""
 
-    table: Table
-    feed: ChangeFeed
-    clock: StoreClock
+    @property
+    def table(self) -> Table:
+        """Rows."""
+
+    @property
+    def feed(self) -> ChangeFeed:
+        """Changes of rows."""
+
+    @property
+    def clock(self) -> StoreClock:
+        """The store's own clock."""
 
 
 class Documents(Protocol):
     """Rows that operators, trainers and upstreams write into the store."""
 
-    operator_table: str
-    upstream_table: str
-    manifest_key: str
-    version_prefix: str
+    @property
+    def operator_table(self) -> str:
+        """Table that operators write."""
+
+    @property
+    def upstream_table(self) -> str:
+        """Table that upstreams register in."""
+
+    @property
+    def manifest_key(self) -> str:
+        """Row of the routing manifest."""
+
+    @property
+    def version_prefix(self) -> str:
+        """What the rows of named versions begin with."""
 
     def read_manifest(self, content: bytes) -> Result[RoutingManifest, str]:
         """Read a routing manifest."""
@@ -52,11 +71,25 @@
 class Deployment(Protocol):
     """Everything that differs from one platform to another."""
 
-    settings: RolloutSettings
-    documents: Documents
-    callers: CallerDialect
-    upstreams: UpstreamDialect
-    readiness_path: str
+    @property
+    def settings(self) -> RolloutSettings:
+        """What the daemon is told at its start."""
+
+    @property
+    def documents(self) -> Documents:
+        """Rows that others write."""
+
+    @property
+    def callers(self) -> CallerDialect:
+        """Words of callers."""
+
+    @property
+    def upstreams(self) -> UpstreamDialect:
+        """Words of upstreams."""
+
+    @property
+    def readiness_path(self) -> str:
+        """Path that the balancer asks."""
 
     def open_store(self, clock: Clock, counters: Counters) -> StoreParts:
         """Open connections to the store."""
--- /dev/null
+++ b/quetzalcourse/duty_parts.py
@@ -0,0 +1,109 @@
+"""Parts of a daemon that act for all daemons while it holds the lease."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.duties.usage_windows import WindowReporter
+from quetzalcourse.coordination.leases.lease import Lease
+from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
+from quetzalcourse.coordination.versions.load_orders import LoadOrders
+from quetzalcourse.state.lease import LeaseTerms
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.deployment import Deployment, StoreParts
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+# Both rows change together, so they share their part.
+LEASE_KEY = 'duties/all/holder'
+FENCE_KEY = 'duties/all/fence'
+# A holder that died is followed within three seconds: a step that waits for
+# its weights still has most of its time then.
+TERMS = LeaseTerms(
+    term=timedelta(seconds=2),
+    margin=timedelta(seconds=0.25),
+    order_timeout=timedelta(seconds=0.65),
+)
+USAGE = 'usage'
+
+
+@dataclass(frozen=True, slots=True)
+class DutyParts:
+    """All that one daemon at a time does.
+
+    :param leadership: time within which two holders must not take turns.
+    """
+
+    lease: Lease
+    keeper: LeaseKeeper
+    orders: LoadOrders
+    reporter: WindowReporter
+    leadership: timedelta
+    duties: frozenset[str]
+
+    def start(self, lifecycle: Lifecycle) -> None:
+        """Run the parts in the background."""
+        lifecycle.run('duty lease', self.keeper.run)
+        lifecycle.run('load orders', self.orders.run)
+        if USAGE in self.duties:
+            lifecycle.run('usage', self.reporter.run)
+
+    async def hand_over(self) -> None:
+        """Let the next holder begin at once, unless turns were too quick.
+
+        Two daemons that stop one after the other would otherwise pass the
+        duty to and fro faster than receivers can tell them apart.
+        """
+        self.keeper.retire()
+        if self.lease.held_for > self.leadership:
+            await self.keeper.release()
+
+
+def build_duty_parts(
+    deployment: Deployment,
+    store: StoreParts,
+    incarnation: str,
+    presence: Presence,
+    pool: Pool,
+    routes: RouteTable,
+    clock: Clock,
+    counters: Counters,
+) -> DutyParts:
+    """Build the parts and connect them.
+
+    :param incarnation: name of this run of the daemon.
+    """
+    settings = deployment.settings
+    lease = Lease(store.table, clock, LEASE_KEY, incarnation, TERMS, FENCE_KEY)
+    return DutyParts(
+        lease,
+        LeaseKeeper(lease, presence, clock, counters),
+        LoadOrders(
+            deployment.open_control(),
+            lease,
+            pool,
+            routes,
+            clock,
+            counters,
+            settings.vm,
+        ),
+        WindowReporter(
+            presence,
+            store.table,
+            deployment.open_reports(),
+            lease,
+            clock,
+            counters,
+            settings.terms.usage_window,
+            settings.terms.usage_due,
+        ),
+        settings.terms.leadership,
+        settings.duties,
+    )
--- a/quetzalcourse/platform/store.py
+++ b/quetzalcourse/platform/store.py
@@ -194,7 +194,10 @@
         """List the parts of a table."""
         parts: list[str] = []
         while True:
-            query = {'table': table, 'after': parts[-1] if parts else ''}
+            query: dict[str, str | int] = {
+                'table': table,
+                'after': parts[-1] if parts else '',
+            }
             answer = await self._get('rows-parts', query)
             if isinstance(answer, Err):
                 return answer
@@ -245,9 +248,7 @@
         )
         call = target.partition('?')[0].rpartition('/')[2]
         took = self._clock.elapsed() - began
-        self._counters.observe(
-            'store_call', took.total_seconds(), call=call
-        )
+        self._counters.observe('store_call', took.total_seconds(), call=call)
         read = answer.and_then(lambda found: self._read(call, found))
         outcome = read.err_value.kind if isinstance(read, Err) else 'ok'
         self._counters.add('store_calls', call=call, outcome=str(outcome))
@@ -259,13 +260,7 @@
         answer: ChannelAnswer,
     ) -> Result[tuple[int, AnswerMessage], StoreFault]:
         if answer.status not in (OK, CONFLICT):
-            kind = FaultKind.unanswered
-            if answer.status == GONE:
-                kind = FaultKind.history_lost
-            elif answer.status < SERVER_ERROR or answer.status == BUSY:
-                kind = FaultKind.not_applied
-            step = f'{call} {answer.status}'
-            return Err(StoreFault(kind, step, self._channel.address))
+            return Err(self._find_fault(call, answer.status))
         try:
             message = msgspec.json.decode(answer.content, type=AnswerMessage)
         except msgspec.DecodeError as error:
@@ -278,6 +273,17 @@
             self._ahead = store_now - self._clock.elapsed()
         return Ok((answer.status, message))
 
+    def _find_fault(self, call: str, status: int) -> StoreFault:
+        kind = FaultKind.unanswered
+        if status < SERVER_ERROR or status == BUSY:
+            kind = FaultKind.not_applied
+        return StoreFault(
+            kind,
+            f'{call} {status}',
+            self._channel.address,
+            history_lost=status == GONE,
+        )
+
 
 def pack_transaction(transaction: Transaction) -> TransactionMessage:
     """Write a transaction for the wire."""
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -7,31 +7,20 @@
 
 from result import Err
 
-from quetzalcourse.coordination.batches.adoption import BatchKeeper
-from quetzalcourse.coordination.batches.batch_rows import TABLE, BatchRows
-from quetzalcourse.coordination.batches.batches import Batches
-from quetzalcourse.coordination.batches.directory import BatchDirectory
-from quetzalcourse.coordination.batches.placement import Placement
-from quetzalcourse.coordination.batches.result_reader import ResultReader
-from quetzalcourse.coordination.batches.runner import BatchRunner
-from quetzalcourse.coordination.duties.usage_windows import (
-    WindowCounts,
-    WindowReporter,
-)
+from quetzalcourse.batch_parts import build_batch_parts
+from quetzalcourse.coordination.batches.batch_rows import TABLE
+from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds import presence
 from quetzalcourse.coordination.feeds.follower import TableFollower
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.registrations import Registrations
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
-from quetzalcourse.coordination.leases.lease import Lease
-from quetzalcourse.coordination.leases.lease_keeper import LeaseKeeper
-from quetzalcourse.coordination.versions.load_orders import LoadOrders
+from quetzalcourse.duty_parts import build_duty_parts
 from quetzalcourse.incarnation import name_incarnation
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
 from quetzalcourse.state.counters import Counters
-from quetzalcourse.state.lease import LeaseTerms
 from quetzalcourse.state.members import Member
 from quetzalcourse.transport.activity import Activity
 from quetzalcourse.transport.batch_routes import BatchRoutes
@@ -56,14 +45,6 @@
 
 OK = 200
 UNAVAILABLE = 503
-DUTY_LEASE = 'duties/all/holder'
-# A holder that died is followed within three seconds: a step that waits for
-# its weights still has most of its time then.
-DUTY_TERMS = LeaseTerms(
-    term=timedelta(seconds=2),
-    margin=timedelta(seconds=0.25),
-    order_timeout=timedelta(seconds=0.65),
-)
 # Rows of these tables change several times a second; a reader that took
 # each change alone would spend its time on answers of one row.
 BEAT_PAUSE = timedelta(milliseconds=250)
@@ -102,8 +83,7 @@
         self.lifecycle.on_stop(self._deployment.close)
         self._build_store()
         self._build_upstreams()
-        self._build_batches()
-        self._build_duties()
+        self._build_parts()
         await self._build_servers()
         self._start_parts()
         log.info(
@@ -120,11 +100,8 @@
         began = self.clock.elapsed()
         log.info('Drain began.', serving=self.activity.serving)
         await self.presence.leave()
-        await self.keeper.hand_over()
-        self.duty_keeper.retire()
-        held_for = self.clock.elapsed() - self._held_since
-        if held_for > self.settings.terms.leadership:
-            await self.duty_keeper.release()
+        await self.batches.keeper.hand_over()
+        await self.duties.hand_over()
         ends = began + self.settings.terms.stop - STOP_MARGIN
         while self.clock.elapsed() < ends:
             waited = self.clock.elapsed() - began
@@ -195,10 +172,7 @@
         self.calls = UpstreamCalls()
         self.lifecycle.on_stop(self.calls.close)
 
-    def _build_batches(self) -> None:
-        rows = BatchRows(self.store.table)
-        directory = BatchDirectory(self.batch_feed)
-        self.reader = ResultReader(rows, directory, self.clock)
+    def _build_parts(self) -> None:
         items = ItemCalls(
             self.calls,
             self._deployment.upstreams,
@@ -206,65 +180,26 @@
             self.clock,
             self.counters,
         )
-        self.runner = BatchRunner(
-            rows,
+        self.batches = build_batch_parts(
+            self.store,
+            self.batch_feed,
             items,
-            Placement(self.pool, self.clock),
             self.pool,
             self.routes,
-            self.clock,
-            self.counters,
-            self.reader.on_committed,
-        )
-        self.keeper = BatchKeeper(
-            rows,
-            directory,
-            self.runner,
             self.presence,
-            self.store.clock,
-            self.clock,
-            self.settings.terms.batch_kept,
-        )
-        self.batches = Batches(
-            rows,
-            directory,
-            self.reader,
-            self.runner,
-            self.presence,
-            self.store.clock,
             self.clock,
+            self.counters,
         )
-
-    def _build_duties(self) -> None:
-        self.duty_lease = Lease(
-            self.store.table,
-            self.clock,
-            DUTY_LEASE,
+        self.batches.keeper.kept = self.settings.terms.batch_kept
+        self.duties = build_duty_parts(
+            self._deployment,
+            self.store,
             self.incarnation,
-            DUTY_TERMS,
-        )
-        self.duty_keeper = LeaseKeeper(
-            self.duty_lease, self.presence, self.clock, self.counters
-        )
-        self._held_since = self.clock.elapsed()
-        self.orders = LoadOrders(
-            self._deployment.open_control(),
-            self.duty_lease,
+            self.presence,
             self.pool,
             self.routes,
             self.clock,
             self.counters,
-            self.settings.vm,
-        )
-        self.reporter = WindowReporter(
-            self.presence,
-            self.store.table,
-            self._deployment.open_reports(),
-            self.duty_lease,
-            self.clock,
-            self.counters,
-            self.settings.terms.usage_window,
-            self.settings.terms.usage_due,
         )
 
     async def _build_servers(self) -> None:
@@ -279,7 +214,7 @@
             self._deployment.callers,
             self.routes,
             forwards,
-            BatchRoutes(self.batches, self._deployment.callers),
+            BatchRoutes(self.batches.batches, self._deployment.callers),
             self.activity,
             self.clock,
             self.counters,
@@ -307,16 +242,11 @@
             'member feed': self.member_feed.run,
             'presence': self.presence.run,
             'registrations': self.registrations.run,
-            'results': self.reader.run,
-            'items': self.runner.run,
-            'batches': self.keeper.run,
-            'duty lease': self.duty_keeper.run,
-            'load orders': self.orders.run,
         }
-        if 'usage' in self.settings.duties:
-            parts['usage'] = self.reporter.run
         for name, body in parts.items():
             self.lifecycle.run(name, body)
+        self.batches.start(self.lifecycle)
+        self.duties.start(self.lifecycle)
         self.routes.on_manifest(self.on_manifest)
 
     def on_operator_rows(self, rows: list[Row]) -> None:
@@ -346,7 +276,7 @@
         if isinstance(answer, Err):
             log.error('Named version is malformed.', reason=answer.err_value)
             return
-        self.orders.on_named(*answer.ok_value)
+        self.duties.orders.on_named(*answer.ok_value)
 
     def _on_count(self) -> None:
         self.presence.announce()
--- a/quetzalcourse/state/calls.py
+++ b/quetzalcourse/state/calls.py
@@ -33,9 +33,7 @@
 
     def find(self, name: str) -> str:
         """Find the first header of a name in lower case, or nothing."""
-        return next(
-            (text for known, text in self.headers if known == name), ''
-        )
+        return next((text for known, text in self.headers if known == name), '')
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/state/rows.py
+++ b/quetzalcourse/state/rows.py
@@ -88,19 +88,20 @@
 
     not_applied = 'not_applied'
     unanswered = 'unanswered'
-    history_lost = 'history_lost'
 
 
 @dataclass(frozen=True, slots=True)
 class StoreFault:
     """Failure of a request to the platform's store.
 
-    :param kind: ``unanswered`` means that a write may have taken effect,
-        ``history_lost`` that changes can't be told and must be read again.
+    :param kind: ``unanswered`` means that a write may have taken effect.
     :param step: the operation that failed.
     :param peer: address of the store.
+    :param history_lost: whether the changes that were asked for can't be
+        told any more, so that the rows must be read again.
     """
 
     kind: FaultKind
     step: str
     peer: str
+    history_lost: bool = False
--- a/quetzalcourse/transport/callers.py
+++ b/quetzalcourse/transport/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -25,7 +24,6 @@
 from quetzalcourse.transport.activity import Activity
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from typing import TypeVar
 
     from sanic.response import HTTPResponse
--- a/quetzalcourse/transport/channel.py
+++ b/quetzalcourse/transport/channel.py
@@ -41,9 +41,7 @@
     made.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS
     )
-    made.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_GAP_SECONDS
-    )
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_GAP_SECONDS)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
     return made
 
--- a/quetzalcourse/transport/dialect.py
+++ b/quetzalcourse/transport/dialect.py
@@ -20,12 +20,9 @@
         AttemptTerms,
         BatchCall,
         CallerTerms,
-        Headers,
         RequestHead,
     )
 
-READINESS_PATH_SUFFIX = '/ready'
-
 
 class CallerDialect(Protocol):
     """How callers say what they want."""
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -235,9 +235,7 @@
                 await stream.send(piece)
         except CallLostError:
             # What went out already must not look like a whole answer.
-            log.warning(
-                'Answer broke off.', request_id=forwarding.request_id
-            )
+            log.warning('Answer broke off.', request_id=forwarding.request_id)
             abort_connection(request)
             return
         await stream.send(b'', last=True)
--- a/quetzalcourse/transport/front.py
+++ b/quetzalcourse/transport/front.py
@@ -66,16 +66,16 @@
         began = self._clock.elapsed()
         if self._activity.draining:
             close_after(request)
-        self._activity.serving += 1
         kind = 'refused'
-        try:
-            kind = await self._route(request, head, began)
-        finally:
-            self._activity.serving -= 1
-            took = self._clock.elapsed() - began
-            self._counters.observe(
-                'request', took.total_seconds(), kind=kind
-            )
+        with self._activity.track():
+            try:
+                kind = await self._route(request, head, began)
+            finally:
+                self._observe(kind, began)
+
+    def _observe(self, kind: str, began: timedelta) -> None:
+        took = self._clock.elapsed() - began
+        self._counters.observe('request', took.total_seconds(), kind=kind)
 
     async def _route(
         self,
--- a/quetzalcourse/transport/spooling.py
+++ b/quetzalcourse/transport/spooling.py
@@ -48,7 +48,8 @@
         return self._stream()
 
     async def _stream(self) -> AsyncIterator[bytes]:
-        pieces, self._pieces = self._pieces, []
+        pieces = self._pieces
+        self._pieces = []
         for piece in pieces:
             yield piece
         async for piece in self._rest:
