Take rows from other daemons while the store turns one away

Its test, a withdrawn key at a daemon that is cut from the store, passes for a store that is busy, resets or is silent; without the relay the key works as long as the cut lasts.

--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -22,6 +22,8 @@
 # Short enough that a channel which went silent is noticed within the two
 # seconds in which a new manifest has to be in force.
 WAIT = timedelta(seconds=1)
+# A sound store answers each wait in time; this much later it does not.
+LONGEST_SILENCE = timedelta(seconds=1.3)
 RETRY = timedelta(milliseconds=150)
 UNKNOWN = -1
 log = get_log('feed')
@@ -65,6 +67,17 @@
         self._faulty = False
         self._recovered_at = timedelta(0)
 
+    @property
+    def faulty(self) -> bool:
+        """Whether the store fails to answer this daemon."""
+        return self._faulty or self.silence > LONGEST_SILENCE
+
+    @property
+    def newest(self) -> int:
+        """Version of the newest row that is known."""
+        versions = (row.version for row in self.rows.values())
+        return max(versions, default=0)
+
     @property
     def silence(self) -> timedelta:
         """How long ago the store last answered."""
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -12,6 +12,7 @@
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds import presence
 from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.feeds.relay import FeedRelay
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.registrations import Registrations
@@ -34,6 +35,7 @@
 )
 from quetzalcourse.transport.item_calls import ItemCalls
 from quetzalcourse.transport.metrics import render_metrics
+from quetzalcourse.transport.peer_link import PeerLink
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_calls import UpstreamCalls
 from quetzalcourse.transport.web import WebServer
@@ -71,6 +73,12 @@
         self.activity = Activity()
         self.incarnation = name_incarnation(self.settings.vm)
         self.lifecycle = Lifecycle(self.clock, self.counters)
+        self.peers = PeerLink(
+            self.settings.listen.peers,
+            (self.settings.peer_secret,),
+            self.clock,
+            self.counters,
+        )
         self._deployment = deployment
         listen = self.settings.listen
         self._listeners = {
@@ -115,6 +123,7 @@
     async def on_stop(self) -> None:
         """Close everything that the daemon opened, however far it got."""
         await self.lifecycle.stop()
+        self.peers.stop()
         for listener in self._listeners.values():
             listener.close()
         log.info('Daemon stopped.')
@@ -144,6 +153,14 @@
             self.clock,
             self.counts.describe,
         )
+        self.relay = FeedRelay(
+            (self.operator_feed, self.upstream_feed),
+            self.peers,
+            self.presence,
+            self.clock,
+            self.counters,
+        )
+        self.peers.start(own)
 
     def _follow(
         self,
@@ -241,6 +258,7 @@
             'batch feed': self.batch_feed.run,
             'member feed': self.member_feed.run,
             'presence': self.presence.run,
+            'relay': self.relay.run,
             'registrations': self.registrations.run,
         }
         for name, body in parts.items():
--- a/quetzalcourse/standins/rollout/store.py
+++ b/quetzalcourse/standins/rollout/store.py
@@ -194,10 +194,9 @@
         failed = False
         current = []
         for expected in body['expected']:
-            name = _name(expected)
-            row = rows.get(name)
-            if (row.ver if row else 0) != expected['ver']:
-                failed = True
+            row = rows.get(_name(expected))
+            version = 0 if row is None else row.ver
+            failed |= version != expected['ver']
             if row is not None:
                 current.append(row.show())
         if failed:
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -46,3 +46,5 @@
     steps = 'steps'
     usage = 'usage'
     demand = 'demand'
+    rows_asked = 'rows_asked'
+    rows_told = 'rows_told'
--- a/quetzalcourse/tests/rollout/requests_tests.py
+++ b/quetzalcourse/tests/rollout/requests_tests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
@@ -21,7 +21,7 @@
 async def look_up(
     world: RolloutWorld,
     path: str = LOOKUP,
-    **options: object,
+    **options: Any,
 ) -> Reply:
     """Send a lookup through the first daemon."""
     return await world.caller.call(
@@ -243,6 +243,22 @@
     assert (await look_up(world)).status == 200
 
 
+@pytest.mark.parametrize('mode', ['busy', 'reset', 'silent'])
+async def test_withdrawn_key_stops_where_the_store_is_out_of_reach(
+    pair: RolloutWorld,
+    mode: str,
+) -> None:
+    # The store turns one daemon away while it serves the others. A key that
+    # is withdrawn meanwhile would go on working there.
+    pair.doors[0].faults.mode = mode
+    await asyncio.sleep(0.3)
+    config = documents.build_config(2)
+    config['tenants'][0]['api_keys'] = ['another']
+    await pair.store.write('op', 'config', config)
+    await asyncio.sleep(3.0)
+    assert (await look_up(pair)).status == 401
+
+
 async def test_daemon_without_manifest_promises_to_come_back(
     world: RolloutWorld,
 ) -> None:
