--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -14,6 +14,7 @@
 from quetzalcourse import __version__
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.log import configure_log, get_log
+from quetzalcourse.log_output import LineLimit, LineOutput
 from quetzalcourse.loop import run_loop
 from quetzalcourse.platform.settings import find_file, load_file
 
@@ -151,9 +152,12 @@
     loaded = load_file(path)
     if isinstance(loaded, Err):
         raise AbortError(loaded.err_value)
-    configure_log('info', 'json', sys.stdout)
-    deployment = PlatformDeployment(loaded.ok_value)
-    return await serve(RolloutApplication(deployment))
+    output = LineOutput(sys.stdout.fileno())
+    limit = LineLimit()
+    configure_log('info', 'json', output, limit)
+    application = RolloutApplication(PlatformDeployment(loaded.ok_value))
+    application.watch_log(output, limit)
+    return await serve(application)
 
 
 def start(arguments: Sequence[str] | None) -> int:
--- /dev/null
+++ b/quetzalcourse/feed_parts.py
@@ -0,0 +1,86 @@
+"""Parts of a daemon that follow the store and the other daemons."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.batches.batch_rows import TABLE
+from quetzalcourse.coordination.feeds import presence
+from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.feeds.relay import FeedRelay
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.duties.usage_windows import WindowCounts
+    from quetzalcourse.coordination.ports import Peers
+    from quetzalcourse.deployment import Documents, StoreParts
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.members import Member
+
+# Rows of these tables change several times a second; a reader that took
+# each change alone would spend its time on answers of one row.
+BEAT_PAUSE = timedelta(milliseconds=250)
+BATCH_PAUSE = timedelta(milliseconds=15)
+
+
+@dataclass(frozen=True, slots=True)
+class FeedParts:
+    """What a daemon knows of the store's tables and of the others."""
+
+    operators: TableFollower
+    upstreams: TableFollower
+    batches: TableFollower
+    members: TableFollower
+    presence: presence.Presence
+    relay: FeedRelay
+
+    def start(self, lifecycle: Lifecycle) -> None:
+        """Run the parts in the background."""
+        lifecycle.run('operator feed', self.operators.run)
+        lifecycle.run('upstream feed', self.upstreams.run)
+        lifecycle.run('batch feed', self.batches.run)
+        lifecycle.run('member feed', self.members.run)
+        lifecycle.run('presence', self.presence.run)
+        lifecycle.run('relay', self.relay.run)
+
+
+def build_feed_parts(
+    own: Member,
+    documents: Documents,
+    store: StoreParts,
+    peers: Peers,
+    counts: WindowCounts,
+    clock: Clock,
+    counters: Counters,
+) -> FeedParts:
+    """Build the parts and connect them.
+
+    :param own: this daemon.
+    :param counts: counts that go with each beat.
+    """
+    operators = TableFollower(
+        store.feed,
+        documents.operator_table,
+        clock,
+        counters,
+        single_part=True,
+    )
+    upstreams = TableFollower(
+        store.feed,
+        documents.upstream_table,
+        clock,
+        counters,
+        single_part=True,
+    )
+    batches = TableFollower(
+        store.feed, TABLE, clock, counters, pause=BATCH_PAUSE
+    )
+    members = TableFollower(
+        store.feed, presence.TABLE, clock, counters, pause=BEAT_PAUSE
+    )
+    beats = presence.Presence(own, store.table, members, clock, counts.describe)
+    relay = FeedRelay((operators, upstreams), peers, beats, clock, counters)
+    return FeedParts(operators, upstreams, batches, members, beats, relay)
--- a/quetzalcourse/log.py
+++ b/quetzalcourse/log.py
@@ -4,27 +4,32 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO, cast
 
 import structlog
 
 if TYPE_CHECKING:
     from structlog.typing import FilteringBoundLogger
 
+    from quetzalcourse.log_output import LineLimit, LineOutput
+
 FORMATS = ('console', 'json')
 
 
 def configure_log(
     level: str,
     log_format: str,
-    output: TextIO = sys.stderr,
+    output: TextIO | LineOutput = sys.stderr,
+    limit: LineLimit | None = None,
 ) -> None:
     """Set up logging for the process.
 
     :param level: name of the lowest level to show.
     :param log_format: one of :data:`FORMATS`.
     :param output: where lines go.
+    :param limit: bounds the lines of each event.
     """
+    bounds: list[Any] = [limit] if limit is not None else []
     renderer: Any = structlog.processors.JSONRenderer()
     if log_format == 'console':
         renderer = structlog.dev.ConsoleRenderer(colors=False)
@@ -32,13 +37,14 @@
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            *bounds,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.PrintLoggerFactory(output),
+        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, output)),
     )
 
 
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -8,16 +8,13 @@
 from result import Err
 
 from quetzalcourse.batch_parts import build_batch_parts
-from quetzalcourse.coordination.batches.batch_rows import TABLE
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
-from quetzalcourse.coordination.feeds import presence
-from quetzalcourse.coordination.feeds.follower import TableFollower
-from quetzalcourse.coordination.feeds.relay import FeedRelay
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.registrations import Registrations
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.duty_parts import build_duty_parts
+from quetzalcourse.feed_parts import build_feed_parts
 from quetzalcourse.incarnation import name_incarnation
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
@@ -42,15 +39,12 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.deployment import Deployment
+    from quetzalcourse.log_output import LineLimit, LineOutput
     from quetzalcourse.state.routing import RoutingManifest
     from quetzalcourse.state.rows import Row
 
 OK = 200
 UNAVAILABLE = 503
-# Rows of these tables change several times a second; a reader that took
-# each change alone would spend its time on answers of one row.
-BEAT_PAUSE = timedelta(milliseconds=250)
-BATCH_PAUSE = timedelta(milliseconds=15)
 # The balancer takes a daemon out after two questions, one each second.
 BALANCER_TIME = timedelta(seconds=3)
 # Left for the last answers before the platform kills the process.
@@ -80,12 +74,19 @@
             self.counters,
         )
         self._deployment = deployment
+        self._log_output: LineOutput | None = None
+        self._log_limit: LineLimit | None = None
         listen = self.settings.listen
         self._listeners = {
             address: open_listener(address)
             for address in (listen.callers, listen.readiness, listen.metrics)
         }
 
+    def watch_log(self, output: LineOutput, limit: LineLimit) -> None:
+        """Show in the metrics how many log lines were left out."""
+        self._log_output = output
+        self._log_limit = limit
+
     async def on_start(self) -> None:
         """Build the parts and begin to serve."""
         self.lifecycle.on_stop(self._deployment.close)
@@ -129,14 +130,8 @@
         log.info('Daemon stopped.')
 
     def _build_store(self) -> None:
-        documents = self._deployment.documents
         self.store = self._deployment.open_store(self.clock, self.counters)
         self.routes = RouteTable()
-        self.operator_feed = self._follow(documents.operator_table, single=True)
-        self.operator_feed.on_rows(self.on_operator_rows)
-        self.upstream_feed = self._follow(documents.upstream_table, single=True)
-        self.batch_feed = self._follow(TABLE, pause=BATCH_PAUSE)
-        self.member_feed = self._follow(presence.TABLE, pause=BEAT_PAUSE)
         self.counts = WindowCounts(
             self.clock, self.settings.terms.usage_window, self._on_count
         )
@@ -146,42 +141,23 @@
             self.settings.data_centre,
             self.settings.listen.peers,
         )
-        self.presence = presence.Presence(
+        self.feeds = build_feed_parts(
             own,
-            self.store.table,
-            self.member_feed,
-            self.clock,
-            self.counts.describe,
-        )
-        self.relay = FeedRelay(
-            (self.operator_feed, self.upstream_feed),
+            self._deployment.documents,
+            self.store,
             self.peers,
-            self.presence,
+            self.counts,
             self.clock,
             self.counters,
         )
+        self.presence = self.feeds.presence
+        self.feeds.operators.on_rows(self.on_operator_rows)
         self.peers.start(own)
 
-    def _follow(
-        self,
-        table: str,
-        *,
-        single: bool = False,
-        pause: timedelta = timedelta(0),
-    ) -> TableFollower:
-        return TableFollower(
-            self.store.feed,
-            table,
-            self.clock,
-            self.counters,
-            single_part=single,
-            pause=pause,
-        )
-
     def _build_upstreams(self) -> None:
         self.pool = Pool(self.settings.data_centre, self.clock, self.counters)
         self.registrations = Registrations(
-            self.upstream_feed,
+            self.feeds.upstreams,
             self.pool,
             self._deployment.documents.read_member,
             self.clock,
@@ -199,7 +175,7 @@
         )
         self.batches = build_batch_parts(
             self.store,
-            self.batch_feed,
+            self.feeds.batches,
             items,
             self.pool,
             self.routes,
@@ -252,17 +228,8 @@
             await server.start()
 
     def _start_parts(self) -> None:
-        parts = {
-            'operator feed': self.operator_feed.run,
-            'upstream feed': self.upstream_feed.run,
-            'batch feed': self.batch_feed.run,
-            'member feed': self.member_feed.run,
-            'presence': self.presence.run,
-            'relay': self.relay.run,
-            'registrations': self.registrations.run,
-        }
-        for name, body in parts.items():
-            self.lifecycle.run(name, body)
+        self.feeds.start(self.lifecycle)
+        self.lifecycle.run('registrations', self.registrations.run)
         self.batches.start(self.lifecycle)
         self.duties.start(self.lifecycle)
         self.routes.on_manifest(self.on_manifest)
@@ -302,11 +269,14 @@
     def _tell_ready(self, path: str) -> tuple[int, bytes]:
         ready = (
             self.routes.manifest is not None
-            and self.upstream_feed.loaded
+            and self.feeds.upstreams.loaded
             and not self.activity.draining
         )
         known = path == self._deployment.readiness_path
         return (OK, b'ready') if ready and known else (UNAVAILABLE, b'')
 
     def _tell_metrics(self, path: str) -> tuple[int, bytes]:
+        if self._log_output is not None and self._log_limit is not None:
+            self.counters.set('log_lines_dropped', self._log_output.dropped)
+            self.counters.set('log_lines_left_out', self._log_limit.left_out)
         return OK, render_metrics(self.counters)
--- a/quetzalcourse/standins/rollout/world.py
+++ b/quetzalcourse/standins/rollout/world.py
@@ -185,6 +185,7 @@
         ]
         self.daemons: list[RolloutApplication] = []
         self.doors: list[StoreDoor] = []
+        self._ended: list[RolloutApplication] = []
         self._count = daemons
 
     async def start(self) -> None:
@@ -211,6 +212,11 @@
         await self.await_ready(daemon)
         return daemon
 
+    async def end_daemon(self, daemon: RolloutApplication) -> None:
+        """End a daemon at once, without a word to the others."""
+        self._ended.append(daemon)
+        await daemon.on_stop()
+
     async def await_ready(self, daemon: RolloutApplication) -> None:
         """Wait until a daemon says that it is ready."""
         address = daemon.settings.listen.readiness
@@ -230,7 +236,8 @@
     async def stop(self) -> None:
         """Stop everything."""
         for daemon in self.daemons:
-            await daemon.on_stop()
+            if daemon not in self._ended:
+                await daemon.on_stop()
         for upstream in (*self.engines, *self.services):
             await upstream.stop()
         await self.cloud.server.stop()
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -108,7 +108,7 @@
         engine.faults.slow = 8
     await pair.caller.submit(pair.address(0), 'b-1', build_batch(ITEMS))
     if lost == 'owner is dead':
-        await pair.daemons[0].on_stop()
+        await pair.end_daemon(pair.daemons[0])
     else:
         pair.doors[0].faults.mode = 'silent'
     results = await pair.caller.read_all(pair.address(1), 'b-1')
--- a/quetzalcourse/tests/rollout/duties_tests.py
+++ b/quetzalcourse/tests/rollout/duties_tests.py
@@ -53,7 +53,7 @@
     await name_version(pair, 2)
     await await_version(pair, 2)
     holder = next(one for one in pair.daemons if one.duties.lease.held)
-    await holder.on_stop()
+    await pair.end_daemon(holder)
     await name_version(pair, 3)
     await await_version(pair, 3)
     for engine in pair.engines:
@@ -79,7 +79,7 @@
         )
     await asyncio.sleep(0.6)
     other = next(one for one in pair.daemons if not one.duties.lease.held)
-    await other.on_stop()
+    await pair.end_daemon(other)
     async with asyncio.timeout(15):
         while (
             sum(
