Resume streams within one answer, and accept batches of any size

A stream that breaks off goes on behind its last whole event at another upstream; one that must not be resumed is cut. Items beyond one transaction are written before the head that makes the batch.

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -36,6 +36,8 @@
 RANK_WAIT = timedelta(milliseconds=400)
 KEPT = timedelta(minutes=2)
 REMOVAL_MARGIN = timedelta(seconds=30)
+# As long as a daemon's silence counts as its end.
+SHOWN = timedelta(seconds=2)
 REMOVAL_GAP = timedelta(seconds=1)
 log = get_log('batches')
 
@@ -65,12 +67,14 @@
         self._clock = clock
         self._orphaned: dict[str, timedelta] = {}
         self._taking: dict[str, asyncio.Task[None]] = {}
+        self._shown: dict[str, tuple[int, timedelta]] = {}
         self._removed_at = timedelta(0)
         self._tasks = Tasks('takeover')
         directory.on_change(self.on_batch)
 
     def on_batch(self, view: BatchView) -> None:
         """Let go of a batch that ended or has another owner."""
+        self._note_owner(view)
         run = self._runner.batches.get(view.id)
         if run is None:
             return
@@ -118,10 +122,20 @@
         if view.id in self._runner.batches or view.id in self._taking:
             return False
         owner = view.owner
-        if owner.incarnation == self._presence.own.incarnation:
+        if owner.incarnation in {'', self._presence.own.incarnation}:
             return True
+        if self._clock.elapsed() - self._shown[view.id][1] < SHOWN:
+            return False
         return not self._presence.is_live(owner.vm, owner.incarnation)
 
+    def _note_owner(self, view: BatchView) -> None:
+        # Whoever has just written itself as the owner lives, whatever its
+        # beats say: they may have been held up while the batch was not.
+        shown = self._shown.get(view.id)
+        if shown is None or shown[0] != view.owner_version:
+            now = self._clock.elapsed()
+            self._shown[view.id] = (view.owner_version, now)
+
     def _find_wait(self, view: BatchView) -> timedelta:
         own = self._presence.own
         if view.owner is not None and view.owner.incarnation == own.incarnation:
@@ -196,4 +210,5 @@
         answer = await self._rows.remove(view.id)
         if isinstance(answer, Err):
             return
+        self._shown.pop(view.id, None)
         log.info('Batch is removed.', batch=view.id)
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -50,21 +49,13 @@
 # The store takes rows of 64 KiB and transactions of 1 MB; the rest is room
 # for names and for the encoding on the wire.
 CHUNK_BYTES = 48_000
-BATCH_BYTES = 650_000
+TRANSACTION_BYTES = 500_000
 POSITION_DIGITS = 8
 PIECE_DIGITS = 3
 # Results of one commit; what is left over goes into the next.
 COMMIT_BYTES = 500_000
 
 
-class BatchRowsError(enum.StrEnum):
-    """Why a write of a batch took no effect."""
-
-    deposed = 'deposed'
-    exists = 'exists'
-    too_large = 'too_large'
-
-
 @dataclass(frozen=True, slots=True)
 class Written:
     """Write that took effect, and the version of its rows."""
@@ -122,6 +113,23 @@
     return chunks
 
 
+def group_chunks(
+    batch: str,
+    chunks: Sequence[bytes],
+) -> list[tuple[Write, ...]]:
+    """Group the rows of items by the transactions that hold them."""
+    groups: list[tuple[Write, ...]] = [()]
+    size = 0
+    for number, chunk in enumerate(chunks):
+        if size + len(chunk) > TRANSACTION_BYTES:
+            groups.append(())
+            size = 0
+        row = Write(f'{ITEMS}/{batch}/{number:04d}', chunk)
+        groups[-1] = (*groups[-1], row)
+        size += len(chunk)
+    return groups
+
+
 def join_items(chunks: Sequence[bytes]) -> list[BatchItem]:
     """Read items from the contents of their rows."""
     return [
@@ -156,10 +164,14 @@
             Write(key, msgspec.json.encode(head)),
             Write(name_row(head.id, OWNER), msgspec.json.encode(owner)),
         ]
-        writes += [
-            Write(f'{ITEMS}/{head.id}/{number:04d}', chunk)
-            for number, chunk in enumerate(chunks)
-        ]
+        groups = group_chunks(head.id, chunks)
+        for group in groups[:-1]:
+            # Rows without a head are nothing yet: the last transaction
+            # makes the batch, or it never was.
+            prepared = await self._table.transact(Transaction((), group))
+            if isinstance(prepared, Err):
+                return prepared
+        writes += groups[-1]
         answer = await self._table.transact(
             Transaction((Condition(key, replaced),), tuple(writes))
         )
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -8,7 +8,6 @@
 from result import Err
 
 from quetzalcourse.coordination.batches.batch_rows import (
-    BATCH_BYTES,
     HEAD,
     Written,
     name_row,
@@ -93,8 +92,6 @@
             raise RefusedError(_refuse_store())
         head = _build_head(batch_id, client_account, route, submission, now)
         chunks = split_items(submission.items)
-        if sum(map(len, chunks)) > BATCH_BYTES:
-            raise RefusedError(_refuse_large())
         accepted_at = self._clock.elapsed()
         own = self._members.own
         owner = Ownership(own.vm, own.incarnation, 1)
@@ -272,15 +269,6 @@
     )
 
 
-def _refuse_large() -> Refusal:
-    return Refusal(
-        RefusalCode.body_too_large,
-        'The batch is larger than one transaction holds.',
-        not_run=True,
-        step='batch',
-    )
-
-
 def _refuse_unknown() -> Refusal:
     return Refusal(
         RefusalCode.not_found,
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -25,11 +25,15 @@
 
 TABLE = 'members'
 BEAT = timedelta(seconds=1)
+# All beats together stay under a tenth of what the store bears, however
+# many daemons there are: 350 of them beat every 4.4 seconds.
+BEATS_PER_SECOND = 80
 # Counts of usage that only this daemon has are lost with it, so they are
 # told soon, yet not with each request.
 CHANGE_GAP = timedelta(milliseconds=250)
-# Two beats and the time that a slow write takes.
-SILENCE = timedelta(seconds=2.4)
+# A silence of two beats and the time that a slow write takes.
+SILENT_BEATS = 2
+SLOW_WRITE = timedelta(seconds=0.4)
 TICK = timedelta(milliseconds=50)
 log = get_log('members')
 
@@ -150,7 +154,7 @@
         """Write beats until the task is cancelled."""
         while True:
             age = self._clock.elapsed() - self._written_at
-            if age > BEAT or (self._wanted and age > CHANGE_GAP):
+            if age > self._find_beat() or (self._wanted and age > CHANGE_GAP):
                 await self._write()
             await self._clock.sleep(TICK)
 
@@ -179,7 +183,13 @@
         # the others; they have their time again once it is back.
         heard = self._heard.get(vm, timedelta(0))
         silent = self._clock.elapsed() - heard
-        return silent < SILENCE or self._follower.steady_for < SILENCE
+        longest = self._find_beat() * SILENT_BEATS + SLOW_WRITE
+        return silent < longest or self._follower.steady_for < longest
+
+    def _find_beat(self) -> timedelta:
+        return max(
+            BEAT, timedelta(seconds=len(self.records) / BEATS_PER_SECOND)
+        )
 
     def _tell(self) -> None:
         for listener in self._listeners:
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -74,6 +74,10 @@
         if self.measure_left(forwarding) < LEAST_TIME:
             raise RefusedError(self.refuse_late(forwarding))
         upstream = self._pool.choose(forwarding.service, forwarding.tried)
+        if upstream is None and forwarding.may_have_run:
+            # One that broke off may well serve the rest; where it refused,
+            # asking it again at once would only be refused again.
+            upstream = self._pool.choose(forwarding.service)
         if upstream is None:
             raise RefusedError(_refuse_without(forwarding))
         forwarding.attempts += 1
--- a/quetzalcourse/platform/upstreams.py
+++ b/quetzalcourse/platform/upstreams.py
@@ -24,6 +24,7 @@
     (
         'content-length',
         'expect',
+        'last-event-id',
         'x-deadline-ms',
         'x-expect-instance',
         'x-key',
--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -13,6 +13,8 @@
 LOOKUP_PREFIX = '/lookup/'
 ONCE_PREFIX = '/once/'
 PUBLIC_PREFIX = '/open/'
+STREAM_PREFIX = '/stream/'
+BOUND_PREFIX = '/bound/'
 KEY = 'key-of-the-desk'
 OTHER_KEY = 'key-of-another'
 ACCOUNT = 'desk'
@@ -44,6 +46,20 @@
             build_route(LOOKUP_PREFIX, 'idempotent'),
             build_route(ONCE_PREFIX, 'non_idempotent'),
             build_route(PUBLIC_PREFIX, 'idempotent', public=True),
+            build_route(
+                STREAM_PREFIX,
+                'non_idempotent',
+                service=ENGINES,
+                streaming=True,
+                resumable=True,
+                max_attempts=3,
+            ),
+            build_route(
+                BOUND_PREFIX,
+                'non_idempotent',
+                service=ENGINES,
+                streaming=True,
+            ),
             build_route(
                 BATCH_PREFIX,
                 'rollout',
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 from quetzalcourse.standins.rollout.world import (
     Caller,
     build_batch,
+    build_item,
 )
 
 if TYPE_CHECKING:
@@ -253,3 +255,21 @@
         name: len(write_text(name)) + 9000 * count_events(name)
         for name in ITEMS
     }
+
+
+async def test_batch_larger_than_a_transaction_is_accepted(
+    pair: RolloutWorld,
+) -> None:
+    # A batch holds more than the store takes at once. Its items are written
+    # first and its head last, so that it stands whole or not at all.
+    items = [build_item(name) for name in ITEMS]
+    for item in items:
+        item['body'] = base64.b64encode(b'x' * 60_000).decode()
+    batch = build_batch([], requests=items)
+    reply = await pair.caller.submit(pair.address(0), 'b-1', batch)
+    assert reply.status == 202
+    reply = await pair.caller.call(
+        pair.address(1), 'GET', '/quetzalcourse/items/b-1?id=i-3'
+    )
+    assert len(reply.body) == 60_000
+    check_results(await pair.caller.read_all(pair.address(1), 'b-1'))
--- /dev/null
+++ b/quetzalcourse/tests/rollout/streams_tests.py
@@ -0,0 +1,84 @@
+"""Streams of events through a daemon, whole and broken."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.upstream import count_events, write_event
+
+if TYPE_CHECKING:
+    from quetzalcourse.standins.rollout.world import Reply, RolloutWorld
+
+STREAM = documents.STREAM_PREFIX
+BOUND = documents.BOUND_PREFIX
+LONG = next(
+    name
+    for name in (f's-{number}' for number in range(100))
+    if count_events(name) == 12
+)
+
+
+def write_stream(request_id: str, after: int = 0) -> bytes:
+    """Write all events of a stream."""
+    return ''.join(
+        f'id: {number}\ndata: {write_event(request_id, number)}\n\n'
+        for number in range(after + 1, count_events(request_id) + 1)
+    ).encode()
+
+
+async def stream(world: RolloutWorld, prefix: str, after: str = '') -> Reply:
+    """Ask for a long stream."""
+    headers = {'X-Model': documents.MODEL, 'X-Token-Counts': '8,8'}
+    if after:
+        headers['Last-Event-Id'] = after
+    return await world.caller.call(
+        world.address(),
+        'POST',
+        prefix,
+        b'salt',
+        headers=headers,
+        request_id=LONG,
+    )
+
+
+@pytest.mark.parametrize('prefix', [STREAM, BOUND])
+async def test_stream_is_passed_on_whole(
+    world: RolloutWorld,
+    prefix: str,
+) -> None:
+    """With the headers of its server."""
+    reply = await stream(world, prefix)
+    assert reply.body == write_stream(LONG)
+    assert reply.headers['X-Weight-Versions'] == '1'
+
+
+async def test_caller_resumes_its_stream(world: RolloutWorld) -> None:
+    """The server goes on behind the event that the caller names."""
+    reply = await stream(world, STREAM, after='5')
+    assert reply.body == write_stream(LONG, 5)
+
+
+async def test_broken_stream_goes_on_within_one_answer(
+    world: RolloutWorld,
+) -> None:
+    # A server cuts a stream that may be resumed. The caller notices no more
+    # than a pause: no event is missing and none comes twice.
+    for engine in world.engines:
+        engine.faults.cuts, engine.faults.cut_after = 1, 4
+    world.engines[1].faults.cut_after = 9
+    reply = await stream(world, STREAM)
+    assert reply.body == write_stream(LONG)
+
+
+async def test_broken_stream_never_looks_whole(world: RolloutWorld) -> None:
+    # A server cuts a stream that must not be resumed. A caller that took
+    # what came for the whole would lose the rest.
+    for engine in world.engines:
+        engine.faults.cuts, engine.faults.cut_after = 1, 4
+    with pytest.raises(aiohttp.ClientError):
+        await stream(world, BOUND)
+    assert sum(len(engine.runs) for engine in world.engines) == 1
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -27,7 +27,7 @@
         Forwarding,
     )
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
-    from quetzalcourse.state.calls import AnswerMarks, RequestHead
+    from quetzalcourse.state.calls import RequestHead
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.spooling import SpooledBody
     from quetzalcourse.transport.upstream_calls import UpstreamCalls
@@ -38,6 +38,7 @@
 SERVER_ERROR = 500
 READER_SECONDS = 30.0
 EVENT_STREAM = 'text/event-stream'
+FRAME_END = b'\n\n'
 log = get_log('forward')
 
 
@@ -88,21 +89,46 @@
 
         :raises RefusedError: if none gave an answer.
         """
+        caller = CallerAnswer(request, head.find('last-event-id'))
         while True:
-            upstream = self._forwarder.choose(forwarding)
+            upstream = self._choose(caller, forwarding)
+            if upstream is None:
+                return
             try:
-                await self._attempt(request, head, forwarding, body, upstream)
+                await self._attempt(caller, head, forwarding, body, upstream)
             except AttemptFailedError as error:
                 self._note(forwarding, upstream, error)
-                repeat = self._forwarder.may_repeat(
-                    forwarding, not_run=error.not_run
-                )
-                if not repeat:
-                    refusal = self._forwarder.refuse(forwarding)
-                    raise RefusedError(refusal) from None
+                if not self._goes_on(caller, forwarding, error):
+                    return
             else:
                 return
 
+    def _choose(
+        self,
+        caller: CallerAnswer,
+        forwarding: Forwarding,
+    ) -> Upstream | None:
+        try:
+            return self._forwarder.choose(forwarding)
+        except RefusedError:
+            if not caller.begun:
+                raise
+            caller.cut()
+            return None
+
+    def _goes_on(
+        self,
+        caller: CallerAnswer,
+        forwarding: Forwarding,
+        error: AttemptFailedError,
+    ) -> bool:
+        if self._forwarder.may_repeat(forwarding, not_run=error.not_run):
+            return True
+        if caller.begun:
+            caller.cut()
+            return False
+        raise RefusedError(self._forwarder.refuse(forwarding)) from None
+
     def _note(
         self,
         forwarding: Forwarding,
@@ -122,7 +148,7 @@
 
     async def _attempt(
         self,
-        request: Request,
+        caller: CallerAnswer,
         head: RequestHead,
         forwarding: Forwarding,
         body: SpooledBody,
@@ -133,7 +159,7 @@
             upstream.name,
             forwarding.client_account,
             left,
-            head.find('last-event-id'),
+            caller.resume_after,
         )
         headers = self._dialect.write_request(head, terms)
         if not body.whole:
@@ -150,8 +176,8 @@
                 body.open(),
                 self._forwarder.find_patience(forwarding),
             ) as answer:
-                marks = self._judge(forwarding, upstream, answer)
-                await self._relay(request, forwarding, answer, marks)
+                self._judge(caller, forwarding, upstream, answer)
+                await self._relay(caller, forwarding, answer)
                 self._finish(forwarding, upstream, answer)
         except CallLostError as error:
             not_run = error.state is LostState.not_sent
@@ -167,10 +193,11 @@
 
     def _judge(
         self,
+        caller: CallerAnswer,
         forwarding: Forwarding,
         upstream: Upstream,
         answer: aiohttp.ClientResponse,
-    ) -> AnswerMarks:
+    ) -> None:
         marks = self._dialect.read_answer(
             forwarding.request_id, answer.status, answer.headers
         )
@@ -182,10 +209,12 @@
             self._pool.on_failure(upstream, 'foreign answer')
             raise AttemptFailedError('foreign answer', not_run=False)
         failed = answer.status >= SERVER_ERROR
+        if caller.begun and marks.state is not AnswerState.served:
+            raise AttemptFailedError(f'status {answer.status}', not_run=False)
         if failed and self._forwarder.may_repeat(forwarding, not_run=False):
             raise AttemptFailedError(f'status {answer.status}', not_run=False)
-        self._on_run(forwarding.client_account)
-        return marks
+        if not caller.begun:
+            self._on_run(forwarding.client_account)
 
     def _finish(
         self,
@@ -205,40 +234,101 @@
 
     async def _relay(
         self,
-        request: Request,
+        caller: CallerAnswer,
         forwarding: Forwarding,
         answer: aiohttp.ClientResponse,
-        marks: AnswerMarks,
     ) -> None:
-        held = b''
-        whole = True
         left = self._forwarder.measure_left(forwarding)
         pieces = read_pieces(answer, left)
-        if not answer.headers.get('Content-Type', '').startswith(EVENT_STREAM):
-            held, whole = await _hold(pieces)
-        else:
-            whole = False
-        headers = clean_answer_headers(answer)
-        begun = await request.respond(
-            status=answer.status,
-            headers=dict(headers),
-            content_type=answer.headers.get('Content-Type', ''),
-        )
-        stream = AnswerStream(request, begun, READER_SECONDS)
+        if answer.headers.get('Content-Type', '').startswith(EVENT_STREAM):
+            await caller.begin(answer)
+            await self._relay_events(caller, forwarding, pieces)
+            return
+        held, whole = await _hold(pieces)
+        await caller.begin(answer)
         if whole:
-            await stream.send(held, last=True)
+            await caller.send(held, last=True)
             return
         try:
-            if held:
-                await stream.send(held)
+            await caller.send(held)
             async for piece in pieces:
-                await stream.send(piece)
+                await caller.send(piece)
         except CallLostError:
-            # What went out already must not look like a whole answer.
-            log.warning('Answer broke off.', request_id=forwarding.request_id)
-            abort_connection(request)
+            caller.cut()
             return
-        await stream.send(b'', last=True)
+        await caller.send(b'', last=True)
+
+    async def _relay_events(
+        self,
+        caller: CallerAnswer,
+        forwarding: Forwarding,
+        pieces: AsyncIterator[bytes],
+    ) -> None:
+        """Send whole events on as they arrive.
+
+        An upstream may break off in the middle of an event; what goes on
+        elsewhere goes on behind the last whole one.
+
+        :raises CallLostError: if the stream broke off and may be resumed.
+        """
+        rest = b''
+        try:
+            async for piece in pieces:
+                *frames, rest = (rest + piece).split(FRAME_END)
+                for frame in frames:
+                    event = self._dialect.read_event(frame)
+                    if event is not None:
+                        caller.resume_after = str(event.number)
+                if frames:
+                    await caller.send(FRAME_END.join([*frames, b'']))
+            if rest:
+                raise CallLostError(LostState.unanswered, 'broken event')
+        except CallLostError:
+            may = self._forwarder.may_repeat(forwarding, not_run=False)
+            if forwarding.route.resumable and may:
+                raise
+            caller.cut()
+            return
+        await caller.send(b'', last=True)
+
+
+class CallerAnswer:
+    """The answer that a caller gets, from one upstream or from several.
+
+    :param resume_after: number of the last event that went out.
+    """
+
+    def __init__(self, request: Request, resume_after: str) -> None:
+        """Begin before the first byte."""
+        self.resume_after = resume_after
+        self._request = request
+        self._stream: AnswerStream | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of it went out."""
+        return self._stream is not None
+
+    async def begin(self, answer: aiohttp.ClientResponse) -> None:
+        """Take status and headers of an upstream's answer, the first only."""
+        if self._stream is not None:
+            return
+        response = await self._request.respond(
+            status=answer.status,
+            headers=dict(clean_answer_headers(answer)),
+            content_type=answer.headers.get('Content-Type', ''),
+        )
+        self._stream = AnswerStream(self._request, response, READER_SECONDS)
+
+    async def send(self, piece: bytes, *, last: bool = False) -> None:
+        """Send a piece of the body."""
+        assert self._stream is not None  # noqa: S101
+        await self._stream.send(piece, last=last)
+
+    def cut(self) -> None:
+        """End an answer that must not look whole."""
+        log.warning('Answer broke off.', peer=self._request.ip)
+        abort_connection(self._request)
 
 
 async def _hold(pieces: AsyncIterator[bytes]) -> tuple[bytes, bool]:
