Soak real daemons with seeded faults from outside

Daemons run as processes behind proxies that delay, reset, silence and cut their links; a series of kills, stops, pauses and faults of store and servers overlaps while callers look up, submit and read. Promises are checked from what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 STAMP := .venv/installed
 
-.PHONY: demo serve test format lint types layers tests bench lock reference capacity
+.PHONY: demo serve test format lint types layers tests bench lock reference capacity soak
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -23,10 +23,10 @@
 	$(BIN)/ruff format --check --quiet .
 
 lint: $(STAMP)
-	$(BIN)/flake8 quetzalcourse bench
+	$(BIN)/flake8 quetzalcourse bench soak
 
 types: $(STAMP)
-	$(BIN)/mypy quetzalcourse bench
+	$(BIN)/mypy quetzalcourse bench soak
 
 layers: $(STAMP)
 	$(BIN)/lint-imports
@@ -45,3 +45,6 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity_page
+
+soak: $(STAMP)
+	$(BIN)/python -m soak $(if $(SEED),--seeds $(SEED)) $(if $(SECONDS_EACH),--seconds $(SECONDS_EACH)) $(if $(DAEMONS),--daemons $(DAEMONS))
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -129,6 +129,7 @@
         self._store = store
         self._born = int(time.time() * 1000)
         self.server = StandinServer(name, self.serve)
+        self.announced = self.server.address
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -152,7 +153,7 @@
         """Write the entry."""
         entry: dict[str, Any] = {
             'service': self.service,
-            'address': self.server.address,
+            'address': self.announced,
             'zone': self._data_centre,
             'version': 'v1',
             'slots': self.slots,
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real daemons with faults injected from outside."""
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,112 @@
+"""Promises that the soak checks, from what callers and servers saw."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.upstream import write_text
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.standins.rollout.cloud import UsageCall
+    from quetzalcourse.standins.rollout.upstream import Run, UpstreamStandin
+    from soak.callers import BatchRecord, Told
+
+OK = 200
+UNAVAILABLE = 503
+
+
+def check_requests(told: Iterable[Told], runs: Iterable[Run]) -> list[str]:
+    """Check lookups: whole answers, true refusals, one run where once."""
+    counts = Counter(run.request_id for run in runs)
+    faults = []
+    for one in told:
+        ran = counts[one.request_id]
+        once = one.path == documents.ONCE_PREFIX
+        if once and ran > 1:
+            faults.append(f'{one.request_id} ran {ran} times')
+        if one.status == OK:
+            if one.body != b'answer to ' + one.request_id.encode():
+                faults.append(f'{one.request_id} got {one.body[:60]!r}')
+        if once and one.status == UNAVAILABLE and ran:
+            faults.append(f'{one.request_id} was refused and ran')
+    return faults
+
+
+def check_batches(
+    batches: Iterable[BatchRecord],
+    runs: Iterable[Run],
+) -> list[str]:
+    """Check batches: each item once, whole, at one position for all."""
+    ran = {run.request_id for run in runs}
+    faults = []
+    for record in batches:
+        faults += record.faults
+        if not record.accepted:
+            if record.refused_only and ran & set(record.items):
+                faults.append(f'{record.id} was refused and ran')
+            continue
+        if not record.whole:
+            faults.append(
+                f'{record.id} has {len(record.pages)} of {len(record.items)}'
+            )
+        listed = Counter(one['id'] for one in record.pages.values())
+        faults += [
+            f'{record.id}: {item} stands {count} times'
+            for item, count in listed.items()
+            if count > 1
+        ]
+        for result in record.pages.values():
+            faults += _check_result(record, result)
+    return faults
+
+
+def _check_result(record: BatchRecord, result: dict[str, object]) -> list[str]:
+    item = str(result['id'])
+    if result['state'] != 'completed':
+        return [f'{record.id}: {item} is {result["state"]}']
+    if result['text'] != write_text(item):
+        return [f'{record.id}: {item} is not whole']
+    versions = result['versions']
+    if not isinstance(versions, list) or min(versions) < record.min_version:
+        return [f'{record.id}: {item} was made with {versions}']
+    return []
+
+
+def check_orders(upstreams: Iterable[UpstreamStandin]) -> list[str]:
+    """Check that orders came from one holder after another."""
+    faults = []
+    for upstream in upstreams:
+        tokens = [token for _, token in upstream.state.fences]
+        if tokens != sorted(tokens):
+            faults.append(f'{upstream.name} got tokens {tokens}')
+        holders: dict[int, set[str]] = {}
+        for holder, token in upstream.state.fences:
+            holders.setdefault(token, set()).add(holder)
+        faults += [
+            f'{upstream.name}: token {token} of {names}'
+            for token, names in holders.items()
+            if len(names) > 1
+        ]
+    return faults
+
+
+def check_usage(reports: Iterable[UsageCall]) -> list[str]:
+    """Check that no window has two figures, and tokens never fall."""
+    figures: dict[int, dict[str, int]] = {}
+    faults = []
+    for report in reports:
+        known = figures.setdefault(report.window, report.counts)
+        if known != report.counts:
+            faults.append(f'window {report.window} has two figures')
+    pairs = itertools.pairwise(report.token for report in reports)
+    faults += [
+        f'token {second} after {first}'
+        for first, second in pairs
+        if second < first
+    ]
+    return faults
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,161 @@
+"""The deployment that the soak harms: daemons as processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.cloud import CloudStandin
+from quetzalcourse.standins.rollout.store import StoreDoor, StoreStandin
+from quetzalcourse.standins.rollout.upstream import UpstreamStandin
+from quetzalcourse.standins.rollout.world import Caller
+from soak.callers import SoakCallers
+from soak.daemons import SoakDaemon, build_daemon
+from soak.proxy import FaultProxy
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from quetzalcourse.standins.rollout.upstream import Run
+
+READY_SECONDS = 60.0
+ENGINES = 3
+PLAIN = 2
+OK = 200
+
+
+class SoakWorld:
+    """Store, servers and daemons, with a proxy on every link.
+
+    :param folder: where settings and logs of the daemons go.
+    """
+
+    def __init__(self, folder: Path, daemons: int, seed: int) -> None:
+        """Keep the sizes."""
+        self.store = StoreStandin(seed)
+        self.cloud = CloudStandin()
+        self.daemons: list[SoakDaemon] = []
+        self.servers: list[UpstreamStandin] = []
+        self.gone: list[UpstreamStandin] = []
+        self.store_links: list[FaultProxy] = []
+        self.server_links: dict[str, FaultProxy] = {}
+        self.manifest_version = 1
+        self._folder = folder
+        self._count = daemons
+        self._seed = seed
+        self._doors: list[StoreDoor] = []
+        self._names = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all daemons serve."""
+        await self.cloud.server.start()
+        await self.store.write('op', 'config', documents.build_config())
+        for _ in range(ENGINES):
+            await self.add_server(documents.ENGINES, (documents.MODEL,))
+        for _ in range(PLAIN):
+            await self.add_server(documents.CATALOGUE, ())
+        for number in range(self._count):
+            await self._add_daemon(f'vm-{number}')
+        addresses = [daemon.address for daemon in self.daemons]
+        self.callers = SoakCallers(addresses, self._seed)
+        await self._await_ready()
+
+    async def stop(self) -> None:
+        """Stop everything that was started."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for server in self.servers:
+            await server.stop()
+        for proxy in (*self.store_links, *self.server_links.values()):
+            await proxy.stop()
+        for door in self._doors:
+            await door.server.stop()
+        await self.cloud.server.stop()
+
+    async def add_server(self, service: str, models: tuple[str, ...]) -> None:
+        """Start a server behind a proxy of its own."""
+        self._names += 1
+        server = UpstreamStandin(
+            f'u-{self._names}', service, self.store, models=models
+        )
+        proxy = FaultProxy(server.server.address)
+        await proxy.start()
+        server.announced = proxy.address
+        self.server_links[server.name] = proxy
+        self.servers.append(server)
+        for model in models:
+            server.state.versions[model] = self._find_version()
+        await server.start()
+
+    async def replace_server(
+        self,
+        server: UpstreamStandin,
+        seconds: float,
+    ) -> None:
+        """Crash a server, and start another one after a while."""
+        if server not in self.servers:
+            return
+        self.servers.remove(server)
+        self.gone.append(server)
+        proxy = self.server_links.pop(server.name)
+        await server.stop()
+        await proxy.stop()
+        await self.add_server(server.service, tuple(server.state.versions))
+        await asyncio.sleep(seconds)
+        await self.store.remove('servers', server.name)
+
+    async def name_version(self, version: int) -> None:
+        """Name a version of the weights."""
+        await self.store.write(
+            'op',
+            f'version/{documents.MODEL}',
+            {'model': documents.MODEL, 'version': version},
+        )
+
+    def list_servers(self) -> list[UpstreamStandin]:
+        """List all servers there ever were."""
+        return [*self.servers, *self.gone]
+
+    def list_runs(self) -> list[Run]:
+        """List all requests that servers began to work on."""
+        return [run for server in self.list_servers() for run in server.runs]
+
+    def _find_version(self) -> int:
+        callers = getattr(self, 'callers', None)
+        return callers.named if callers is not None else 1
+
+    async def _add_daemon(self, name: str) -> None:
+        door = StoreDoor(self.store)
+        await door.server.start()
+        self._doors.append(door)
+        proxy = FaultProxy(door.server.address)
+        await proxy.start()
+        self.store_links.append(proxy)
+        daemon = build_daemon(
+            self._folder, name, proxy.address, self.cloud.server.address
+        )
+        self.daemons.append(daemon)
+        await daemon.start()
+
+    async def _await_ready(self) -> None:
+        caller = Caller()
+        async with asyncio.timeout(READY_SECONDS):
+            for daemon in self.daemons:
+                while not await _serves(caller, daemon.address):
+                    await asyncio.sleep(0.1)
+
+
+async def _serves(caller: Caller, address: str) -> bool:
+    try:
+        reply = await caller.call(
+            address,
+            'POST',
+            documents.LOOKUP_PREFIX,
+            b'probe',
+            request_id='probe',
+            seconds=2,
+        )
+    except (OSError, TimeoutError):
+        return False
+    return reply.status == OK
