Keep the text of long items for the next owner of their batch

Cause: each stop of a rolling restart made a batch's last items begin anew; one batch changed its owner four times and ended 11 s after it was accepted. Texts go along with a handover, and those of items older than a second are saved.

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -99,9 +99,13 @@
         nobody = Ownership('', '', 0)
         for batch in owned:
             self._runner.drop(batch.head.id, 'handed over')
+        # The texts go along: a long item that began anew with each stop of
+        # a rolling restart would come seconds late.
         await asyncio.gather(
             *(
-                self._rows.take(batch.head.id, batch.owner_version, nobody)
+                self._rows.save(
+                    batch.head.id, batch.owner_version, batch.save(), nobody
+                )
                 for batch in owned
             )
         )
@@ -182,17 +186,19 @@
         view.owner_version = max(version, view.owner_version)
         items = await self._rows.read_items(view.id)
         results = await self._rows.read_results(view.id, 0)
-        if isinstance(items, Err) or isinstance(results, Err):
+        partials = await self._rows.read_partials(view.id)
+        if any(isinstance(read, Err) for read in (items, results, partials)):
             return
         store_now = self._store_clock.estimate() or timedelta(0)
         age = store_now - view.head.accepted_ms * MILLISECOND
         batch = build_batch_run(
             view.head,
-            items.ok_value,
-            results.ok_value,
+            items.unwrap(),
+            results.unwrap(),
             version,
             self._clock.elapsed() - age,
         )
+        batch.restore(partials.unwrap())
         if view.ended or view.owner_version != version or batch.done:
             return
         self._runner.add(batch)
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -5,6 +5,8 @@
 - ``batches/ID/head``, ``owner``, ``progress`` and ``end`` are small and
   followed by every daemon;
 - ``items/ID/CHUNK`` hold the items and are read by owners alone;
+- ``partials/ID/RANK`` hold what was made of unfinished items, for the next
+  owner to go on from;
 - ``results/ID/POSITION.PIECE`` hold results and are never rewritten; those
   of one commit are cut into pieces that fit a row each.
 """
@@ -22,6 +24,7 @@
     BatchItem,
     ItemResult,
     Ownership,
+    PartialText,
 )
 from quetzalcourse.state.rows import (
     ABSENT,
@@ -34,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.rows import Commit
@@ -42,6 +45,7 @@
 TABLE = 'batches'
 ITEMS = 'items'
 RESULTS = 'results'
+PARTIALS = 'partials'
 HEAD = 'head'
 OWNER = 'owner'
 PROGRESS = 'progress'
@@ -50,6 +54,8 @@
 # for names and for the encoding on the wire.
 CHUNK_BYTES = 48_000
 TRANSACTION_BYTES = 500_000
+# A transaction takes 100 rows.
+MOST_PARTIALS = 90
 POSITION_DIGITS = 8
 PIECE_DIGITS = 3
 # Results of one commit; what is left over goes into the next.
@@ -130,6 +136,24 @@
     return groups
 
 
+def pack_partials(
+    partials: Mapping[int, PartialText],
+) -> list[tuple[int, bytes]]:
+    """Write texts as the contents of rows, as many as one write holds.
+
+    A text that is left out is only made again.
+    """
+    packed: list[tuple[int, bytes]] = []
+    size = 0
+    for rank, partial in partials.items():
+        content = msgspec.msgpack.encode(partial)
+        size += len(content)
+        if len(content) > CHUNK_BYTES or size > TRANSACTION_BYTES:
+            break
+        packed.append((rank, content))
+    return packed[:MOST_PARTIALS]
+
+
 def join_items(chunks: Sequence[bytes]) -> list[BatchItem]:
     """Read items from the contents of their rows."""
     return [
@@ -213,6 +237,43 @@
         )
         return _read_commit(answer, key)
 
+    async def save(
+        self,
+        batch: str,
+        owner_version: int,
+        partials: Mapping[int, PartialText],
+        successor: Ownership | None = None,
+    ) -> Result[Written | Row, StoreFault]:
+        """Keep what was made of unfinished items.
+
+        :param partials: by the items' place in the batch.
+        :param successor: new owner's row, written along, to hand over.
+        """
+        key = name_row(batch, OWNER)
+        writes = [
+            Write(f'{PARTIALS}/{batch}/{rank:04d}', content)
+            for rank, content in pack_partials(partials)
+        ]
+        if successor is not None:
+            writes.append(Write(key, msgspec.json.encode(successor)))
+        answer = await self._table.transact(
+            Transaction((Condition(key, owner_version),), tuple(writes))
+        )
+        return _read_commit(answer, key)
+
+    async def read_partials(
+        self,
+        batch: str,
+    ) -> Result[list[PartialText], StoreFault]:
+        """Read what was made of unfinished items."""
+        answer = await self._table.scan(f'{PARTIALS}/{batch}/')
+        return answer.map(
+            lambda rows: [
+                msgspec.msgpack.decode(row.content, type=PartialText)
+                for row in rows
+            ]
+        )
+
     async def commit(
         self,
         batch: str,
@@ -286,7 +347,7 @@
     ) -> Result[None, StoreFault]:
         """Remove all rows of a batch that nobody reads any more."""
         keys: list[str] = []
-        for table in (RESULTS, ITEMS, TABLE):
+        for table in (RESULTS, PARTIALS, ITEMS, TABLE):
             found = await self._table.scan(f'{table}/{batch}/')
             if isinstance(found, Err):
                 return found
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -13,7 +13,12 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from quetzalcourse.state.batches import BatchHead, BatchItem, ItemResult
+    from quetzalcourse.state.batches import (
+        BatchHead,
+        BatchItem,
+        ItemResult,
+        PartialText,
+    )
 
 
 @dataclass(slots=True)
@@ -24,6 +29,7 @@
         names; once another daemon owns the batch no commit takes effect.
     :param due: time since boot at which its results are due.
     :param given_up: time since boot after which items may be given up.
+    :param saved_at: time since boot at which texts were saved last.
     :param listed: results that stand in the store.
     :param finished: results that do not yet.
     """
@@ -33,6 +39,7 @@
     items: list[ItemRun]
     due: timedelta
     given_up: timedelta
+    saved_at: timedelta = timedelta(0)
     listed: int = 0
     finished: list[ItemResult] = field(default_factory=list)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -66,6 +73,34 @@
             self.wake.set()
         return taken
 
+    def save(self) -> dict[int, PartialText]:
+        """Give the texts of unfinished items, by their ranks."""
+        saved = {run.rank: run.save() for run in self.items}
+        return {
+            rank: partial
+            for rank, partial in saved.items()
+            if partial is not None
+        }
+
+    def save_long(self, oldest: timedelta) -> dict[int, PartialText]:
+        """Give the texts that went on since they were saved last.
+
+        :param oldest: time since boot before which an attempt began.
+        """
+        return {
+            run.rank: partial
+            for run in self.items
+            if run.began < oldest
+            and run.last_event != run.saved_event
+            and (partial := run.save()) is not None
+        }
+
+    def restore(self, partials: Sequence[PartialText]) -> None:
+        """Go on from the texts that an earlier owner saved."""
+        runs = {run.item.id: run for run in self.items}
+        for partial in partials:
+            runs[partial.item].restore(partial)
+
     def stop(self) -> None:
         """Stop all items; what was not committed is run again elsewhere."""
         for run in self.items:
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.state.batches import ItemResult, ResultState
+from quetzalcourse.state.batches import ItemResult, PartialText, ResultState
 
 if TYPE_CHECKING:
     import asyncio
@@ -37,6 +37,7 @@
     :param misses: attempts in a row that brought nothing.
     :param versions: weight versions that made the text, oldest first.
     :param last_event: number of the last event, ``None`` before the first.
+    :param saved_event: last event of the text that was saved.
     :param moving: whether it is to go on at another upstream.
     """
 
@@ -49,6 +50,7 @@
     texts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     last_event: int | None = None
+    saved_event: int | None = None
     upstream: str = ''
     avoided: str = ''
     began: timedelta = timedelta(0)
@@ -81,6 +83,25 @@
         self.versions.clear()
         self.last_event = None
 
+    def save(self) -> PartialText | None:
+        """Give the text so far, ``None`` if there is none."""
+        if self.last_event is None or self.state is ItemState.finished:
+            return None
+        self.saved_event = self.last_event
+        return PartialText(
+            self.item.id,
+            list(self.texts),
+            list(self.versions),
+            self.last_event,
+        )
+
+    def restore(self, partial: PartialText) -> None:
+        """Go on from a text that an earlier owner saved."""
+        if self.state is not ItemState.finished:
+            self.texts = list(partial.texts)
+            self.versions = list(partial.versions)
+            self.last_event = partial.last_event
+
     def postpone(self, now: timedelta) -> None:
         """Wait before the next attempt, longer with each miss."""
         doublings = min(self.misses, MOST_DOUBLINGS)
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -24,11 +24,13 @@
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
-    from quetzalcourse.state.batches import ItemResult
+    from quetzalcourse.state.batches import ItemResult, PartialText
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
 TICK = timedelta(milliseconds=50)
+# Most items are done within a second; the text of longer ones is saved.
+SAVE_GAP = timedelta(seconds=1)
 # Without a batch there is nothing to look after; the next one wakes.
 IDLE = timedelta(seconds=1)
 COMMIT_RETRY = timedelta(milliseconds=150)
@@ -121,12 +123,34 @@
             if now >= batch.given_up:
                 self._give_up(batch)
                 continue
+            self._save(batch, now)
             for run in batch.items:
                 if run.state is ItemState.running:
                     self._review(batch, run)
                 elif run.state is ItemState.waiting and run.retry_at <= now:
                     self._begin(batch, run, now)
 
+    def _save(self, batch: BatchRun, now: timedelta) -> None:
+        # An owner that dies takes the texts with it; of those that take
+        # long, the next one goes on from what was saved.
+        if now - batch.saved_at < SAVE_GAP:
+            return
+        partials = batch.save_long(now - SAVE_GAP)
+        if partials:
+            batch.saved_at = now
+            self._tasks.begin(self._write_partials(batch, partials))
+
+    async def _write_partials(
+        self,
+        batch: BatchRun,
+        partials: dict[int, PartialText],
+    ) -> None:
+        answer = await self._rows.save(
+            batch.head.id, batch.owner_version, partials
+        )
+        saved = answer.is_ok() and isinstance(answer.unwrap(), Written)
+        self._counters.add('batch_texts_saved', saved=str(saved))
+
     def _begin(self, batch: BatchRun, run: ItemRun, now: timedelta) -> None:
         need = self._find_need(batch, run)
         if need is None:
--- a/quetzalcourse/state/batches.py
+++ b/quetzalcourse/state/batches.py
@@ -91,6 +91,19 @@
     versions: list[int] = []
 
 
+class PartialText(msgspec.Struct, frozen=True):
+    """What upstreams have made of an unfinished item so far.
+
+    :param item: id of the item.
+    :param last_event: number of the last event of the text.
+    """
+
+    item: str
+    texts: list[str]
+    versions: list[int]
+    last_event: int
+
+
 @dataclass(frozen=True, slots=True)
 class Submission:
     """A batch as its caller sends it."""
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -130,6 +130,28 @@
     await stopping
 
 
+@pytest.mark.parametrize('stop', ['told', 'killed'])
+async def test_next_owner_goes_on_from_the_text(
+    pair: RolloutWorld,
+    stop: str,
+) -> None:
+    # The owner of a batch stops while long items run. Begun anew by each
+    # owner in turn they would come seconds late, and their tokens would be
+    # paid for again.
+    for engine in pair.engines:
+        engine.faults.slow = 40
+    await pair.caller.submit(pair.address(0), 'b-1', build_batch(ITEMS))
+    await asyncio.sleep(2.4)
+    if stop == 'told':
+        stopping = asyncio.ensure_future(pair.daemons[0].on_drain())
+    else:
+        stopping = asyncio.ensure_future(pair.end_daemon(pair.daemons[0]))
+    check_results(await pair.caller.read_all(pair.address(1), 'b-1'))
+    await stopping
+    runs = [run for engine in pair.engines for run in engine.runs]
+    assert max(run.resumed_after for run in runs) >= 2
+
+
 @pytest.mark.parametrize(
     'fault',
     ['crash', 'lost', 'error', 'cut', 'late writes', 'lost writes', 'history'],
