--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
@@ -109,6 +110,15 @@
             )
         return batch
 
+    def describe(self) -> None:
+        """Show in the metrics what runs and what waits."""
+        states = Counter(
+            run.state for batch in self.batches.values() for run in batch.items
+        )
+        self._counters.set('batches_owned', len(self.batches))
+        self._counters.set('items_running', states[ItemState.running])
+        self._counters.set('items_waiting', states[ItemState.waiting])
+
     async def run(self) -> None:
         """Begin items as slots become free, until the task is cancelled."""
         while True:
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -276,7 +276,23 @@
         return (OK, b'ready') if ready and known else (UNAVAILABLE, b'')
 
     def _tell_metrics(self, path: str) -> tuple[int, bytes]:
+        self._set_gauges()
         if self._log_output is not None and self._log_limit is not None:
             self.counters.set('log_lines_dropped', self._log_output.dropped)
             self.counters.set('log_lines_left_out', self._log_limit.left_out)
         return OK, render_metrics(self.counters)
+
+    def _set_gauges(self) -> None:
+        self.counters.set('manifest_version', self.routes.version)
+        for feed in (
+            self.feeds.operators,
+            self.feeds.upstreams,
+            self.feeds.batches,
+            self.feeds.members,
+        ):
+            self.counters.set(
+                'store_silence_seconds',
+                feed.silence.total_seconds(),
+                table=feed.table,
+            )
+        self.batches.runner.describe()
--- a/quetzalcourse/transport/front.py
+++ b/quetzalcourse/transport/front.py
@@ -70,6 +70,9 @@
         with self._activity.track():
             try:
                 kind = await self._route(request, head, began)
+            except RefusedError as error:
+                self._counters.add('refusals', code=error.refusal.code.value)
+                raise
             finally:
                 self._observe(kind, began)
 
--- /dev/null
+++ b/quetzalcourse/transport/metric_help.py
@@ -0,0 +1,45 @@
+"""What each metric counts, and in which unit."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+METRIC_HELP: Mapping[str, str] = {
+    'batch_results': 'Results of items that stand in the store.',
+    'batch_texts_saved': 'Saves of the texts of long items, by success.',
+    'batches_owned': 'Batches that this daemon runs.',
+    'items_running': 'Items of batches that upstreams work on for this daemon.',
+    'items_waiting': 'Items of batches that wait for a slot here.',
+    'item_attempts_failed': 'Attempts of items without a result, by reason.',
+    'lease_state': 'Whether a lease is held here, elsewhere or by nobody.',
+    'lease_token': 'Fencing token of a lease when it was last read.',
+    'load_orders': 'Orders to load weights, by what the upstream said.',
+    'log_lines_dropped': 'Log lines lost because their reader was slow.',
+    'log_lines_left_out': 'Log lines above the limit of their event.',
+    'manifest_version': 'Version of the routing manifest in force.',
+    'part_faults': 'Faults of background parts, which were started again.',
+    'peer_bytes_received': 'Bytes received from other daemons, by topic.',
+    'peer_bytes_sent': 'Bytes sent to other daemons, by topic.',
+    'peer_messages_dropped': 'Messages of others dropped, by reason.',
+    'peer_messages_lost': 'Messages to others that could not be sent.',
+    'peer_messages_received': 'Messages from other daemons, by topic.',
+    'peer_messages_sent': 'Messages to other daemons, by topic.',
+    'peer_sockets': 'Open sockets to other daemons.',
+    'refusals': 'Requests refused, by code.',
+    'request': 'Time that callers waited, by kind of request.',
+    'rows_relayed': 'Rows taken from other daemons while the store was away.',
+    'store_call': 'Time that calls to the store took, by call.',
+    'store_calls': 'Calls to the store, by call and outcome.',
+    'store_feed_faults': 'Times that a table could not be followed.',
+    'store_silence_seconds': 'Age of what is known of a table, in seconds.',
+    'upstream_failures': 'Failed attempts that made upstreams rest.',
+    'usage_reports': 'Reports of usage sent, by whether they were taken.',
+}
+
+
+def find_help(name: str) -> str:
+    """Tell what a metric counts.
+
+    :returns: its own name where the name says it all.
+    """
+    return METRIC_HELP.get(name, name)
--- a/quetzalcourse/transport/metrics.py
+++ b/quetzalcourse/transport/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus.formats import text
 
 from quetzalcourse.state.counters import LATENCY_BOUNDS, Counters
+from quetzalcourse.transport.metric_help import find_help
 
 if TYPE_CHECKING:
     from quetzalcourse.state.counters import Distribution
@@ -29,14 +30,16 @@
 
 def _register_counts(registry: Registry, counters: Counters) -> None:
     for name, series in counters.counts.items():
-        counter = Counter(f'{PREFIX}{name}_total', name, registry=registry)
+        counter = Counter(
+            f'{PREFIX}{name}_total', find_help(name), registry=registry
+        )
         for labels, amount in series.items():
             counter.set(dict(labels), amount)
 
 
 def _register_gauges(registry: Registry, counters: Counters) -> None:
     for name, series in counters.gauges.items():
-        gauge = Gauge(f'{PREFIX}{name}', name, registry=registry)
+        gauge = Gauge(f'{PREFIX}{name}', find_help(name), registry=registry)
         for labels, amount in series.items():
             gauge.set(dict(labels), amount)
 
@@ -44,11 +47,13 @@
 def _register_distributions(registry: Registry, counters: Counters) -> None:
     for name, series in counters.distributions.items():
         buckets = Counter(
-            f'{PREFIX}{name}_seconds_bucket', name, registry=registry
+            f'{PREFIX}{name}_seconds_bucket', find_help(name), registry=registry
+        )
+        sums = Counter(
+            f'{PREFIX}{name}_seconds_sum', find_help(name), registry=registry
         )
-        sums = Counter(f'{PREFIX}{name}_seconds_sum', name, registry=registry)
         counts = Counter(
-            f'{PREFIX}{name}_seconds_count', name, registry=registry
+            f'{PREFIX}{name}_seconds_count', find_help(name), registry=registry
         )
         for labels, distribution in series.items():
             for bound, below in _accumulate(distribution):
