Spread loads over free upstreams, and test the decisions alone

Cause, found by the plan's own replay: every model wanted the same upstreams first, so a round of loads left slots unused; 6 upstreams and 2 models took more than the 3 rounds that they need.

--- a/quetzalcourse/coordination/versions/load_plan.py
+++ b/quetzalcourse/coordination/versions/load_plan.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
+    from collections.abc import Set as AbstractSet
 
 # Loads slow each other down when more than two fifths of a service's
 # upstreams load at once: 2 of 5 or 6, 9 of 23 by the users' sheets.
@@ -60,7 +61,7 @@
         named, key=lambda model: _count_fit(upstreams, model, named[model])
     )
     for model in by_need:
-        wanted = _list_wanted(upstreams, model, named[model], share)
+        wanted = _list_wanted(upstreams, model, named[model], share, busy)
         for name in wanted:
             if len(busy) < at_once and name not in busy:
                 busy.add(name)
@@ -73,15 +74,18 @@
     model: str,
     version: int,
     share: int,
+    busy: AbstractSet[str],
 ) -> list[str]:
     """List the upstreams that should load a version, first those far behind.
 
     :param share: how many upstreams should hold it.
+    :param busy: upstreams that load already; waiting for one of them while
+        others are free would leave loads unused.
     """
     behind = [view for view in upstreams if not _has(view, model, version)]
     current = len(upstreams) - len(behind)
     behind.sort(
-        key=lambda view: (bool(view.loading), view.versions.get(model, 0))
+        key=lambda view: (view.name in busy, view.versions.get(model, 0))
     )
     return [view.name for view in behind[: max(share - current, 0)]]
 
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -0,0 +1,141 @@
+"""Which upstream runs an item, replayed under the loads that hurt."""
+
+from __future__ import annotations
+
+from collections import Counter
+from datetime import timedelta
+
+from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.forwarding.pool import (
+    PACE_READINGS,
+    Pool,
+    Upstream,
+)
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import LoadReport, PoolMember
+from quetzalcourse.tests.clocks import FakeClock
+
+SLOTS = 12
+NEED = Need('engines', 'verse', 1)
+
+
+class Bench:
+    """Engines of one service, and what places items on them."""
+
+    def __init__(self, count: int = 6) -> None:
+        """Begin with empty engines at version 1."""
+        self.clock = FakeClock()
+        self.pool = Pool('hall-a', self.clock, Counters())
+        self.placement = Placement(self.pool, self.clock)
+        for number in range(count):
+            self.pool.replace(
+                PoolMember(
+                    f'e-{number}',
+                    'engines',
+                    f'10.0.0.{number}:80',
+                    'hall-a',
+                    SLOTS,
+                    versions={'verse': 1},
+                )
+            )
+
+    def find(self, number: int) -> Upstream:
+        """Find an engine."""
+        upstream = self.pool.find(f'e-{number}')
+        assert upstream is not None
+        return upstream
+
+    def place(self, count: int, need: Need = NEED) -> Counter[str]:
+        """Place items, and count where they went."""
+        placed: Counter[str] = Counter()
+        for _ in range(count):
+            upstream = self.placement.choose(need)
+            name = 'nowhere' if upstream is None else upstream.name
+            if upstream is not None:
+                self.pool.on_start(upstream)
+            placed[name] += 1
+        return placed
+
+    def set_pace(self, number: int, seconds: float) -> None:
+        """Let an engine's streams have a pace."""
+        for _ in range(PACE_READINGS * 5):
+            self.pool.on_pace(self.find(number), seconds)
+
+
+def test_burst_spreads_over_all_engines() -> None:
+    # A batch of 48 items arrives at once. All on one engine they would queue
+    # there for seconds while five others stand empty.
+    placed = Bench().place(48)
+    assert set(placed.values()) == {8}
+
+
+def test_what_has_no_slot_waits_here() -> None:
+    # Three batches arrive within a second, more than all slots. What waits
+    # in an engine's queue can't be moved or overtaken.
+    placed = Bench().place(100)
+    assert placed['nowhere'] == 100 - 6 * SLOTS
+
+
+def test_work_of_other_daemons_counts() -> None:
+    # Another daemon filled an engine; its answers tell the load.
+    bench = Bench(2)
+    bench.pool.on_load(bench.find(0), LoadReport(SLOTS, 3, SLOTS))
+    assert bench.place(4) == {'e-1': 4}
+    bench.clock.move(timedelta(seconds=2))
+    assert bench.place(8)['e-0'] > 0
+
+
+def test_slow_engine_is_filled_last() -> None:
+    # One engine turned four times slower. Items there would end after the
+    # step is due; with all others full it is still better than none.
+    bench = Bench(3)
+    for number, pace in enumerate((0.16, 0.04, 0.04)):
+        bench.set_pace(number, pace)
+    assert 'e-0' not in bench.place(2 * SLOTS)
+    assert bench.place(1) == {'e-0': 1}
+
+
+def test_item_leaves_a_slow_engine_only_for_a_free_fast_one() -> None:
+    # An item runs on an engine that turned slow. It moves while others have
+    # room, and stays while they are full: moving costs its prompt again.
+    bench = Bench(3)
+    for number, pace in enumerate((0.16, 0.04, 0.04)):
+        bench.set_pace(number, pace)
+    assert bench.placement.may_move(NEED, bench.find(0))
+    assert not bench.placement.may_move(NEED, bench.find(1))
+    bench.place(2 * SLOTS)
+    assert not bench.placement.may_move(NEED, bench.find(0))
+
+
+def test_few_readings_say_nothing_of_a_pace() -> None:
+    # The first events of a burst come unevenly, since prompts are read
+    # between them. Items moved on that would start a wave of moves.
+    bench = Bench(3)
+    for number in (1, 2):
+        bench.set_pace(number, 0.04)
+    bench.pool.on_pace(bench.find(0), 0.5)
+    assert not bench.placement.may_move(NEED, bench.find(0))
+
+
+def test_group_stays_together_while_there_is_room() -> None:
+    # Items of a group share their prompt, which is read once where they run
+    # together; crowding them on one engine would cost more than that.
+    bench = Bench(3)
+    near = Need('engines', 'verse', 1, near='e-2')
+    placed = bench.place(8, near)
+    assert placed['e-2'] > max(placed['e-0'], placed['e-1'])
+    assert placed['e-0'] > 0
+
+
+def test_old_weights_and_loading_engines_are_left_out() -> None:
+    # A step must not be made with weights older than it asks for, and an
+    # engine that loads refuses its model.
+    bench = Bench(3)
+    new = Need('engines', 'verse', 2)
+    assert bench.place(1, new) == {'nowhere': 1}
+    bench.pool.on_version(bench.find(1), 'verse', 2)
+    assert bench.place(1, new) == {'e-1': 1}
+    bench.pool.on_busy(bench.find(1), 'verse')
+    assert bench.place(1, new) == {'nowhere': 1}
+    bench.clock.move(timedelta(seconds=1))
+    assert bench.place(1, new) == {'e-1': 1}
--- a/quetzalcourse/tests/coordination/fleet/fleet_tests.py
+++ b/quetzalcourse/tests/coordination/fleet/fleet_tests.py
@@ -12,9 +12,9 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.coordination.fleet.fleet import measure_rate, plan_fleet
-from quetzalcourse.coordination.leases.lease import Lease
 from quetzalcourse.coordination.fleet.orders import FleetOrders
 from quetzalcourse.coordination.fleet.spending import advance_spending
+from quetzalcourse.coordination.leases.lease import Lease
 from quetzalcourse.standins.virtual_time import VirtualClock, run_virtual
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.engines import OrderProblem
@@ -32,9 +32,10 @@
 from quetzalcourse.tests.tables import FakeStore
 
 if TYPE_CHECKING:
-    from quetzalcourse.state.rows import StoreFault
     from collections.abc import Callable
 
+    from quetzalcourse.state.rows import StoreFault
+
 FIRM_A, FIRM_B = FleetPlace('a', 'firm'), FleetPlace('b', 'firm')
 SPOT_A, SPOT_B = FleetPlace('a', 'spot'), FleetPlace('b', 'spot')
 PLAN = FleetPlan(
--- a/quetzalcourse/tests/coordination/manifest/keys_tests.py
+++ b/quetzalcourse/tests/coordination/manifest/keys_tests.py
@@ -12,13 +12,13 @@
 from hypothesis.strategies import booleans, integers
 from result import Err, Ok
 
-from quetzalcourse.coordination.membership.cuts import News
 from quetzalcourse.coordination.manifest.following import StoreFollower
+from quetzalcourse.coordination.manifest.key_spread import KeySpread
 from quetzalcourse.coordination.manifest.key_table import KeyTable
 from quetzalcourse.coordination.manifest.keys import KeyRing, hash_secret
 from quetzalcourse.coordination.manifest.manifest import ManifestKeeper
+from quetzalcourse.coordination.membership.cuts import News
 from quetzalcourse.coordination.membership.membership import Digest
-from quetzalcourse.coordination.manifest.key_spread import KeySpread
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.keys import KeyRecord, bury
 from quetzalcourse.state.manifest import KeyHash
--- a/quetzalcourse/tests/coordination/manifest/manifest_tests.py
+++ b/quetzalcourse/tests/coordination/manifest/manifest_tests.py
@@ -21,14 +21,14 @@
     ManifestConflict,
     ManifestKeeper,
 )
-from quetzalcourse.coordination.membership.membership import Digest
+from quetzalcourse.coordination.manifest.manifest_spread import ManifestSpread
 from quetzalcourse.coordination.manifest.sections import (
     NO_HEAD,
     hash_content,
     join_sections,
     split_sections,
 )
-from quetzalcourse.coordination.manifest.manifest_spread import ManifestSpread
+from quetzalcourse.coordination.membership.membership import Digest
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.manifest import (
     ClientAccount,
--- a/quetzalcourse/tests/coordination/requests/generation_tests.py
+++ b/quetzalcourse/tests/coordination/requests/generation_tests.py
@@ -12,12 +12,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalcourse.coordination.slots.admission import Admission
 from quetzalcourse.coordination.requests.generation import Generation
+from quetzalcourse.coordination.requests.retries import RetryBudget
 from quetzalcourse.coordination.routing.health import Health
 from quetzalcourse.coordination.routing.leaving import Departure
-from quetzalcourse.coordination.requests.retries import RetryBudget
 from quetzalcourse.coordination.routing.routing import Router
+from quetzalcourse.coordination.slots.admission import Admission
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.generation import (
--- a/quetzalcourse/tests/coordination/steps/step_delivery_tests.py
+++ b/quetzalcourse/tests/coordination/steps/step_delivery_tests.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from quetzalcourse.coordination.steps.delivery_counts import DeliveryCounts
 from quetzalcourse.coordination.service_levels.service_levels import (
     ServiceLevels,
 )
+from quetzalcourse.coordination.steps.delivery_counts import DeliveryCounts
 from quetzalcourse.coordination.steps.staleness import NewestVersions
 from quetzalcourse.coordination.steps.step_delivery import StepDelivery
 from quetzalcourse.coordination.steps.step_rows import (
--- /dev/null
+++ b/quetzalcourse/tests/coordination/versions/load_plan_tests.py
@@ -0,0 +1,104 @@
+"""Which upstreams load which version, replayed over many namings."""
+
+from __future__ import annotations
+
+import pytest
+
+from quetzalcourse.coordination.versions.load_plan import (
+    Load,
+    LoadView,
+    plan_loads,
+)
+
+STEPS = 12
+
+
+def build_views(count: int, models: tuple[str, ...]) -> list[LoadView]:
+    """Build upstreams at version 1 of every model."""
+    return [
+        LoadView(f'e-{number:02d}', dict.fromkeys(models, 1))
+        for number in range(count)
+    ]
+
+
+def carry_out(views: list[LoadView], loads: list[Load]) -> list[LoadView]:
+    """Show upstreams after their loads."""
+    versions = {view.name: dict(view.versions) for view in views}
+    for load in loads:
+        versions[load.upstream][load.model] = load.version
+    return [LoadView(view.name, versions[view.name]) for view in views]
+
+
+def load_all(
+    views: list[LoadView],
+    named: dict[str, int],
+) -> tuple[list[LoadView], int]:
+    """Load in rounds until nothing is left to load.
+
+    :returns: the upstreams, and how many rounds that took.
+    """
+    rounds = 0
+    while loads := plan_loads(views, named):
+        views = carry_out(views, loads)
+        rounds += 1
+    return views, rounds
+
+
+@pytest.mark.parametrize(
+    ('count', 'models', 'most_rounds'),
+    [(6, 2, 3), (5, 3, 3), (23, 4, 3), (1, 1, 1), (2, 1, 2)],
+)
+def test_each_step_finds_upstreams_at_once_and_after_its_loads(
+    count: int,
+    models: int,
+    most_rounds: int,
+) -> None:
+    # Versions of several models are named every few seconds, and a step may
+    # use its own and the one before. Were all upstreams to load each, loads
+    # would take longer than the time between versions, and were none to
+    # hold the version before, a step would wait for its first load.
+    names = tuple(f'm-{number}' for number in range(models))
+    views = build_views(count, names)
+    for version in range(2, STEPS):
+        named = dict.fromkeys(names, version)
+        for name in names:
+            at_once = [
+                view for view in views if view.versions[name] >= version - 1
+            ]
+            assert at_once
+        views, rounds = load_all(views, named)
+        assert rounds <= most_rounds
+        for name in names:
+            current = [view for view in views if view.versions[name] == version]
+            assert len(current) == -(-count // models)
+
+
+def test_no_more_load_at_once_than_go_without_slowing() -> None:
+    # Five upstreams load at the same time and each takes twice as long.
+    views = build_views(6, ('a', 'b'))
+    assert len(plan_loads(views, {'a': 2, 'b': 2})) == 2
+    busy = [LoadView('e-00', {'a': 1, 'b': 1}, 'a'), *views[1:]]
+    assert len(plan_loads(busy, {'a': 2, 'b': 2})) == 1
+
+
+def test_those_furthest_behind_load_first() -> None:
+    # An upstream two versions behind serves no step; one that is one behind
+    # still does, and loading there would take it out.
+    views = [
+        LoadView('near', {'a': 4}),
+        LoadView('far', {'a': 2}),
+        LoadView('here', {'a': 5}),
+    ]
+    assert plan_loads(views, {'a': 5}) == [Load('far', 'a', 5)]
+
+
+def test_model_with_fewest_upstreams_goes_first() -> None:
+    # One model's steps have upstreams and another's have none left.
+    views = [LoadView(f'e-{n}', {'a': 4, 'b': 1}) for n in range(2)]
+    assert plan_loads(views, {'a': 5, 'b': 5})[0].model == 'b'
+
+
+def test_nothing_is_loaded_twice() -> None:
+    """A load that runs counts as done."""
+    views = [LoadView('e-0', {'a': 1}, 'a')]
+    assert not plan_loads(views, {'a': 2})
--- /dev/null
+++ b/quetzalcourse/tests/platform/upstreams_tests.py
@@ -0,0 +1,187 @@
+"""What the adapter reads from servers and writes to them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.platform.callers import PlatformCallers
+from quetzalcourse.platform.store import pack_transaction, split_key
+from quetzalcourse.platform.upstreams import PlatformUpstreams, read_load
+from quetzalcourse.state.batches import (
+    BatchItem,
+    ItemResult,
+    ResultPage,
+    ResultState,
+    StreamEvent,
+)
+from quetzalcourse.state.calls import (
+    AnswerState,
+    AttemptTerms,
+    BatchVerb,
+    RequestHead,
+)
+from quetzalcourse.state.pool import LoadReport
+from quetzalcourse.state.rows import Condition, Transaction, Write
+
+TERMS = AttemptTerms('i-1', 'desk', timedelta(milliseconds=1234.5))
+UPSTREAMS = PlatformUpstreams()
+CALLERS = PlatformCallers()
+
+
+def build_head(target: str = '/a/', **headers: str) -> RequestHead:
+    """Build a request's head."""
+    pairs = tuple(
+        (name.replace('_', '-'), text) for name, text in headers.items()
+    )
+    return RequestHead('GET', target, 'verse.example', pairs)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'state'),
+    [
+        (200, {'X-Request-Id': 'r'}, AnswerState.served),
+        (200, {'X-Request-Id': 'other'}, AnswerState.foreign),
+        (200, {}, AnswerState.foreign),
+        (503, {'X-Not-Executed': '1'}, AnswerState.not_run),
+        (
+            503,
+            {'X-Not-Executed': '1', 'X-Request-Id': 'r'},
+            AnswerState.not_run,
+        ),
+        (
+            503,
+            {'X-Not-Executed': '1', 'X-Request-Id': 'other'},
+            AnswerState.foreign,
+        ),
+        (503, {'X-Request-Id': 'r'}, AnswerState.failed),
+        (421, {}, AnswerState.not_run),
+        (422, {'X-Request-Id': 'r'}, AnswerState.impossible),
+        (500, {'X-Request-Id': 'r'}, AnswerState.failed),
+        (504, {'X-Request-Id': 'r'}, AnswerState.failed),
+    ],
+)
+def test_answers_are_told_apart(
+    status: int,
+    headers: dict[str, str],
+    state: AnswerState,
+) -> None:
+    # Only an upstream that says so itself did not run a request; taking any
+    # other answer for that would run it twice, and taking another request's
+    # answer would give it to the wrong caller.
+    assert UPSTREAMS.read_answer('r', status, headers).state is state
+
+
+def test_key_and_hop_by_hop_headers_stay_here() -> None:
+    # A key in an upstream's logs could be used by whoever reads them, and
+    # an account that a caller names itself would be billed.
+    head = build_head(
+        x_key='secret',
+        x_tenant='somebody',
+        x_deadline_ms='99999',
+        x_expect_instance='i-9',
+        connection='x-private, close',
+        x_private='1',
+        keep_alive='timeout=5',
+        x_model='verse',
+        host='verse.example',
+    )
+    written = UPSTREAMS.write_request(head, TERMS)
+    assert written == [
+        ('x-model', 'verse'),
+        ('host', 'verse.example'),
+        ('X-Deadline-Ms', '1234'),
+        ('X-Expect-Instance', 'i-1'),
+        ('X-Tenant', 'desk'),
+    ]
+
+
+def test_item_keeps_its_own_headers() -> None:
+    """The id, the host and the terms are set beside them."""
+    item = BatchItem('i', '/a/1', {'X-Model': 'verse', 'Host': 'x'}, b'')
+    written = dict(UPSTREAMS.write_item(item, 'verse.example', TERMS))
+    assert written['Host'] == 'verse.example'
+    assert written['X-Model'] == 'verse'
+    assert written['X-Request-Id'] == 'i'
+
+
+@pytest.mark.parametrize(
+    ('frame', 'event'),
+    [
+        (b'id: 3\ndata: a b', StreamEvent(3, 'a b')),
+        (b'id: 3\ndata: a\ndata: b', StreamEvent(3, 'a\nb')),
+        (b'x-weight-versions: 7\nid: 1\ndata: a', StreamEvent(1, 'a', 7)),
+        (b'data: a', None),
+        (b'id: x\ndata: a', None),
+        (b'\xff', None),
+    ],
+)
+def test_events_are_read(frame: bytes, event: StreamEvent | None) -> None:
+    """What can't be an event is none."""
+    assert UPSTREAMS.read_event(frame) == event
+
+
+@pytest.mark.parametrize(
+    ('text', 'load'),
+    [
+        ('3,1,8', LoadReport(3, 1, 8)),
+        ('', None),
+        ('3,1', None),
+        ('a,b,c', None),
+    ],
+)
+def test_loads_are_read(text: str, load: LoadReport | None) -> None:
+    """A load that can't be read is none."""
+    assert read_load(text) == load
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'verb'),
+    [
+        ('GET', '/quetzalcourse/lots/b?after=3', BatchVerb.read_results),
+        ('DELETE', '/quetzalcourse/lots/b', BatchVerb.end),
+        ('GET', '/quetzalcourse/items/b?id=i', BatchVerb.read_item),
+        ('GET', '/lots/b', None),
+    ],
+)
+def test_calls_about_batches_are_told_apart(
+    method: str,
+    target: str,
+    verb: BatchVerb | None,
+) -> None:
+    """Other requests are no such calls."""
+    head = RequestHead(method, target, 'verse.example', ())
+    call = CALLERS.read_call(head)
+    assert (call.verb if call else None) is verb
+    if verb is BatchVerb.read_results:
+        assert call is not None
+        assert call.position == 3
+
+
+def test_page_has_at_least_one_result_and_at_most_a_megabyte() -> None:
+    # A caller reads a batch of long texts. A page above the limit is cut by
+    # whoever forwards it, and an empty one would never end.
+    results = tuple(
+        ItemResult(f'i-{n}', ResultState.completed, 'x' * 300_000, [1])
+        for n in range(4)
+    )
+    page = CALLERS.write_page(ResultPage(4, 0, results))
+    assert b'"next":1' in page
+    assert len(page) < 1_000_000
+    huge = (ItemResult('i', ResultState.completed, 'x' * 2_000_000, [1]),)
+    assert b'"next":1' in CALLERS.write_page(ResultPage(1, 0, huge))
+
+
+def test_rows_of_a_transaction_are_named_apart() -> None:
+    """A name within a part may hold slashes."""
+    assert split_key('op//version/verse') == ('op', '', 'version/verse')
+    packed = pack_transaction(
+        Transaction(
+            (Condition('a/p/k', 3),),
+            (Write('a/p/k', b'1'), Write('b/p/l', None)),
+        )
+    )
+    assert [row.ver for row in packed.expected] == [3]
+    assert [row.value for row in packed.writes] == [b'1']
+    assert [row.table for row in packed.remove] == ['b']
--- a/quetzalcourse/tests/transport/key_sessions_tests.py
+++ b/quetzalcourse/tests/transport/key_sessions_tests.py
@@ -18,7 +18,6 @@
     Deployment,
     build_settings,
 )
-
 from quetzalcourse.tests.clocks import settle
 
 if TYPE_CHECKING:
