Run a batch once where it was accepted

A batch that is being accepted is reserved now, and a run that ends never takes another with it. The test delays the store's answer; it failed before.

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -127,6 +127,8 @@
             return False
         if view.id in self._runner.batches or view.id in self._taking:
             return False
+        if view.id in self._runner.reserved:
+            return False
         owner = view.owner
         if owner.incarnation in {'', self._presence.own.incarnation}:
             return True
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -97,7 +97,12 @@
         owner = Ownership(own.vm, own.incarnation, 1)
         if own.leaving:
             owner = Ownership('', '', 1)
-        written = await self._create(head, chunks, owner)
+        # The feed may show the batch before the answer to its write comes.
+        self._runner.reserved.add(batch_id)
+        try:
+            written = await self._create(head, chunks, owner)
+        finally:
+            self._runner.reserved.discard(batch_id)
         if written is None:
             return
         log.info(
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -58,6 +58,9 @@
 class BatchRunner:
     """Begins items, commits their results, and stops them.
 
+    ``reserved`` names batches that are being accepted here: they are run
+    once that is done, and nobody else may take them for left alone.
+
     :param on_committed: called with a batch's id, a position and the
         results that stand there from now on.
     """
@@ -75,6 +78,7 @@
     ) -> None:
         """Begin without batches."""
         self.batches: dict[str, BatchRun] = {}
+        self.reserved: set[str] = set()
         self.paused = False
         self._rows = rows
         self._items = items
@@ -88,7 +92,10 @@
         self._tasks = Tasks('batches')
 
     def add(self, batch: BatchRun) -> None:
-        """Begin to run a batch."""
+        """Begin to run a batch, unless it is run here already."""
+        if batch.head.id in self.batches:
+            log.warning('Batch is run here already.', batch=batch.head.id)
+            return
         self.batches[batch.head.id] = batch
         batch.committer = self._tasks.begin(self._commit(batch))
         self._wake.set()
@@ -239,11 +246,17 @@
             batch.wake.clear()
             results = batch.take_finished()
             if results and not await self._write(batch, results):
-                batch.committer = None
-                self.drop(batch.head.id, 'deposed')
+                self._end(batch, 'deposed')
                 return
+        self._end(batch, 'done')
+
+    def _end(self, batch: BatchRun, reason: str) -> None:
+        # Another run may stand in its place by now, which goes on.
         batch.committer = None
-        self.drop(batch.head.id, 'done')
+        if self.batches.get(batch.head.id) is batch:
+            self.drop(batch.head.id, reason)
+        else:
+            batch.stop()
 
     async def _write(self, batch: BatchRun, results: list[ItemResult]) -> bool:
         """Write results until they stand.
--- a/quetzalcourse/standins/rollout/store.py
+++ b/quetzalcourse/standins/rollout/store.py
@@ -41,13 +41,15 @@
     :param mode: how every call fails: ``busy``, ``reset`` or ``silent``.
     :param lost: share of transactions whose answer is lost.
     :param late: seconds after which a lost one takes effect.
-    :param delay: seconds that every answer takes longer.
+    :param delay: seconds that every call takes longer.
+    :param slow_answer: seconds between a write and its answer.
     """
 
     mode: str = ''
     lost: float = 0
     late: float = 0
     delay: float = 0
+    slow_answer: float = 0
 
 
 @dataclass(slots=True)
@@ -180,6 +182,7 @@
             abort_connection(request)
             return
         status, found = await self._try(body)
+        await asyncio.sleep(self.faults.slow_answer)
         if lost:
             abort_connection(request)
             return
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -57,6 +57,18 @@
     assert len(runs) == len(set(runs))
 
 
+async def test_batch_is_run_once_by_its_owner(world: RolloutWorld) -> None:
+    # The feed shows a new batch before the answer to its write has come. The
+    # daemon took it for one of its own that nobody runs, and ran it twice:
+    # each run's commits failed the other's, over and over.
+    world.store.faults.slow_answer = 0.5
+    await world.caller.submit(world.address(), 'b-1', build_batch(ITEMS))
+    world.store.faults.slow_answer = 0
+    check_results(await world.caller.read_all(world.address(), 'b-1'))
+    runs = [run.request_id for one in world.engines for run in one.runs]
+    assert len(runs) == len(set(runs))
+
+
 async def test_unknown_batch_is_told(world: RolloutWorld) -> None:
     """Also to another client account, whose batch it is not."""
     reply = await world.caller.read(world.address(), 'none', wait_ms=0)
