--- /dev/null
+++ b/quetzalcourse/tests/commands/trace_tests.py
@@ -0,0 +1,93 @@
+"""``quetzalctl trace``: the steps of the operations page on kept logs."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from quetzalcourse.__main__ import main
+
+EXTRACTS = sorted((Path(__file__).parent / 'extracts').glob('*.log'))
+ROOT = Path(__file__).parents[3]
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
+SHOWN = re.compile(r'^    (\d\d:\d\d:\d\d\.\d+ .*)$', re.MULTILINE)
+EVENT = re.compile(r'`([A-Z][^`]*\.)`')
+
+
+def trace(
+    subject: str, files: list[Path], capsys: pytest.CaptureFixture
+) -> str:
+    """Trace an id through log files."""
+    main(['trace', subject, *map(str, files)])
+    return capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    'subject', ['885260b6662de4bd', 'fb1c09a70bcde56d', '72159ae3e6cd9dc7']
+)
+def test_page_shows_what_the_command_prints(
+    subject: str,
+    capsys: pytest.CaptureFixture,
+) -> None:
+    # A line's event or field is renamed and the page keeps the old one.
+    # Whoever is on call then looks for something that is never written.
+    printed = trace(subject, EXTRACTS, capsys).splitlines()
+    page = PAGE.read_text()
+    shown = [line for line in SHOWN.findall(page) if subject in line]
+    assert shown
+    assert set(shown) <= set(printed)
+    assert printed == sorted(printed)
+
+
+def test_story_of_a_batch_goes_over_daemons(
+    capsys: pytest.CaptureFixture,
+) -> None:
+    """The lines of both owners are in order."""
+    story = trace('72159ae3e6cd9dc7', EXTRACTS, capsys)
+    accepted = story.index('Batch is accepted.')
+    taken = story.index('Batch is taken over.')
+    assert accepted < taken
+    assert {'front-medina-hall-2', 'front-lac-hall-3'} <= set(story.split())
+
+
+def test_interleaved_and_cut_lines_are_read(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture,
+) -> None:
+    # The collector mixes daemons in one file, puts its own prefix before
+    # each line, and was killed in the middle of one. What can be read is
+    # shown, and the gap is told.
+    mixed = tmp_path / 'all.log'
+    lines = [
+        f' 12.5 {path.stem} {line}'
+        for path in EXTRACTS
+        for line in path.read_text().splitlines()
+    ]
+    mixed.write_text('\n'.join([*lines, lines[0][:80], 'Traceback']))
+    assert main(['trace', '72159ae3e6cd9dc7', str(mixed)]) == 0
+    output = capsys.readouterr()
+    assert 'Batch is taken over.' in output.out
+    assert '1 lines could not be read' in output.err
+
+
+def test_unknown_id_is_told(capsys: pytest.CaptureFixture) -> None:
+    """Nothing is printed, and the exit code says so."""
+    assert main(['trace', 'nothing', *map(str, EXTRACTS)]) == 1
+    assert not capsys.readouterr().out
+
+
+def test_documented_events_exist() -> None:
+    # The page names an event that no part writes any more.
+    table = (
+        PAGE.read_text().partition('## Events')[2].partition('## Metrics')[0]
+    )
+    events = EVENT.findall(table)
+    sources = '\n'.join(
+        path.read_text()
+        for path in (ROOT / 'quetzalcourse').rglob('*.py')
+        if 'tests' not in path.parts
+    )
+    assert len(events) > 20
+    assert [event for event in events if event not in sources] == []
