--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from typing import Any
 
@@ -19,6 +20,8 @@
 OTHER_KEY = 'key-of-another'
 ACCOUNT = 'desk'
 OTHER_ACCOUNT = 'another'
+# Below the range of outgoing connections.
+PORTS = (15_000, 32_000)
 
 
 def build_route(prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
@@ -94,15 +97,19 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Find ports of loopback that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    """Find ports of loopback that are free and stay so.
+
+    The system gives outgoing connections ports of its own range; a port of
+    that range may be taken between this search and the daemon's start.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            taken = probe.connect_ex(('127.0.0.1', port)) == 0
+        if not taken and port not in found:
+            found.append(port)
+    return found
 
 
 def build_settings(
