Bound the stop of each part

Cause: on an overloaded machine (load 26 on 8 cores) two tests never ended: a daemon's stop waited for a part that had lost its cancellation. Parts get two seconds each now, and the rest is closed all the same. The test has a part that loses one cancellation and a hook that hangs; without the bound it never ends.

--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -53,7 +53,8 @@
 
     :param sequence: orders that the upstream must have accepted before; a
         lost order that arrives late fails by it.
-    :param interrupt: whether running requests go on under the new version;
+    :param token: fencing token of the holder's lease.
+    :param carry_over: whether running requests go on under the new version;
         otherwise they end first.
     """
 
--- a/quetzalcourse/lifecycle.py
+++ b/quetzalcourse/lifecycle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from quetzalcourse.log import get_log
@@ -17,6 +18,8 @@
     Hook = Callable[[], Awaitable[None]]
 
 RESTART_WAIT = timedelta(seconds=1)
+# Parts stop within milliseconds; this is for one that hangs.
+STOP_PATIENCE = timedelta(seconds=2)
 log = get_log('lifecycle')
 
 
@@ -75,9 +78,21 @@
         """End the background tasks and call the stop hooks."""
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._tasks:
+            # A part that lost its cancellation, or waits for a peer that
+            # never answers, must not keep the process from its end.
+            await asyncio.wait(
+                self._tasks, timeout=STOP_PATIENCE.total_seconds()
+            )
         for hook in reversed(self._stop_hooks):
-            await self._call_safely('stop', hook)
+            await self._call_safely('stop', partial(self._stop_one, hook))
+
+    async def _stop_one(self, hook: Hook) -> None:
+        try:
+            async with asyncio.timeout(STOP_PATIENCE.total_seconds()):
+                await hook()
+        except TimeoutError:
+            log.warning('Part did not stop in time.')
 
     async def _keep(self, name: str, body: Hook) -> None:
         # A task that ended by a fault would leave its part silently stale:
