--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -68,9 +68,20 @@
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, signals.put_nowait, number)
+    # Left alone this signal would end the process and cut its callers.
+    loop.add_signal_handler(signal.SIGHUP, note_reload)
     return await run_application(application, signals)
 
 
+def note_reload() -> None:
+    """Note that the settings file has changed.
+
+    Settings are read at the start; what may change while a daemon runs comes
+    with the manifest.
+    """
+    log.info('Reload was asked for.', effect='at the next start')
+
+
 async def run_application(
     application: StoppableApplication,
     signals: asyncio.Queue[signal.Signals],
--- a/quetzalcourse/tests/daemon_tests.py
+++ b/quetzalcourse/tests/daemon_tests.py
@@ -207,3 +207,13 @@
     told = capsys.readouterr().err
     for key in ('vm', 'colour', 'listen.callers', 'listen.peers', 'drain'):
         assert f'settings.toml: {key}: ' in told
+
+
+async def test_reload_signal_ends_nothing(daemon: DaemonProcess) -> None:
+    # The platform tells daemons that their settings file has changed. By
+    # default that signal ends a process at once, and cuts its callers.
+    daemon.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.5)
+    daemon.send_signal(signal.SIGTERM)
+    assert await daemon.wait() == 0
+    assert any('Reload was asked for.' in line for line in daemon.lines)
