--- a/quetzalcourse/coordination/forwarding/route_table.py
+++ b/quetzalcourse/coordination/forwarding/route_table.py
@@ -18,7 +18,6 @@
         KeyHolder,
         Route,
         RoutingManifest,
-        Service,
     )
 
     Listener = Callable[[RoutingManifest], None]
@@ -96,10 +95,6 @@
         """Find a route by its name."""
         return self._names.get(name)
 
-    def find_service(self, name: str) -> Service | None:
-        """Find a service by its name."""
-        return self.manifest.services.get(name) if self.manifest else None
-
     def identify(self, key: str) -> KeyHolder | None:
         """Find the client account that a key acts for.
 
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-STOP_SECONDS = 10.0
 RESTART_SECONDS = 0.3
 
 
