Tell windows of usage by the calendar that most daemons agree on

Cause: windows went by the VM's own calendar. Where it jumps by seconds, requests were counted in windows that others had not begun, and the holder of the duty closed windows that were still open. Ruled out: the store's clock alone, which is steady but not on the calendar; a limit on jumps of the own calendar, which may be wrong from the start on. Each daemon's row now tells how far its calendar is ahead of the store's clock, and the median of all counts. Before: a jump of 30 s moved the window by six; after: by none (calendar_tests).

Also: a saved text that is too large for a row no longer leaves out the texts behind it (batch_rows_tests, failed before), and the line 'Daemon is seen.' names the daemon that was seen in its own field.

--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -147,9 +147,12 @@
     size = 0
     for rank, partial in partials.items():
         content = msgspec.msgpack.encode(partial)
+        # The texts behind one that is too large may still fit.
+        if len(content) > CHUNK_BYTES:
+            continue
+        if size + len(content) > TRANSACTION_BYTES:
+            continue
         size += len(content)
-        if len(content) > CHUNK_BYTES or size > TRANSACTION_BYTES:
-            break
         packed.append((rank, content))
     return packed[:MOST_PARTIALS]
 
--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -4,12 +4,13 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from result import Err
 
+from quetzalcourse.coordination.feeds.calendar import EPOCH
 from quetzalcourse.log import get_log
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
@@ -22,7 +23,6 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
-EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 # Windows that a daemon keeps counts of; the oldest of them was reported
 # long ago, or is too late to be of use.
 WINDOWS_KEPT = 5
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.clock import Clock
@@ -43,6 +44,8 @@
     """What a daemon's row says.
 
     :param usage: requests of each account that ran, by window.
+    :param calendar_offset: seconds that the VM's calendar is ahead of the
+        store's clock.
     """
 
     vm: str
@@ -52,6 +55,7 @@
     leaving: bool
     beat: int
     usage: dict[str, dict[str, int]] = {}
+    calendar_offset: float | None = None
 
 
 def name_row(member: Member) -> str:
@@ -65,6 +69,7 @@
     :param own: this daemon.
     :param usage: gives the counts that go with each beat.
     :param inherit: takes the counts of the run before on the same VM.
+    :param calendar: learns how the daemons' calendars differ.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         clock: Clock,
         usage: Callable[[], UsageCounts],
         inherit: Callable[[UsageCounts], None],
+        calendar: SharedCalendar,
     ) -> None:
         """Begin with nobody known but this daemon."""
         self.own = own
@@ -84,6 +90,7 @@
         self._clock = clock
         self._usage = usage
         self._inherit = inherit
+        self._calendar = calendar
         self._inherited = False
         self._row_version: int | None = None
         self._heard: dict[str, timedelta] = {}
@@ -109,11 +116,12 @@
             self.records[record.vm] = record
             self._heard[record.vm] = self._clock.elapsed()
             self._versions[record.vm] = row.version
+            self._take_offset(record)
             if known is None or _differ(known, record):
                 changed = True
                 log.info(
                     'Daemon is seen.',
-                    vm=record.vm,
+                    member=record.vm,
                     incarnation=record.incarnation,
                     leaving=record.leaving,
                 )
@@ -190,6 +198,7 @@
             self.own.leaving,
             self._beat,
             self._usage(),
+            self._find_offset(),
         )
         # The condition keeps out beats of the run before whose answers were
         # lost: applied late, they would show that run as the living one.
@@ -223,6 +232,15 @@
         self._inherited = True
         return True
 
+    def _find_offset(self) -> float | None:
+        offset = self._calendar.find_offset()
+        return None if offset is None else round(offset.total_seconds(), 3)
+
+    def _take_offset(self, record: PresenceRecord) -> None:
+        if record.calendar_offset is not None:
+            offset = timedelta(seconds=record.calendar_offset)
+            self._calendar.on_offset(record.vm, offset)
+
     def _is_heard(self, vm: str) -> bool:
         # While the store is away nobody is heard, which says nothing of
         # the others; they have their time again once it is back.
--- a/quetzalcourse/duty_parts.py
+++ b/quetzalcourse/duty_parts.py
@@ -15,12 +15,12 @@
 from quetzalcourse.state.lease import LeaseTerms
 
 if TYPE_CHECKING:
+    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
     from quetzalcourse.coordination.feeds.presence import Presence
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.deployment import Deployment, StoreParts
     from quetzalcourse.lifecycle import Lifecycle
-    from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
 # Both rows change together, so they share their part.
@@ -75,25 +75,28 @@
     presence: Presence,
     pool: Pool,
     routes: RouteTable,
-    clock: Clock,
+    calendar: SharedCalendar,
     counters: Counters,
 ) -> DutyParts:
     """Build the parts and connect them.
 
     :param incarnation: name of this run of the daemon.
+    :param calendar: tells windows of usage, and steady time.
     """
     settings = deployment.settings
-    lease = Lease(store.table, clock, LEASE_KEY, incarnation, TERMS, FENCE_KEY)
+    lease = Lease(
+        store.table, calendar, LEASE_KEY, incarnation, TERMS, FENCE_KEY
+    )
     lease.is_predecessor = partial(_is_predecessor, incarnation)
     return DutyParts(
         lease,
-        LeaseKeeper(lease, presence, clock, counters),
+        LeaseKeeper(lease, presence, calendar, counters),
         LoadOrders(
             deployment.open_control(),
             lease,
             pool,
             routes,
-            clock,
+            calendar,
             counters,
             settings.vm,
         ),
@@ -102,7 +105,7 @@
             store.table,
             deployment.open_reports(),
             lease,
-            clock,
+            calendar,
             counters,
             settings.terms.usage_window,
             settings.terms.usage_due,
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.duties.usage_windows import WindowCounts
+    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.deployment import Documents, StoreParts
     from quetzalcourse.lifecycle import Lifecycle
@@ -63,6 +64,7 @@
     store: StoreParts,
     peers: Peers,
     counts: WindowCounts,
+    calendar: SharedCalendar,
     clock: Clock,
     counters: Counters,
 ) -> FeedParts:
@@ -70,6 +72,7 @@
 
     :param own: this daemon.
     :param counts: counts that go with each beat.
+    :param calendar: learns how the daemons' calendars differ.
     """
     operators = TableFollower(
         store.feed,
@@ -92,7 +95,13 @@
         store.feed, presence.TABLE, clock, counters, pause=BEAT_PAUSE
     )
     beats = presence.Presence(
-        own, store.table, members, clock, counts.describe, counts.inherit
+        own,
+        store.table,
+        members,
+        clock,
+        counts.describe,
+        counts.inherit,
+        calendar,
     )
     relay = FeedRelay((operators, upstreams), peers, beats, clock, counters)
     parts = FeedParts(operators, upstreams, batches, members, beats, relay)
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -9,6 +9,7 @@
 
 from quetzalcourse.batch_parts import build_batch_parts
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
+from quetzalcourse.coordination.feeds.calendar import SharedCalendar
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.registrations import Registrations
@@ -132,8 +133,9 @@
     def _build_store(self) -> None:
         self.store = self._deployment.open_store(self.clock, self.counters)
         self.routes = RouteTable()
+        self.calendar = SharedCalendar(self.clock, self.store.clock)
         self.counts = WindowCounts(
-            self.clock, self.settings.terms.usage_window, self._on_count
+            self.calendar, self.settings.terms.usage_window, self._on_count
         )
         own = Member(
             self.settings.vm,
@@ -147,6 +149,7 @@
             self.store,
             self.peers,
             self.counts,
+            self.calendar,
             self.clock,
             self.counters,
         )
@@ -191,7 +194,7 @@
             self.presence,
             self.pool,
             self.routes,
-            self.clock,
+            self.calendar,
             self.counters,
         )
 
--- a/quetzalcourse/tests/clocks.py
+++ b/quetzalcourse/tests/clocks.py
@@ -21,6 +21,7 @@
         """Begin a thousand seconds after boot."""
         self._elapsed = timedelta(seconds=1000)
         self._rate = rate
+        self.calendar_error = timedelta(0)
         self._sleepers: list[tuple[timedelta, int, asyncio.Future[None]]] = []
         self._numbers = itertools.count()
 
@@ -30,7 +31,7 @@
 
     def now(self) -> datetime:
         """Tell the calendar time."""
-        return EPOCH + self._elapsed
+        return EPOCH + self._elapsed + self.calendar_error
 
     async def sleep(self, duration: timedelta) -> None:
         """Wait until the test has moved the clock far enough."""
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
@@ -0,0 +1,42 @@
+"""How a batch's rows are cut to what the store takes."""
+
+from __future__ import annotations
+
+from quetzalcourse.coordination.batches.batch_rows import (
+    CHUNK_BYTES,
+    MOST_PARTIALS,
+    TRANSACTION_BYTES,
+    pack_partials,
+)
+from quetzalcourse.state.batches import PartialText
+
+LARGE = CHUNK_BYTES + 1
+HALF = CHUNK_BYTES // 2
+
+
+def build_partial(size: int) -> PartialText:
+    """Build an unfinished item's text of some length."""
+    return PartialText('i', ['x' * size], [1], 1)
+
+
+def test_text_that_is_too_large_leaves_the_others() -> None:
+    # One item of a batch has made more text than a row holds when its owner
+    # saves them. Were the rest left out with it, the next owner would make
+    # all of them anew, and the step would be late.
+    packed = pack_partials({0: build_partial(LARGE), 1: build_partial(1)})
+    assert [rank for rank, _ in packed] == [1]
+
+
+def test_texts_stay_within_one_transaction() -> None:
+    # A long text does not fit behind the others; a short one still does.
+    count = TRANSACTION_BYTES // HALF
+    partials = dict.fromkeys(range(count + 1), build_partial(HALF))
+    partials[count + 1] = build_partial(1)
+    packed = pack_partials(partials)
+    assert sum(len(content) for _, content in packed) <= TRANSACTION_BYTES
+    assert packed[-1][0] == count + 1
+
+
+def test_texts_stay_within_the_rows_of_a_transaction() -> None:
+    partials = dict.fromkeys(range(MOST_PARTIALS + 5), build_partial(1))
+    assert len(pack_partials(partials)) == MOST_PARTIALS
--- /dev/null
+++ b/quetzalcourse/tests/coordination/feeds/calendar_tests.py
@@ -0,0 +1,88 @@
+"""Calendar time while the calendars of some VMs jump."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from quetzalcourse.coordination.duties.usage_windows import WindowCounts
+from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.tests.clocks import FakeClock
+
+STORE_AHEAD = timedelta(seconds=777)
+WINDOW = timedelta(seconds=5)
+VMS = ('vm-0', 'vm-1', 'vm-2')
+
+
+class FakeStoreClock:
+    """Store's clock; it is unknown until the store has answered."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        """Begin without an answer."""
+        self.answered = False
+        self._clock = clock
+
+    def estimate(self) -> timedelta | None:
+        """Estimate the store's time."""
+        if not self.answered:
+            return None
+        return self._clock.elapsed() + STORE_AHEAD
+
+
+class CalendarWorld:
+    """One daemon's calendar, and what the others told of theirs."""
+
+    def __init__(self) -> None:
+        """Begin with a store that has answered and three true calendars."""
+        self.clock = FakeClock()
+        self.store_clock = FakeStoreClock(self.clock)
+        self.calendar = SharedCalendar(self.clock, self.store_clock)
+        self.true_clock = FakeClock()
+        self.store_clock.answered = True
+        for vm in VMS:
+            self.tell(vm)
+
+    def tell(self, vm: str) -> None:
+        """Let a daemon tell this machine's present difference as its own."""
+        offset = self.calendar.find_offset()
+        assert offset is not None
+        self.calendar.on_offset(vm, offset)
+
+
+def test_calendar_that_jumped_is_outvoted() -> None:
+    # The calendar of one VM jumps ahead by half a minute. Its requests would
+    # be counted in windows that the others have not begun, and its reports
+    # would close windows that are still open: accounts pay too little.
+    world = CalendarWorld()
+    world.clock.calendar_error = timedelta(seconds=30)
+    world.tell('vm-0')
+    assert world.calendar.now() == world.true_clock.now()
+
+
+def test_requests_are_counted_in_the_true_window() -> None:
+    # The calendar jumps back while requests run and forth again later, so
+    # the same request would be counted in a window that was reported.
+    world = CalendarWorld()
+    counts = WindowCounts(world.calendar, WINDOW, lambda: None)
+    counts.record('a')
+    world.clock.calendar_error = timedelta(seconds=-20)
+    counts.record('a')
+    world.tell('vm-0')
+    counts.record('a')
+    assert list(counts.describe().values()) == [{'a': 3}]
+
+
+def test_own_calendar_counts_before_the_store_has_answered() -> None:
+    world = CalendarWorld()
+    world.store_clock.answered = False
+    world.clock.calendar_error = timedelta(seconds=2)
+    assert world.calendar.find_offset() is None
+    assert world.calendar.now() == world.clock.now()
+
+
+def test_most_calendars_decide() -> None:
+    # All VMs were corrected together: their word counts, not the old one.
+    world = CalendarWorld()
+    world.clock.calendar_error = timedelta(seconds=4)
+    for vm in VMS[:2]:
+        world.tell(vm)
+    assert world.calendar.now() == world.clock.now()
