Send new callers elsewhere while only this daemon is out of reach of the store

Ruled out: keeping readiness as it was and refusing faster, since every daemon of that data centre refuses; passing calls on to other daemons, which the cut does not let through. A daemon whose store does not answer now learns from the answers to its relayed questions whether others reach it. If they do, or if no daemon of another data centre answers, it says that it is not ready; while the store is down for all it stays ready.

Found with it: daemons in tests and in the soak reached the store by an address each, and the digest that signs their messages came from it, so none accepted the others' messages. It is derived from the address of the duties now.

--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -25,6 +25,8 @@
 # A sound store answers each wait in time; this much later it does not.
 LONGEST_SILENCE = timedelta(seconds=1.3)
 RETRY = timedelta(milliseconds=150)
+# Three answers in a row that fail; single ones do on any day.
+LASTING_FAULT = timedelta(milliseconds=500)
 UNKNOWN = -1
 log = get_log('feed')
 
@@ -65,12 +67,24 @@
         self._listeners: list[Listener] = []
         self._answered_at = clock.elapsed()
         self._faulty = False
+        self._faulty_since = timedelta(0)
         self._recovered_at = timedelta(0)
 
     @property
     def faulty(self) -> bool:
         """Whether the store fails to answer this daemon."""
-        return self._faulty or self.silence > LONGEST_SILENCE
+        return self._faulty or self.silent
+
+    @property
+    def silent(self) -> bool:
+        """Whether the store has not answered for longer than it ever waits."""
+        return self.silence > LONGEST_SILENCE
+
+    @property
+    def cut(self) -> bool:
+        """Whether the store has failed to answer more than once."""
+        refused_for = self._clock.elapsed() - self._faulty_since
+        return self.silent or (self._faulty and refused_for > LASTING_FAULT)
 
     @property
     def newest(self) -> int:
@@ -182,6 +196,7 @@
         self._counters.add('store_feed_faults', table=self.table)
         if not self._faulty:
             self._faulty = True
+            self._faulty_since = self._clock.elapsed()
             log.warning(
                 'Store does not answer.',
                 table=self.table,
--- /dev/null
+++ b/quetzalcourse/coordination/feeds/reach.py
@@ -0,0 +1,97 @@
+"""Whether new callers are better served by other daemons.
+
+The load that this answers: a daemon, or a whole data centre, is cut from the
+store for some seconds while its callers still reach it. It must refuse every
+batch, and steps that are due seconds later wait for the cut to end, though
+daemons elsewhere could take them. While it says that it is not ready, the
+platform's balancer brings new callers to those.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.coordination.ports import MemberView
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Member
+
+# A sound store answers within 1.1 seconds, and the other daemons are asked
+# four times a second; whoever has heard nothing of either by then is cut.
+CUT_AFTER = timedelta(seconds=1.9)
+# Word of another daemon counts for four questions.
+WORD_LIFE = timedelta(seconds=1)
+LONG_AGO = timedelta(days=-1)
+log = get_log('reach')
+
+
+class StoreReach:
+    """What others say while the store does not answer this daemon.
+
+    :param follower: table by which the store's answers are judged.
+    :param members: daemons that may say something.
+    """
+
+    def __init__(
+        self,
+        follower: TableFollower,
+        members: MemberView,
+        clock: Clock,
+    ) -> None:
+        """Begin without a word from anyone."""
+        self._follower = follower
+        self._members = members
+        self._clock = clock
+        self._hearing_at = LONG_AGO
+        self._outside_at = LONG_AGO
+        self._welcoming = True
+
+    def on_word(self, sender: Member, *, hears_store: bool) -> None:
+        """Take the word of another daemon.
+
+        :param hears_store: whether the store answers that one.
+        """
+        now = self._clock.elapsed()
+        if hears_store:
+            self._hearing_at = now
+        if sender.data_centre != self._members.own.data_centre:
+            self._outside_at = now
+
+    def welcomes(self) -> bool:
+        """Tell whether new callers are served here as well as elsewhere.
+
+        While the store is down for everyone no other daemon is better off,
+        so this one goes on.
+        """
+        reason = self._find_reason()
+        if self._welcoming and reason:
+            log.warning(
+                'Callers are sent elsewhere.',
+                reason=reason,
+                silent_seconds=self._follower.silence.total_seconds(),
+            )
+        elif reason == '' and not self._welcoming:
+            log.info('Callers are welcome again.')
+        self._welcoming = reason == ''
+        return self._welcoming
+
+    def _find_reason(self) -> str:
+        if not self._follower.cut:
+            return ''
+        now = self._clock.elapsed()
+        if now - self._hearing_at < WORD_LIFE:
+            return 'others reach the store'
+        cut = now - self._outside_at >= WORD_LIFE
+        if self._follower.silence > CUT_AFTER and cut and self._has_outside():
+            return 'data centre is cut off'
+        return ''
+
+    def _has_outside(self) -> bool:
+        own = self._members.own.data_centre
+        return any(
+            member.data_centre != own for member in self._members.list_live()
+        )
--- a/quetzalcourse/coordination/feeds/relay.py
+++ b/quetzalcourse/coordination/feeds/relay.py
@@ -22,6 +22,7 @@
     from collections.abc import Iterable
 
     from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.coordination.feeds.reach import StoreReach
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -56,19 +57,23 @@
     """Rows of a table that are newer than those asked about.
 
     :param newest: newest version that the sender knows.
-    :param keys: all rows there are; others are gone.
+    :param rows: none if the one who asked knows as much.
+    :param keys: all rows there are, if ``rows`` has any; others are gone.
+    :param hears_store: whether the store answers the sender.
     """
 
     table: str
     newest: int
     rows: list[RowTold]
     keys: list[str]
+    hears_store: bool
 
 
 class FeedRelay:
     """Asks and answers for the rows of some tables.
 
     :param followers: follow the tables that are asked for.
+    :param reach: learns from every answer who reaches the store.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         followers: Iterable[TableFollower],
         peers: Peers,
         members: MemberView,
+        reach: StoreReach,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -83,6 +89,7 @@
         self._followers = {one.table: one for one in followers}
         self._peers = peers
         self._members = members
+        self._reach = reach
         self._clock = clock
         self._counters = counters
         self._random = random.Random()
@@ -98,26 +105,32 @@
             await self._clock.sleep(TICK)
 
     def on_asked(self, sender: Member, content: bytes) -> None:
-        """Answer a daemon if this one knows more."""
+        """Answer a daemon with what it does not know.
+
+        It learns from an answer without rows that this one is in reach.
+        """
         asked = msgspec.msgpack.decode(content, type=RowsAsked)
         follower = self._followers.get(asked.table)
-        if follower is None or not follower.loaded or follower.faulty:
-            return
-        if follower.newest <= asked.newest:
+        if follower is None:
             return
-        rows = [
-            RowTold(row.key, row.content, row.version)
-            for row in follower.rows.values()
-            if row.version > asked.newest
-        ]
-        told = RowsTold(asked.table, follower.newest, rows, list(follower.rows))
+        told = RowsTold(
+            asked.table,
+            follower.newest,
+            [],
+            [],
+            hears_store=follower.loaded and not follower.faulty,
+        )
+        if told.hears_store and told.newest > asked.newest:
+            told.rows.extend(_list_newer(follower, asked.newest))
+            told.keys.extend(follower.rows)
         self._peers.send(sender, Topic.rows_told, msgspec.msgpack.encode(told))
 
     def on_told(self, sender: Member, content: bytes) -> None:
         """Take rows that another daemon knows."""
         told = msgspec.msgpack.decode(content, type=RowsTold)
+        self._reach.on_word(sender, hears_store=told.hears_store)
         follower = self._followers.get(told.table)
-        if follower is None or not follower.faulty:
+        if follower is None or not follower.faulty or not told.rows:
             return
         present = set(told.keys)
         gone = [
@@ -148,3 +161,11 @@
         count = min(ASKED, len(others))
         for member in self._random.sample(others, count):
             self._peers.send(member, Topic.rows_asked, content)
+
+
+def _list_newer(follower: TableFollower, version: int) -> list[RowTold]:
+    return [
+        RowTold(row.key, row.content, row.version)
+        for row in follower.rows.values()
+        if row.version > version
+    ]
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -9,6 +9,7 @@
 from quetzalcourse.coordination.batches.batch_rows import TABLE
 from quetzalcourse.coordination.feeds import presence
 from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.feeds.reach import StoreReach
 from quetzalcourse.coordination.feeds.relay import FeedRelay
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     batches: TableFollower
     members: TableFollower
     presence: presence.Presence
+    reach: StoreReach
     relay: FeedRelay
 
     def on_members(self) -> None:
@@ -103,7 +105,12 @@
         counts.inherit,
         calendar,
     )
-    relay = FeedRelay((operators, upstreams), peers, beats, clock, counters)
-    parts = FeedParts(operators, upstreams, batches, members, beats, relay)
+    reach = StoreReach(operators, beats, clock)
+    relay = FeedRelay(
+        (operators, upstreams), peers, beats, reach, clock, counters
+    )
+    parts = FeedParts(
+        operators, upstreams, batches, members, beats, reach, relay
+    )
     beats.on_change(parts.on_members)
     return parts
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -89,9 +89,6 @@
     """Put the platform's settings into the daemon's terms."""
     bounds = message.bounds
     peers = f'{message.ip}:{message.internal_ports[0]}'
-    # Daemons of one deployment share their store's address; the digest
-    # keeps apart deployments whose daemons reach each other by mistake.
-    secret = hashlib.sha256(message.platform.address.encode()).digest()
     return RolloutSettings(
         vm=message.node_name,
         data_centre=message.zone,
@@ -110,5 +107,16 @@
             settle=timedelta(milliseconds=bounds.settle_ms),
         ),
         duties=frozenset(message.cloud.duties),
-        peer_secret=secret,
+        peer_secret=derive_secret(message),
     )
+
+
+def derive_secret(message: SettingsMessage) -> bytes:
+    """Derive what the daemons of one deployment share.
+
+    It keeps apart deployments whose daemons reach each other by mistake.
+    Duties are called at one address by all daemons; the store may be reached
+    by a way of their own.
+    """
+    shared = message.cloud.address or message.platform.address
+    return hashlib.sha256(shared.encode()).digest()
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -274,6 +274,7 @@
             self.routes.manifest is not None
             and self.feeds.upstreams.loaded
             and not self.activity.draining
+            and self.feeds.reach.welcomes()
         )
         known = path == self._deployment.readiness_path
         return (OK, b'ready') if ready and known else (UNAVAILABLE, b'')
