--- a/quetzalcourse/platform/store.py
+++ b/quetzalcourse/platform/store.py
@@ -32,6 +32,9 @@
 # this has lost the answer.
 CALL_SECONDS = 1.5
 FOLLOW_SLACK_SECONDS = 0.8
+# An answer that was slow on its way makes the store's clock look late by as
+# much; the best of the last ten seconds is off by a few milliseconds.
+CLOCK_KEPT = timedelta(seconds=10)
 # Rows of one answer, the most that the store returns.
 PAGE_ROWS = 500
 
@@ -110,6 +113,7 @@
         self._clock = clock
         self._counters = counters
         self._ahead: timedelta | None = None
+        self._ahead_at = timedelta(0)
 
     def estimate(self) -> timedelta | None:
         """Estimate the store's steady clock."""
@@ -269,10 +273,19 @@
                 StoreFault(FaultKind.unanswered, step, self._channel.address)
             )
         if message.now_ms:
-            store_now = timedelta(milliseconds=message.now_ms)
-            self._ahead = store_now - self._clock.elapsed()
+            self.on_clock(timedelta(milliseconds=message.now_ms))
         return Ok((answer.status, message))
 
+    def on_clock(self, store_now: timedelta) -> None:
+        """Learn the store's time from an answer that has just arrived."""
+        now = self._clock.elapsed()
+        ahead = store_now - now
+        known = self._ahead
+        outdated = now - self._ahead_at > CLOCK_KEPT
+        if known is None or ahead > known or outdated:
+            self._ahead = ahead
+            self._ahead_at = now
+
     def _find_fault(self, call: str, status: int) -> StoreFault:
         kind = FaultKind.unanswered
         if status < SERVER_ERROR or status == BUSY:
--- a/quetzalcourse/standins/rollout/cloud.py
+++ b/quetzalcourse/standins/rollout/cloud.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,12 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageCall:
-    """A report that arrived."""
+    """A report that arrived.
+
+    :param arrived: seconds since the epoch, by the true calendar.
+    """
 
     holder: str
     token: int
     window: int
     counts: dict[str, int]
+    arrived: float = 0
 
 
 class CloudStandin:
@@ -50,6 +55,7 @@
                 int(head.find('x-fence-token')),
                 message['window'],
                 message['counts'],
+                time.time(),
             )
         )
         await send_answer(request, b'{}', status=OK)
--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -96,6 +96,10 @@
     return config | changes
 
 
+# Length of a window of usage in seconds.
+WINDOW_SECONDS = 2
+
+
 def find_ports(count: int) -> list[int]:
     """Find ports of loopback that are free and stay so.
 
@@ -135,7 +139,7 @@
         'bounds': {
             'grace_s': 4,
             'lease_ms': 3000,
-            'report_window_s': 2,
+            'report_window_s': WINDOW_SECONDS,
             'usage_late_s': 10,
             'status_s': 120,
             'settle_ms': 1000,
--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -111,10 +111,23 @@
     assert check_orders([server])
     server.state.fences = [('vm-0', 2), ('vm-1', 2)]
     assert check_orders([server])
-    assert check_usage(
-        [UsageCall('a', 1, 7, {}), UsageCall('b', 1, 7, {'d': 1})]
-    )
-    assert check_usage([UsageCall('a', 2, 7, {}), UsageCall('b', 1, 8, {})])
+    late = 9.0 * documents.WINDOW_SECONDS
+    first = UsageCall('a', 1, 7, {}, late)
+    assert not check_usage([first, first])
+    assert check_usage([first, UsageCall('b', 1, 7, {'d': 1}, late)])
+    lower = UsageCall('b', 0, 8, {}, late)
+    assert check_usage([first, lower])
+
+
+@pytest.mark.parametrize(('late', 'broken'), [(0.5, False), (-0.5, True)])
+def test_check_of_usage_finds_a_window_that_was_not_over(
+    late: float,
+    broken: bool,
+) -> None:
+    """A calendar that is ahead closes windows too early."""
+    arrived = 8 * documents.WINDOW_SECONDS + late
+    report = UsageCall('a', 1, 7, {}, arrived)
+    assert bool(check_usage([report])) is broken
 
 
 async def test_short_soak_keeps_every_promise() -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -110,13 +110,18 @@
 
 
 def check_usage(reports: Iterable[UsageCall]) -> list[str]:
-    """Check that no window has two figures, and tokens never fall."""
+    """Check that each window is over and has one figure.
+
+    The sender's tokens never fall.
+    """
     figures: dict[int, dict[str, int]] = {}
     faults = []
     for report in reports:
         known = figures.setdefault(report.window, report.counts)
         if known != report.counts:
             faults.append(f'window {report.window} has two figures')
+        if report.arrived < (report.window + 1) * documents.WINDOW_SECONDS:
+            faults.append(f'window {report.window} was reported before its end')
     pairs = itertools.pairwise(report.token for report in reports)
     faults += [
         f'token {second} after {first}'
--- /dev/null
+++ b/soak/clocked_daemon.py
@@ -0,0 +1,25 @@
+"""``quetzalcoursed`` on a VM whose calendar the soak can move."""
+
+from __future__ import annotations
+
+import os
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from quetzalcourse.daemon import main
+from quetzalcourse.transport.clock import SystemClock
+
+# Names a file that holds by how many seconds the calendar is wrong.
+CALENDAR_VARIABLE = 'SOAK_CALENDAR_FILE'
+
+
+def tell_calendar(_: SystemClock) -> datetime:
+    """Tell the calendar time, wrong by what the file says."""
+    path = Path(os.environ[CALENDAR_VARIABLE])
+    text = path.read_text() if path.exists() else ''
+    return datetime.now(UTC) + timedelta(seconds=float(text or 0))
+
+
+if __name__ == '__main__':
+    setattr(SystemClock, 'now', tell_calendar)  # noqa: B010
+    raise SystemExit(main())
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -11,6 +11,7 @@
 
 from quetzalcourse.platform.settings import FILE_VARIABLE
 from quetzalcourse.standins.rollout.documents import build_settings
+from soak.clocked_daemon import CALENDAR_VARIABLE
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -30,6 +31,7 @@
         self.address = settings['listen']['front']
         self.starts = 0
         self.unexpected: list[int] = []
+        self.calendar_error: float = 0
         self._folder = folder
         self._settings = settings
         self._process: asyncio.subprocess.Process | None = None
@@ -72,6 +74,11 @@
             self._frozen = False
             self._signal(signal.SIGCONT)
 
+    def move_calendar(self, seconds: float) -> None:
+        """Put the process's calendar off by some seconds."""
+        self.calendar_error = seconds
+        (self._folder / f'{self.name}.calendar').write_text(str(seconds))
+
     def _send(self, number: signal.Signals) -> None:
         self._expected = True
         self.thaw()
@@ -83,7 +90,10 @@
             process.send_signal(number)
 
     async def _keep(self, path: Path) -> None:
-        environment = os.environ | {FILE_VARIABLE: str(path)}
+        environment = os.environ | {
+            FILE_VARIABLE: str(path),
+            CALENDAR_VARIABLE: str(path.with_suffix('.calendar')),
+        }
         while True:
             self.starts += 1
             self._expected = False
@@ -92,7 +102,7 @@
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     '-m',
-                    'quetzalcourse.daemon',
+                    'soak.clocked_daemon',
                     env=environment,
                     stdout=output,
                     stderr=asyncio.subprocess.STDOUT,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,8 @@
 SHORTEST = 0.3
 LONGEST = 3.0
 PAUSE = 0.8
+# How far a calendar jumps, in seconds; windows of usage last two.
+JUMPS = (-30, -5, -1.5, 1.5, 5, 30)
 
 
 class FaultSeries:
@@ -36,6 +38,7 @@
             self.kill,
             self.terminate,
             self.freeze,
+            self.move_calendar,
             self.harm_store_link,
             self.harm_server_link,
             self.break_store,
@@ -82,6 +85,19 @@
         await asyncio.sleep(length)
         daemon.thaw()
 
+    async def move_calendar(self, length: float) -> None:
+        """Let the calendar of one daemon jump, and jump back.
+
+        One at a time: daemons go by what most calendars say.
+        """
+        daemon = self._random.choice(self._world.daemons)
+        jump = self._random.choice(JUMPS)
+        if any(one.calendar_error for one in self._world.daemons):
+            return
+        daemon.move_calendar(jump)
+        await asyncio.sleep(length)
+        daemon.move_calendar(0)
+
     async def harm_store_link(self, length: float) -> None:
         """Harm the way of a daemon to the store."""
         proxy = self._random.choice(self._world.store_links)
