Write what libraries report as lines of the log, and plant secrets in a test

Reports of libraries go through the daemon's own log now, one line each with the error's type and place. A client's connections that were being retired are closed before the loop ends, which one of those reports complained of. A test plants keys, prompts and bodies in every kind of call, item and row and looks for them in all lines: none was found.

--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -13,6 +13,7 @@
 
 from quetzalcourse import __version__
 from quetzalcourse.exceptions import AbortError
+from quetzalcourse.library_log import collect_library_lines
 from quetzalcourse.log import configure_log, get_log
 from quetzalcourse.log_output import LineLimit, LineOutput
 from quetzalcourse.loop import run_loop
@@ -166,6 +167,7 @@
     output = LineOutput(sys.stdout.fileno())
     limit = LineLimit()
     configure_log('info', 'json', output, limit, loaded.ok_value.node_name)
+    collect_library_lines()
     application = RolloutApplication(PlatformDeployment(loaded.ok_value))
     application.watch_log(output, limit)
     return await serve(application)
--- /dev/null
+++ b/quetzalcourse/library_log.py
@@ -0,0 +1,50 @@
+"""Lines of libraries, brought into the form and the bounds of the others."""
+
+from __future__ import annotations
+
+import logging
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+LONGEST_MESSAGE = 300
+log = get_log('library')
+
+
+class LibraryHandler(logging.Handler):
+    """Writes what a library reports as one line.
+
+    Without it Python writes such reports to standard error, as traces of
+    many lines that no search by field finds, and waits for their reader.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a report, with the type and the place of its error."""
+        error = record.exc_info[1] if record.exc_info else None
+        log.log(
+            record.levelno,
+            'Library reports.',
+            library=record.name,
+            report=record.getMessage()[:LONGEST_MESSAGE],
+            error='' if error is None else type(error).__name__,
+            place='' if error is None else find_place(error.__traceback__),
+        )
+
+
+def find_place(trace: TracebackType | None) -> str:
+    """Tell the innermost file and line of a trace."""
+    place = ''
+    while trace is not None:
+        name = Path(trace.tb_frame.f_code.co_filename).name
+        place = f'{name}:{trace.tb_lineno}'
+        trace = trace.tb_next
+    return place
+
+
+def collect_library_lines() -> None:
+    """Take the reports of all libraries from now on."""
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING)
--- /dev/null
+++ b/quetzalcourse/tests/rollout/secrets_tests.py
@@ -0,0 +1,119 @@
+"""Log lines of daemons while callers plant what must not be in them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest_asyncio
+import structlog
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.world import Caller, build_batch
+
+if TYPE_CHECKING:
+    import pytest
+
+    from quetzalcourse.standins.rollout.world import RolloutWorld
+
+PLANTED = 'planted-prompt-of-a-caller'
+WRONG_KEY = 'planted-key-that-is-unknown'
+LOOKUP = documents.LOOKUP_PREFIX
+ONCE = documents.ONCE_PREFIX
+
+
+@pytest_asyncio.fixture(autouse=True)
+async def plain_lines() -> None:
+    """Let lines go to standard output, whatever another test set up."""
+    structlog.reset_defaults()
+
+
+async def call_in_every_way(world: RolloutWorld) -> None:
+    """Send what is served, refused, malformed and broken off."""
+    address = world.address()
+    body = PLANTED.encode()
+    for path in (LOOKUP, ONCE, '/nowhere/'):
+        await world.caller.call(address, 'POST', path, body)
+    await Caller(WRONG_KEY).call(address, 'POST', LOOKUP, body)
+    await world.caller.submit(address, 'b-bad', {'requests': [PLANTED]})
+    await world.caller.call(
+        address,
+        'POST',
+        f'{documents.BATCH_PREFIX}b-worse',
+        b'{"requests": "' + body,
+        request_id='b-worse',
+    )
+    for server in world.services:
+        server.faults.lose = 2
+        server.faults.fail = 2
+    for _ in range(4):
+        await world.caller.call(address, 'POST', LOOKUP, body)
+
+
+async def run_batch(world: RolloutWorld) -> list[str]:
+    """Run a batch whose items hold what is planted.
+
+    :returns: the texts that were made of them.
+    """
+    batch = build_batch(['i-1', 'i-2'])
+    for item in batch['requests']:
+        item['body'] = base64.b64encode(PLANTED.encode()).decode()
+    world.engines[0].faults.cut_after = 2
+    world.engines[0].faults.cuts = 1
+    await world.caller.submit(world.address(), 'b-1', batch)
+    results = await world.caller.read_all(world.address(), 'b-1')
+    return [result['text'] for result in results]
+
+
+async def write_malformed_rows(world: RolloutWorld) -> None:
+    """Write rows that can't be read, as other writers may."""
+    config = documents.build_config(2)
+    config['tenants'][0]['api_keys'] = [{'key': PLANTED}]
+    await world.store.write('op', 'config', config)
+    await world.store.write('op', 'version/x', PLANTED.encode())
+    await world.store.write('servers', 's-x', {'service': [PLANTED]})
+    await world.store.write('members', 'vm-x', PLANTED.encode())
+    await asyncio.sleep(0.8)
+
+
+async def test_no_line_holds_a_key_a_prompt_or_a_body(
+    world: RolloutWorld,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    # Lines of the daemons are collected and read by many people. A key in
+    # one of them would have to be withdrawn, and a prompt can't be.
+    await call_in_every_way(world)
+    texts = await run_batch(world)
+    await write_malformed_rows(world)
+    lines = capsys.readouterr().out
+    assert 'Request refused.' in lines
+    assert 'Item is done.' in lines
+    assert 'malformed' in lines
+    encoded = base64.b64encode(PLANTED.encode()).decode()
+    for secret in (PLANTED, encoded, WRONG_KEY, documents.KEY, *texts):
+        assert secret not in lines, secret
+
+
+async def test_lines_of_a_leaving_caller_are_structured(
+    world: RolloutWorld,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    # A caller leaves while its request runs, and its daemon stops. A trace
+    # of a library in between would hide lines from whoever searches them.
+    for server in world.services:
+        server.faults.slow = 30
+    asking = asyncio.ensure_future(
+        world.caller.call(world.address(), 'POST', LOOKUP, b'x', seconds=0.3)
+    )
+    await asyncio.gather(asking, return_exceptions=True)
+    assert isinstance(asking.exception(), TimeoutError | aiohttp.ClientError)
+    asyncio.ensure_future(
+        world.caller.call(world.address(), 'POST', LOOKUP, b'x', seconds=2)
+    ).add_done_callback(asyncio.Future.exception)
+    await asyncio.sleep(0.2)
+    await world.end_daemon(world.daemons[0])
+    captured = capsys.readouterr()
+    assert 'Traceback' not in captured.out + captured.err
+    assert captured.err == ''
--- a/quetzalcourse/transport/channel.py
+++ b/quetzalcourse/transport/channel.py
@@ -100,8 +100,11 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        for task in self._retired:
+        retired = tuple(self._retired)
+        for task in retired:
             task.cancel()
+        # Each closes its session as it ends.
+        await asyncio.gather(*retired, return_exceptions=True)
         await self._session.close()
 
     def _renew(self, missed: aiohttp.ClientSession) -> None:
