--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -67,7 +67,7 @@
         median = find_median_pace(self.list_fit(need))
         best = min(fit, key=lambda one: self._rank(one, need, now, median))
         near = next((one for one in fit if one.name == need.near), None)
-        if near is not None and not near.is_doubtful(now):
+        if near is not None and not near.faults:
             more = _share(near, now) - _share(best, now)
             if more <= GROUP_SHARE and not is_slow(near, median):
                 return near
@@ -111,7 +111,7 @@
         return (
             upstream.name == need.avoided,
             is_slow(upstream, median),
-            upstream.is_doubtful(now),
+            upstream.faults > 0,
             _share(upstream, now),
             -upstream.find_version(need.model),
         )
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -31,15 +31,6 @@
 # One answer that was late may be a long request; this many in a row are an
 # upstream that fell silent.
 LATES_TO_REST = 2
-# An upstream that fails part of its requests serves others in between, and
-# each success ends its rest. Its failures are remembered beyond that, half
-# of them for this long.
-DOUBT_HALF_LIFE = timedelta(seconds=4)
-# Two failures within two seconds; single ones happen to sound upstreams.
-DOUBT_LIMIT = 1.5
-# Failures that are remembered at most, so that it is trusted again within
-# six seconds of its last one.
-MOST_DOUBT = 4.0
 # How much longer a refusing upstream is left alone for one model, which is
 # about a third of a load of weights.
 BUSY_REST = timedelta(milliseconds=300)
@@ -60,7 +51,6 @@
     :param mean_pace: running mean of the time between two events.
     :param versions: weight versions seen in answers, newer than registered.
     :param busy: models that it refuses for now, and until when.
-    :param doubt: failures that are remembered, as of ``doubt_at``.
     """
 
     member: PoolMember
@@ -74,8 +64,6 @@
     mean_pace: float = 0
     versions: dict[str, int] = field(default_factory=dict)
     busy: dict[str, timedelta] = field(default_factory=dict)
-    doubt: float = 0
-    doubt_at: timedelta = NOTHING
 
     @property
     def name(self) -> str:
@@ -105,14 +93,6 @@
         registered = self.member.versions.get(model, 0)
         return max(registered, self.versions.get(model, 0))
 
-    def find_doubt(self, now: timedelta) -> float:
-        """Tell how many failures are remembered."""
-        return self.doubt * 0.5 ** ((now - self.doubt_at) / DOUBT_HALF_LIFE)
-
-    def is_doubtful(self, now: timedelta) -> bool:
-        """Tell whether others are to be tried first."""
-        return self.faults > 0 or self.find_doubt(now) > DOUBT_LIMIT
-
     def is_open(self, now: timedelta) -> bool:
         """Tell whether it may be given work."""
         return not self.member.leaving and now >= self.closed_until
@@ -196,7 +176,7 @@
     ) -> tuple[bool, float, bool, float]:
         share = upstream.count_load(now) / upstream.member.slots
         near = upstream.member.data_centre == self._data_centre
-        doubtful = upstream.is_doubtful(now)
+        doubtful = upstream.faults > 0
         return (doubtful, share, not near, self._random.random())
 
     def on_start(self, upstream: Upstream) -> None:
@@ -221,18 +201,8 @@
         upstream.lates = 0
         upstream.closed_until = NOTHING
 
-    def on_error(self, upstream: Upstream) -> None:
-        """Learn that an upstream answered with an error of its own.
-
-        It may be the request's fault, so the upstream does not rest.
-        """
-        now = self._clock.elapsed()
-        upstream.doubt = min(upstream.find_doubt(now) + 1, MOST_DOUBT)
-        upstream.doubt_at = now
-
     def on_failure(self, upstream: Upstream, reason: str) -> None:
         """Learn that an attempt failed, so that the upstream rests."""
-        self.on_error(upstream)
         rest = min(FIRST_REST * 2**upstream.faults, LONGEST_REST)
         upstream.faults = min(upstream.faults + 1, 5)
         upstream.closed_until = self._clock.elapsed() + rest
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -166,7 +166,6 @@
         status: int,
     ) -> ItemResult | None:
         run.failures += 1
-        self._pool.on_error(upstream)
         self._miss(batch, run, upstream, f'status {status}')
         if run.failures >= batch.head.max_attempts:
             return run.abandon()
