Let the demo play the whole path on a platform of stand-ins

make demo showed the product's own interface only. It now also starts two daemons with store, servers and the platform's interface for duties: lookups, named weights, a batch whose daemon is ended midway, and usage reports.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: $(STAMP)
 	$(BIN)/quetzalctl demo
+	$(BIN)/quetzalctl demo --platform
 
 serve: $(STAMP)
 	$(BIN)/quetzalctl demo --serve --callers 127.0.0.1:8080
--- a/quetzalcourse/commands/demo.py
+++ b/quetzalcourse/commands/demo.py
@@ -38,6 +38,11 @@
     parser.add_argument(
         '--serve', action='store_true', help='stay up for tries with curl'
     )
+    parser.add_argument(
+        '--platform',
+        action='store_true',
+        help='show two daemons on a platform of stand-ins',
+    )
     parser.add_argument(
         '--callers',
         default='127.0.0.1:0',
@@ -49,10 +54,22 @@
 
 def run(options: argparse.Namespace) -> int:
     """Run the demo, or keep it up until a signal comes."""
+    if options.platform:
+        configure_log('critical', FORMATS[0])
+        return run_loop(_show_platform())
     configure_log('warning', FORMATS[0])
     return run_loop(_serve(options) if options.serve else _show(options))
 
 
+async def _show_platform() -> int:
+    # Only this way of the demo loads the stand-ins of the platform.
+    from quetzalcourse.commands.platform_demo import (  # noqa: PLC0415, WPS433
+        show_platform,
+    )
+
+    return await show_platform()
+
+
 async def _serve(options: argparse.Namespace) -> int:
     deployment = Deployment(callers=options.callers, token_seconds=0.02)
     await deployment.on_start()
