--- /dev/null
+++ b/bench/suites/rollouts.py
@@ -0,0 +1,158 @@
+"""Decisions of daemons on a platform, each against doing without it."""
+
+from __future__ import annotations
+
+import time
+from datetime import timedelta
+
+from bench.figure import Figure, at_least, at_most
+from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.forwarding.pool import PACE_READINGS, Pool
+from quetzalcourse.coordination.versions.load_plan import plan_loads
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.coordination.feeds.reach_tests import (
+    NEIGHBOUR,
+    OUTSIDER,
+    ReachWorld,
+)
+from quetzalcourse.tests.coordination.versions.load_plan_tests import (
+    build_views,
+    carry_out,
+)
+
+FIGURES = (
+    'items_on_slow_upstream',
+    'placements_per_second',
+    'weight_loads_per_version',
+    'cut_noticed_seconds',
+)
+UPSTREAMS = 23
+SLOTS = 8
+SOUND_PACE = 0.04
+SLOW_PACE = 0.16
+# Four batches of the larger kind; all slots would hold 184 items.
+ITEMS = 120
+MODELS = 4
+VERSIONS = 12
+NEED = Need('engines', 'verse', 1)
+TICK = timedelta(milliseconds=100)
+# Length of the cuts of a data centre in the trials.
+CUT = timedelta(seconds=5.5)
+
+
+async def measure() -> list[Figure]:
+    """Measure every decision."""
+    return [
+        measure_slow(),
+        measure_speed(),
+        measure_loads(),
+        measure_cut(),
+    ]
+
+
+def build_pool(clock: FakeClock) -> Pool:
+    """Build upstreams of which the first turned slow."""
+    pool = Pool('hall-a', clock, Counters())
+    for number in range(UPSTREAMS):
+        name = f'e-{number:02d}'
+        pool.replace(
+            PoolMember(
+                name,
+                'engines',
+                f'10.0.0.{number}:80',
+                'hall-a',
+                SLOTS,
+                versions={'verse': 1},
+            )
+        )
+        upstream = pool.find(name)
+        assert upstream is not None
+        pace = SOUND_PACE if number else SLOW_PACE
+        for _ in range(PACE_READINGS * 5):
+            pool.on_pace(upstream, pace)
+    return pool
+
+
+def measure_slow() -> Figure:
+    """Count the items that a slow upstream gets while others have room."""
+    clock = FakeClock()
+    pool = build_pool(clock)
+    placement = Placement(pool, clock)
+    for _ in range(ITEMS):
+        upstream = placement.choose(NEED)
+        if upstream is not None:
+            pool.on_start(upstream)
+    slow = pool.find('e-00')
+    assert slow is not None
+    return Figure(
+        'items_on_slow_upstream',
+        slow.running,
+        'items',
+        at_most(0),
+        baseline=_count_by_load(clock),
+        detail=f'{ITEMS} items on {UPSTREAMS} upstreams',
+    )
+
+
+def _count_by_load(clock: FakeClock) -> float:
+    """Count them where the least loaded upstream is chosen."""
+    pool = build_pool(clock)
+    for _ in range(ITEMS):
+        upstream = pool.choose('engines')
+        assert upstream is not None
+        pool.on_start(upstream)
+    slow = pool.find('e-00')
+    assert slow is not None
+    return slow.running
+
+
+def measure_speed() -> Figure:
+    """Count the placements that one core decides in a second."""
+    clock = FakeClock()
+    placement = Placement(build_pool(clock), clock)
+    began = time.perf_counter()
+    for _ in range(ITEMS * 10):
+        placement.choose(NEED)
+    rate = ITEMS * 10 / (time.perf_counter() - began)
+    # The largest batches come at some 300 items a second in all.
+    return Figure('placements_per_second', rate, '1/s', at_least(1500))
+
+
+def measure_loads() -> Figure:
+    """Count the loads for each named version of a model."""
+    names = tuple(f'm-{number}' for number in range(MODELS))
+    views = build_views(UPSTREAMS, names)
+    count = 0
+    for version in range(2, VERSIONS):
+        named = dict.fromkeys(names, version)
+        while loads := plan_loads(views, named):
+            count += len(loads)
+            views = carry_out(views, loads)
+    each = count / (MODELS * (VERSIONS - 2))
+    return Figure(
+        'weight_loads_per_version',
+        each,
+        'loads',
+        at_most(-(-UPSTREAMS // MODELS)),
+        baseline=UPSTREAMS,
+        detail=f'{MODELS} models on {UPSTREAMS} upstreams',
+    )
+
+
+def measure_cut() -> Figure:
+    """Measure how long a data centre that is cut off takes new callers."""
+    world = ReachWorld(NEIGHBOUR, OUTSIDER)
+    seconds = 0.0
+    while world.reach.welcomes() and seconds < CUT.total_seconds():
+        world.pass_time(TICK, NEIGHBOUR)
+        seconds = world.follower.silence.total_seconds()
+    return Figure(
+        'cut_noticed_seconds',
+        seconds,
+        's',
+        at_most(2.5),
+        baseline=CUT.total_seconds(),
+        detail='the balancer takes two more seconds to act on it',
+    )
--- a/quetzalcourse/tests/coordination/feeds/reach_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/reach_tests.py
@@ -48,13 +48,13 @@
     def __init__(self, *others: Member) -> None:
         """Begin with the last answer of the store."""
         self.clock = FakeClock()
-        follower = TableFollower(
+        self.follower = TableFollower(
             SilentFeed(),  # type: ignore[arg-type]
             'op',
             self.clock,
             Counters(),
         )
-        self.reach = StoreReach(follower, FakeMembers(*others), self.clock)
+        self.reach = StoreReach(self.follower, FakeMembers(*others), self.clock)
 
     def pass_time(
         self,
