Reset connections on which an answer did not come

The order had been given up after 0.6 s, but its connection was closed in the usual way, so that what was under way was still sent once the link was back. Ruled out: the lease, which had run out before the next holder began. Connections are closed with a reset now, which drops what was not delivered.

--- a/quetzalcourse/transport/channel.py
+++ b/quetzalcourse/transport/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -24,6 +25,10 @@
 PROBE_GAP_SECONDS = 1
 PROBES = 2
 CONNECT_SECONDS = 0.5
+# A connection that is closed drops what was not delivered, and resets. Else
+# the kernel goes on sending it: an order that was given up during a cut would
+# reach its server seconds later, after orders of the next holder.
+DROP_ON_CLOSE = struct.pack('ii', 1, 0)
 KEEP_ALIVE_SECONDS = 10.0
 RETIRED_SECONDS = 10.0
 PLAIN_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
@@ -37,6 +42,7 @@
     made.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
     )
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_ON_CLOSE)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     made.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS
