--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -192,6 +192,9 @@
 
     :param arguments: command line, the process's own if left out.
     """
+    # Settings may change while a daemon starts, which takes a second on a
+    # busy VM. Until the loop has its handler the signal would end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         return start(arguments)
     except AbortError as error:
