Score the texts of items once they are whole

Cause: items may carry a scoring call.

Change: a whole text waits for its score in states of its own. It takes no slot of an engine, is saved for the next owner, and is never made again for its score's sake. The call goes by the route in force of its host and path, leaves a third of an upstream's slots to humans, is repeated elsewhere when lost, refused or garbled, and the item is given up only after as many answers with 500 as the routes allow. Stand-ins, soak, demo and trace know it.

Ruled out: making the text anew when a score fails, and counting a missing route as the end of the item; both would lose what is already made.

--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,10 @@
 	$(BIN)/ruff format --check --quiet .
 
 lint: $(STAMP)
-	$(BIN)/flake8 quetzalcourse bench soak
+	$(BIN)/flake8 quetzalcourse bench soak tools
 
 types: $(STAMP)
-	$(BIN)/mypy quetzalcourse bench soak
+	$(BIN)/mypy quetzalcourse bench soak tools
 
 layers: $(STAMP)
 	$(BIN)/lint-imports
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -12,9 +12,11 @@
 from quetzalcourse.coordination.batches.placement import Placement
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.coordination.batches.runner import BatchRunner
+from quetzalcourse.coordination.batches.scoring import ItemScoring
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.runner import ItemRunner
+    from quetzalcourse.coordination.batches.scoring import Scorer
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.feeds.presence import Presence
     from quetzalcourse.coordination.forwarding.pool import Pool
@@ -25,6 +27,14 @@
     from quetzalcourse.state.counters import Counters
 
 
+@dataclass(frozen=True, slots=True)
+class BatchCalls:
+    """Calls to upstreams that batches need."""
+
+    items: ItemRunner
+    scorer: Scorer
+
+
 @dataclass(frozen=True, slots=True)
 class BatchParts:
     """All that a daemon does about batches."""
@@ -44,7 +54,7 @@
 def build_batch_parts(
     store: StoreParts,
     feed: TableFollower,
-    items: ItemRunner,
+    calls: BatchCalls,
     pool: Pool,
     routes: RouteTable,
     presence: Presence,
@@ -60,14 +70,15 @@
     reader = ResultReader(rows, directory, clock)
     runner = BatchRunner(
         rows,
-        items,
+        calls.items,
+        ItemScoring(calls.scorer, pool, routes, clock, counters),
         Placement(pool, clock),
         pool,
         routes,
         clock,
         counters,
-        reader.on_committed,
     )
+    runner.on_committed(reader.on_committed)
     keeper = BatchKeeper(rows, directory, runner, presence, store.clock, clock)
     batches = Batches(
         rows, directory, reader, runner, presence, store.clock, clock
--- a/quetzalcourse/commands/platform_demo.py
+++ b/quetzalcourse/commands/platform_demo.py
@@ -82,7 +82,7 @@
 async def _run_batch(world: RolloutWorld) -> Shown:
     for engine in world.engines:
         engine.faults.slow = SLOWNESS
-    batch = build_batch(ITEMS, min_version=NAMED_VERSION)
+    batch = build_batch(ITEMS, scored=True, min_version=NAMED_VERSION)
     reply = await world.caller.submit(world.address(), 'batch-1', batch)
     if reply.status != ACCEPTED:
         raise AbortError(f'batch-1: status {reply.status}')
@@ -90,10 +90,12 @@
     await world.end_daemon(world.daemons[0])
     results = await world.caller.read_all(world.address(1), 'batch-1')
     versions = sorted({one for each in results for one in each['versions']})
+    scored = sum('score' in each for each in results)
     return (
         'batch whose daemon was ended midway',
         f'{len(ITEMS)} items',
-        f'{len(results)} results at the other one, versions {versions}',
+        f'{len(results)} results at the other one, {scored} with a score,'
+        f' versions {versions}',
     )
 
 
--- a/quetzalcourse/commands/trace.py
+++ b/quetzalcourse/commands/trace.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable, Iterator
 
 # Fields that name what a line is about.
-SUBJECTS = ('request_id', 'batch', 'item')
+SUBJECTS = ('request_id', 'batch', 'item', 'call')
 # Fields that every line has, or that the story shows elsewhere.
 COMMON = frozenset(('event', 'level', 'timestamp', 'part', 'vm'))
 NOT_FOUND = 1
@@ -40,7 +40,9 @@
     parser = subparsers.add_parser(
         'trace', help="tell a request's story from logs"
     )
-    parser.add_argument('id', help='id of a request, a batch or an item')
+    parser.add_argument(
+        'id', help='id of a request, a batch, an item or its scoring call'
+    )
     parser.add_argument('files', nargs='+', type=Path, metavar='FILE')
     parser.set_defaults(run=run)
 
@@ -125,7 +127,7 @@
 
 
 def concerns(line: TraceLine, subject: str) -> bool:
-    """Tell whether a line is about a request, a batch or an item."""
+    """Tell whether a line is about a request, a batch, an item or its score."""
     return any(line.details.get(name) == subject for name in SUBJECTS)
 
 
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -90,8 +90,7 @@
         return {
             run.rank: partial
             for run in self.items
-            if run.began < oldest
-            and run.last_event != run.saved_event
+            if _is_worth_saving(run, oldest)
             and (partial := run.save()) is not None
         }
 
@@ -118,6 +117,17 @@
         return ''
 
 
+def _is_worth_saving(run: ItemRun, oldest: timedelta) -> bool:
+    """Tell whether an owner's death would cost more than its saving.
+
+    A whole text is saved however quickly it was made: it waits for its
+    score while the service that gives it is slow or away.
+    """
+    if run.whole:
+        return not run.saved_whole
+    return run.began < oldest and run.last_event != run.saved_event
+
+
 def build_batch_run(
     head: BatchHead,
     items: Sequence[BatchItem],
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -20,10 +20,17 @@
 
 
 class ItemState(enum.StrEnum):
-    """Where an item stands."""
+    """Where an item stands.
+
+    ``unscored`` is an item whose text is whole and whose score is missing,
+    ``scoring`` one whose scoring call is under way; neither takes a slot of
+    the upstreams that make texts.
+    """
 
     waiting = 'waiting'
     running = 'running'
+    unscored = 'unscored'
+    scoring = 'scoring'
     finished = 'finished'
 
 
@@ -34,10 +41,12 @@
     :param rank: place in the order in which items are begun.
     :param retry_at: time since boot before which it isn't tried again.
     :param failures: attempts that its upstream called failed.
+    :param scoring_failures: scoring calls that were answered as failed.
     :param misses: attempts in a row that brought nothing.
     :param versions: weight versions that made the text, oldest first.
     :param last_event: number of the last event, ``None`` before the first.
     :param saved_event: last event of the text that was saved.
+    :param saved_whole: whether it was saved as whole.
     :param moving: whether it is to go on at another upstream.
     """
 
@@ -46,17 +55,24 @@
     state: ItemState = ItemState.waiting
     retry_at: timedelta = timedelta(0)
     failures: int = 0
+    scoring_failures: int = 0
     misses: int = 0
     texts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     last_event: int | None = None
     saved_event: int | None = None
+    saved_whole: bool = False
     upstream: str = ''
     avoided: str = ''
     began: timedelta = timedelta(0)
     moving: bool = False
     task: asyncio.Task[None] | None = None
 
+    @property
+    def whole(self) -> bool:
+        """Whether its text is whole and its score is missing."""
+        return self.state in {ItemState.unscored, ItemState.scoring}
+
     @property
     def resume_after(self) -> str:
         """Number of the last event for an upstream to go on behind."""
@@ -77,6 +93,14 @@
         if version and version not in self.versions:
             self.versions.append(version)
 
+    def expect_score(self) -> None:
+        """Note that the text is whole and wants its score."""
+        self.state = ItemState.unscored
+        self.upstream = ''
+        self.avoided = ''
+        self.misses = 0
+        self.retry_at = timedelta(0)
+
     def restart(self) -> None:
         """Drop the text, to begin anew."""
         self.texts.clear()
@@ -88,11 +112,14 @@
         if self.last_event is None or self.state is ItemState.finished:
             return None
         self.saved_event = self.last_event
+        self.saved_whole = self.whole
         return PartialText(
             self.item.id,
             list(self.texts),
             list(self.versions),
             self.last_event,
+            self.whole,
+            self.scoring_failures,
         )
 
     def restore(self, partial: PartialText) -> None:
@@ -101,6 +128,9 @@
             self.texts = list(partial.texts)
             self.versions = list(partial.versions)
             self.last_event = partial.last_event
+            self.scoring_failures = partial.scoring_failures
+            if partial.whole:
+                self.state = ItemState.unscored
 
     def postpone(self, now: timedelta) -> None:
         """Wait before the next attempt, longer with each miss."""
@@ -109,13 +139,17 @@
         self.misses += 1
         self.retry_at = now + wait
 
-    def complete(self) -> ItemResult:
-        """Give the result of an item whose text is whole."""
+    def complete(self, score: str = '') -> ItemResult:
+        """Give the result of an item whose text is whole.
+
+        :param score: what its scoring call said, if it has one.
+        """
         return ItemResult(
             self.item.id,
             ResultState.completed,
             '\n'.join(self.texts),
             list(self.versions),
+            score,
         )
 
     def abandon(self) -> ItemResult:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -23,12 +23,15 @@
     from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.placement import Placement
+    from quetzalcourse.coordination.batches.scoring import ItemScoring
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.state.batches import ItemResult, PartialText
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
+    CommitListener = Callable[[str, int, list[ItemResult]], None]
+
 TICK = timedelta(milliseconds=50)
 # Most items are done within a second; the text of longer ones is saved.
 SAVE_GAP = timedelta(seconds=1)
@@ -60,21 +63,18 @@
 
     ``reserved`` names batches that are being accepted here: they are run
     once that is done, and nobody else may take them for left alone.
-
-    :param on_committed: called with a batch's id, a position and the
-        results that stand there from now on.
     """
 
     def __init__(
         self,
         rows: BatchRows,
         items: ItemRunner,
+        scoring: ItemScoring,
         placement: Placement,
         pool: Pool,
         routes: RouteTable,
         clock: Clock,
         counters: Counters,
-        on_committed: Callable[[str, int, list[ItemResult]], None],
     ) -> None:
         """Begin without batches."""
         self.batches: dict[str, BatchRun] = {}
@@ -82,14 +82,23 @@
         self.paused = False
         self._rows = rows
         self._items = items
+        self._scoring = scoring
         self._placement = placement
         self._pool = pool
         self._routes = routes
         self._clock = clock
         self._counters = counters
-        self._on_committed = on_committed
+        self._on_committed: list[CommitListener] = []
         self._wake = asyncio.Event()
         self._tasks = Tasks('batches')
+        scoring.on_end(self._wake.set)
+
+    def on_committed(self, listener: CommitListener) -> None:
+        """Call a listener with results that stand from now on.
+
+        It gets the batch's id and the position of the first of them.
+        """
+        self._on_committed.append(listener)
 
     def add(self, batch: BatchRun) -> None:
         """Begin to run a batch, unless it is run here already."""
@@ -125,6 +134,7 @@
         self._counters.set('batches_owned', len(self.batches))
         self._counters.set('items_running', states[ItemState.running])
         self._counters.set('items_waiting', states[ItemState.waiting])
+        self._counters.set('items_unscored', states[ItemState.unscored])
 
     async def run(self) -> None:
         """Begin items as slots become free, until the task is cancelled."""
@@ -144,8 +154,12 @@
             for run in batch.items:
                 if run.state is ItemState.running:
                     self._review(batch, run)
-                elif run.state is ItemState.waiting and run.retry_at <= now:
+                elif run.retry_at > now:
+                    continue
+                elif run.state is ItemState.waiting:
                     self._begin(batch, run, now)
+                elif run.state is ItemState.unscored:
+                    self._scoring.begin(batch, run)
 
     def _save(self, batch: BatchRun, now: timedelta) -> None:
         # An owner that dies takes the texts with it; of those that take
@@ -224,6 +238,9 @@
             log.warning(
                 'Item is given up.', batch=batch.head.id, item=run.item.id
             )
+        elif run.item.scoring is not None:
+            run.expect_score()
+            return
         batch.finish(run, result)
 
     def _on_end(self, run: ItemRun, upstream: Upstream) -> None:
@@ -291,7 +308,8 @@
     def _note(self, batch: BatchRun, results: list[ItemResult]) -> None:
         position = batch.listed
         batch.listed += len(results)
-        self._on_committed(batch.head.id, position, results)
+        for listener in self._on_committed:
+            listener(batch.head.id, position, results)
         self._counters.add('batch_results', len(results))
         log.info(
             'Results stand.',
--- /dev/null
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -0,0 +1,242 @@
+"""Scores the whole texts of items by calls to a plain service.
+
+The load that this answers: the items of a step end within the same second
+and so do those of other steps, each with a call to a service of few slots
+that humans ask at the same time. Calls that all went out at once would fill
+the slots of that service, and a human's request would wait behind them. So a
+share of the slots is left to humans, calls wait here until there is room,
+and the text waits with them instead of being made again.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, Protocol
+
+from quetzalcourse.coordination.batches.item_run import ItemState
+from quetzalcourse.coordination.forwarding.route_table import choose_service
+from quetzalcourse.coordination.tasks import Tasks
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.coordination.batches.item_run import ItemRun
+    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.state.batches import ScoringCall
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.routing import Route
+
+# Share of an upstream's slots that scoring calls may fill, as far as its
+# load is known. The rest is for humans, who come one at a time: two of six
+# slots take bursts of 50 requests a second of 38 ms each.
+SCORING_SHARE = 2 / 3
+# A call is as long on its way as a human's may be; one that is silent for
+# longer is made again elsewhere, with twice the time each time it is lost.
+DEFAULT_PATIENCE = timedelta(milliseconds=500)
+log = get_log('scoring')
+
+
+class ScoringState(enum.StrEnum):
+    """How a scoring call ended."""
+
+    scored = 'scored'
+    not_run = 'not_run'
+    failed = 'failed'
+    lost = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class ScoringOutcome:
+    """Answer to a scoring call.
+
+    :param score: empty unless the text is scored.
+    :param reason: why it is not, in a word or two.
+    """
+
+    state: ScoringState
+    score: str = ''
+    reason: str = ''
+
+
+class Scorer(Protocol):
+    """Makes scoring calls."""
+
+    async def score(
+        self,
+        call: ScoringCall,
+        upstream: Upstream,
+        patience: timedelta,
+    ) -> ScoringOutcome:
+        """Make a call once.
+
+        :param patience: when it is given up.
+        """
+
+
+class ItemScoring:
+    """Decides when and where the calls go, and what their answers mean."""
+
+    def __init__(
+        self,
+        scorer: Scorer,
+        pool: Pool,
+        routes: RouteTable,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Begin without calls."""
+        self._scorer = scorer
+        self._pool = pool
+        self._routes = routes
+        self._clock = clock
+        self._counters = counters
+        self._on_end: Callable[[], None] = lambda: None
+        self._tasks = Tasks('scoring')
+
+    def on_end(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever a call ends."""
+        self._on_end = listener
+
+    def begin(self, batch: BatchRun, run: ItemRun) -> None:
+        """Begin the call of an item if there is room for it."""
+        call = run.item.scoring
+        assert call is not None  # noqa: S101
+        try:
+            route = self._routes.match(call.host, call.path)
+        except RefusedError as error:
+            # The route may come back with the next manifest; until then
+            # nothing says that the text has no score.
+            self._miss(batch, run, '', error.refusal.code.value)
+            return
+        service = choose_service(route, call.id)
+        upstream = choose_upstream(
+            self._pool.sample_service(service),
+            self._clock.elapsed(),
+            run.avoided,
+        )
+        if upstream is None:
+            return
+        run.state = ItemState.scoring
+        run.upstream = upstream.name
+        self._pool.on_start(upstream)
+        run.task = self._tasks.begin(self._score(batch, run, upstream, route))
+
+    async def _score(
+        self,
+        batch: BatchRun,
+        run: ItemRun,
+        upstream: Upstream,
+        route: Route,
+    ) -> None:
+        call = run.item.scoring
+        assert call is not None  # noqa: S101
+        began = self._clock.elapsed()
+        patience = min(find_patience(route, run.misses), batch.given_up - began)
+        try:
+            outcome = await self._scorer.score(call, upstream, patience)
+        finally:
+            self._release(run, upstream)
+        took = (self._clock.elapsed() - began).total_seconds()
+        self._counters.observe('scoring_call', took, state=outcome.state.value)
+        if outcome.state is ScoringState.scored:
+            log.info(
+                'Item is scored.',
+                batch=batch.head.id,
+                item=run.item.id,
+                call=call.id,
+                upstream=upstream.name,
+                seconds=round(took, 3),
+            )
+            batch.finish(run, run.complete(outcome.score))
+            return
+        run.avoided = upstream.name
+        self._miss(batch, run, upstream.name, outcome.reason)
+        if outcome.state is ScoringState.failed:
+            self._fail(batch, run, route)
+
+    def _release(self, run: ItemRun, upstream: Upstream) -> None:
+        self._pool.on_end(upstream)
+        run.task = None
+        # An item that was given up meanwhile stays so.
+        if run.state is ItemState.scoring:
+            run.state = ItemState.unscored
+        self._on_end()
+
+    def _fail(self, batch: BatchRun, run: ItemRun, route: Route) -> None:
+        run.scoring_failures += 1
+        most = max(route.max_attempts, batch.head.max_attempts)
+        if run.scoring_failures >= most:
+            log.warning(
+                'Item is given up, its scoring fails.',
+                batch=batch.head.id,
+                item=run.item.id,
+                failures=run.scoring_failures,
+            )
+            batch.finish(run, run.abandon())
+
+    def _miss(
+        self,
+        batch: BatchRun,
+        run: ItemRun,
+        upstream: str,
+        reason: str,
+    ) -> None:
+        run.postpone(self._clock.elapsed())
+        self._counters.add('scoring_calls_failed', reason=reason)
+        log.info(
+            'Scoring call failed.',
+            batch=batch.head.id,
+            item=run.item.id,
+            call=run.item.scoring.id if run.item.scoring else '',
+            upstream=upstream,
+            reason=reason,
+            failures=run.scoring_failures,
+        )
+
+
+def choose_upstream(
+    upstreams: Sequence[Upstream],
+    now: timedelta,
+    avoided: str,
+) -> Upstream | None:
+    """Choose the upstream of a scoring call, the least loaded one.
+
+    :param avoided: upstream where the call has just failed.
+    :returns: ``None`` if none has room beside humans.
+    """
+    able = [one for one in upstreams if not one.member.leaving]
+    usable = [one for one in able if one.is_open(now)] or able
+    fit = [one for one in usable if has_room(one, now)]
+    return min(
+        fit,
+        key=lambda one: (
+            one.name == avoided,
+            one.closed_until if one.closed_until > now else timedelta(0),
+            one.faults > 0,
+            one.count_load(now) / one.member.slots,
+        ),
+        default=None,
+    )
+
+
+def has_room(upstream: Upstream, now: timedelta) -> bool:
+    """Tell whether an upstream takes a scoring call beside humans."""
+    most = max(int(upstream.member.slots * SCORING_SHARE), 1)
+    refusing = upstream.busy.get('', timedelta(0)) > now
+    return upstream.count_load(now) < most and not refusing
+
+
+def find_patience(route: Route, misses: int) -> timedelta:
+    """Tell how long a call may take.
+
+    :param misses: calls before it that brought no score.
+    """
+    first = route.target_latency or DEFAULT_PATIENCE
+    return min(first * 2**misses, max(route.timeout, first))
--- a/quetzalcourse/platform/callers.py
+++ b/quetzalcourse/platform/callers.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.state.batches import BatchItem, Submission
+from quetzalcourse.state.batches import BatchItem, ScoringCall, Submission
 from quetzalcourse.state.calls import BatchCall, BatchVerb, CallerTerms
 
 if TYPE_CHECKING:
@@ -23,6 +23,15 @@
 PAGE_BYTES = 1_000_000
 
 
+class ScorerMessage(msgspec.Struct):
+    """Request that scores the text of an item."""
+
+    id: str
+    hostname: str
+    path: str
+    body: bytes = b''
+
+
 class ItemMessage(msgspec.Struct):
     """An item; ``tokens`` counts its prompt and the most of its output."""
 
@@ -32,6 +41,7 @@
     headers: dict[str, str] = {}
     tokens: int = 0
     group: str = ''
+    scorer: ScorerMessage | None = None
 
 
 class BatchMessage(msgspec.Struct):
@@ -44,13 +54,14 @@
     desired_count: int = 0
 
 
-class ResultMessage(msgspec.Struct):
-    """Result of an item."""
+class ResultMessage(msgspec.Struct, omit_defaults=True):
+    """Result of an item; without ``score`` where nothing scored it."""
 
     id: str
     state: str
     text: str
     versions: list[int]
+    score: str = ''
 
 
 class PageMessage(msgspec.Struct):
@@ -118,6 +129,7 @@
                 item.body,
                 item.tokens,
                 item.group,
+                _read_scorer(item.scorer),
             )
             for item in message.requests
         )
@@ -145,8 +157,15 @@
                     result.state.value,
                     result.text,
                     result.versions,
+                    result.score,
                 )
             )
         return msgspec.json.encode(
             PageMessage(page.total, page.position + len(shown), shown)
         )
+
+
+def _read_scorer(message: ScorerMessage | None) -> ScoringCall | None:
+    if message is None:
+        return None
+    return ScoringCall(message.id, message.hostname, message.path, message.body)
--- a/quetzalcourse/platform/upstreams.py
+++ b/quetzalcourse/platform/upstreams.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from quetzalcourse.state.batches import BatchItem
+    from quetzalcourse.state.batches import BatchItem, ScoringCall
     from quetzalcourse.state.calls import AttemptTerms, RequestHead
 
 OK_FIRST = 200
@@ -60,6 +60,15 @@
         headers = [('Host', host), ('X-Request-Id', item.id), *kept]
         return headers + _write_terms(terms)
 
+    def write_scoring(
+        self,
+        call: ScoringCall,
+        terms: AttemptTerms,
+    ) -> list[tuple[str, str]]:
+        """Write the headers of a scoring call for a server."""
+        headers = [('Host', call.host), ('X-Request-Id', call.id)]
+        return headers + _write_terms(terms)
+
     def read_answer(
         self,
         request_id: str,
@@ -77,7 +86,8 @@
         version = headers.get('X-Weight-Versions', '')
         number = int(version) if version.isdecimal() else 0
         if OK_FIRST <= status <= OK_LAST:
-            return AnswerMarks(AnswerState.served, load, number)
+            stamp = headers.get('X-Server-Stamp', '')
+            return AnswerMarks(AnswerState.served, load, number, stamp)
         if status == UNPROCESSABLE:
             return AnswerMarks(AnswerState.impossible, load)
         return AnswerMarks(AnswerState.failed, load)
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from quetzalcourse.batch_parts import build_batch_parts
+from quetzalcourse.batch_parts import BatchCalls, build_batch_parts
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.calendar import SharedCalendar
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
@@ -34,6 +34,7 @@
 from quetzalcourse.transport.item_calls import ItemCalls
 from quetzalcourse.transport.metrics import render_metrics
 from quetzalcourse.transport.peer_link import PeerLink
+from quetzalcourse.transport.scoring_calls import ScoringCalls
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_calls import UpstreamCalls
 from quetzalcourse.transport.web import WebServer
@@ -176,10 +177,11 @@
             self.clock,
             self.counters,
         )
+        scorer = ScoringCalls(self.calls, self._deployment.upstreams, self.pool)
         self.batches = build_batch_parts(
             self.store,
             self.feeds.batches,
-            items,
+            BatchCalls(items, scorer),
             self.pool,
             self.routes,
             self.presence,
--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -16,6 +16,7 @@
 PUBLIC_PREFIX = '/open/'
 STREAM_PREFIX = '/stream/'
 BOUND_PREFIX = '/bound/'
+SCORING_PREFIX = '/scoring/'
 KEY = 'key-of-the-desk'
 OTHER_KEY = 'key-of-another'
 ACCOUNT = 'desk'
@@ -48,6 +49,7 @@
         'routes': [
             build_route(LOOKUP_PREFIX, 'idempotent'),
             build_route(ONCE_PREFIX, 'non_idempotent'),
+            build_route(SCORING_PREFIX, 'idempotent'),
             build_route(PUBLIC_PREFIX, 'idempotent', public=True),
             build_route(
                 STREAM_PREFIX,
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -58,6 +58,8 @@
     :param cut_after: event after which the next streams are cut.
     :param cuts: how many streams are cut so.
     :param double: answers that are followed by a second one.
+    :param short: answers of plain requests whose body breaks off.
+    :param misname: answers of plain requests that name another one.
     :param dark: whether it answers nothing at all.
     """
 
@@ -67,6 +69,8 @@
     cut_after: int = 0
     cuts: int = 0
     double: int = 0
+    short: int = 0
+    misname: int = 0
     dark: bool = False
 
 
@@ -276,7 +280,22 @@
             await self._stream(request, head, model, resumed_after)
         else:
             await asyncio.sleep(WORK_SECONDS * self.faults.slow)
-            await self._answer(request, head, b'answer to ' + request.body)
+            await self._answer_plain(request, head)
+
+    async def _answer_plain(self, request: Request, head: RequestHead) -> None:
+        body = b'answer to ' + request.body
+        if self.faults.short:
+            self.faults.short -= 1
+            marks = self._mark(head) | {'Content-Length': str(len(body) + 1)}
+            answer = await request.respond(headers=marks)
+            await answer.send(body)
+            abort_connection(request)
+        elif self.faults.misname:
+            self.faults.misname -= 1
+            marks = self._mark(head) | {'X-Request-Id': 'other'}
+            await send_answer(request, body, headers=marks)
+        else:
+            await self._answer(request, head, body)
 
     async def _answer(
         self,
--- a/quetzalcourse/standins/rollout/world.py
+++ b/quetzalcourse/standins/rollout/world.py
@@ -40,9 +40,28 @@
         return json.loads(self.body)
 
 
-def build_item(name: str, group: str = 'g1') -> dict[str, Any]:
-    """Write an item of a batch."""
+def build_scorer(name: str) -> dict[str, Any]:
+    """Write the scoring call of an item."""
     return {
+        'id': f'score-of-{name}',
+        'hostname': documents.HOST,
+        'path': f'{documents.SCORING_PREFIX}{name}',
+        'body': base64.b64encode(f'text of {name}'.encode()).decode(),
+    }
+
+
+def build_item(
+    name: str,
+    group: str = 'g1',
+    *,
+    scored: bool = False,
+) -> dict[str, Any]:
+    """Write an item of a batch.
+
+    :param scored: whether its text is to be scored.
+    """
+    scorer = {'scorer': build_scorer(name)} if scored else {}
+    return scorer | {
         'id': name,
         'path': f'{documents.BATCH_PREFIX}1/{name}',
         'headers': {'X-Model': documents.MODEL, 'X-Token-Counts': '8,8'},
@@ -52,14 +71,19 @@
     }
 
 
-def build_batch(names: list[str], **changes: Any) -> dict[str, Any]:
+def build_batch(
+    names: list[str],
+    *,
+    scored: bool = False,
+    **changes: Any,
+) -> dict[str, Any]:
     """Write a batch of items."""
     batch: dict[str, Any] = {
         'step': 0,
         'model': documents.MODEL,
         'min_version': 1,
         'desired_count': 1,
-        'requests': [build_item(name) for name in names],
+        'requests': [build_item(name, scored=scored) for name in names],
     }
     return batch | changes
 
--- a/quetzalcourse/state/batches.py
+++ b/quetzalcourse/state/batches.py
@@ -9,6 +9,21 @@
 import msgspec
 
 
+class ScoringCall(msgspec.Struct, frozen=True):
+    """Request whose answer says how good an item's text is.
+
+    It may be repeated, and runs for no client account.
+
+    :param id: its request id, which its answer names.
+    :param path: where it is posted, by the route of host and path.
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes = b''
+
+
 class BatchItem(msgspec.Struct, frozen=True):
     """One item of a batch.
 
@@ -16,6 +31,7 @@
     :param headers: passed on as they are.
     :param tokens: prompt tokens and the most output tokens together.
     :param group: items of one group share their prompt.
+    :param scoring: call that scores its text, ``None`` if none does.
     """
 
     id: str
@@ -24,6 +40,7 @@
     body: bytes
     tokens: int = 0
     group: str = ''
+    scoring: ScoringCall | None = None
 
 
 class BatchHead(msgspec.Struct, frozen=True):
@@ -83,12 +100,14 @@
 
     :param text: data of all events, separated by line feeds.
     :param versions: weight versions that made them, oldest first.
+    :param score: what its scoring call said, empty without such a call.
     """
 
     id: str
     state: ResultState
     text: str = ''
     versions: list[int] = []
+    score: str = ''
 
 
 class PartialText(msgspec.Struct, frozen=True):
@@ -96,12 +115,16 @@
 
     :param item: id of the item.
     :param last_event: number of the last event of the text.
+    :param whole: whether the text is whole, and only its score is missing.
+    :param scoring_failures: scoring calls that were answered as failed.
     """
 
     item: str
     texts: list[str]
     versions: list[int]
     last_event: int
+    whole: bool = False
+    scoring_failures: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/state/calls.py
+++ b/quetzalcourse/state/calls.py
@@ -94,11 +94,13 @@
         ``foreign`` if the answer belongs to another request.
     :param load: load that it tells, if it does.
     :param weight_version: version of the first token, if it has one.
+    :param stamp: mark that the upstream puts on each answer of its own.
     """
 
     state: AnswerState
     load: LoadReport | None = None
     weight_version: int = 0
+    stamp: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/tests/commands/demo_tests.py
+++ b/quetzalcourse/tests/commands/demo_tests.py
@@ -18,5 +18,6 @@
     assert main(['demo', '--platform']) == 0
     shown = capsys.readouterr().out
     assert '8 served' in shown
-    assert '24 results at the other one, versions [2]' in shown
+    assert '24 results at the other one, 24 with a score' in shown
+    assert 'versions [2]' in shown
     assert 'usage reports' in shown
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/scoring_tests.py
@@ -0,0 +1,155 @@
+"""Where scoring calls go, and how long they may take."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
+from quetzalcourse.coordination.batches.scoring import (
+    choose_upstream,
+    find_patience,
+    has_room,
+)
+from quetzalcourse.coordination.forwarding.pool import Upstream
+from quetzalcourse.state.batches import BatchItem, PartialText, ScoringCall
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.state.routing import Route, RouteKind, Target
+
+NOW = timedelta(seconds=100)
+SLOTS = 6
+
+
+def build_upstream(
+    name: str,
+    running: int = 0,
+    *,
+    leaving: bool = False,
+) -> Upstream:
+    """Build an upstream of a plain service."""
+    member = PoolMember(name, 'app', f'{name}:1', 'hall', SLOTS, leaving)
+    return Upstream(member, running=running)
+
+
+def build_route(target: int, timeout: int) -> Route:
+    """Build a route by its times in milliseconds."""
+    return Route(
+        'r',
+        'verse.example',
+        '/score/',
+        RouteKind.idempotent,
+        timedelta(milliseconds=timeout),
+        timedelta(milliseconds=target),
+        1,
+        (Target('app', 1),),
+        2,
+    )
+
+
+def test_burst_of_scores_leaves_slots_to_humans() -> None:
+    # Sixty texts end within a moment and all want their scores. Were every
+    # slot of the service theirs, a human's lookup would wait behind them.
+    upstreams = [build_upstream(f's-{number}') for number in range(4)]
+    placed = 0
+    for _ in range(60):
+        chosen = choose_upstream(upstreams, NOW, '')
+        if chosen is not None:
+            chosen.running += 1
+            placed += 1
+    assert placed == 16
+    assert {one.running for one in upstreams} == {4}
+
+
+@pytest.mark.parametrize(
+    ('running', 'others', 'age', 'room'),
+    [
+        (0, 0, 0.0, True),
+        (3, 0, 0.0, True),
+        (4, 0, 0.0, False),
+        (1, 3, 0.0, False),
+        (1, 3, 5.0, True),
+    ],
+)
+def test_room_counts_what_other_daemons_have_there(
+    running: int,
+    others: int,
+    age: float,
+    room: bool,
+) -> None:
+    """Word of others' requests counts as long as it is fresh."""
+    upstream = build_upstream('s', running)
+    upstream.others = others
+    upstream.others_at = NOW - timedelta(seconds=age)
+    assert has_room(upstream, NOW) is room
+
+
+def test_small_upstream_still_scores() -> None:
+    """One with a single slot has room for one call."""
+    upstream = Upstream(PoolMember('s', 'app', 's:1', 'hall', 1))
+    assert has_room(upstream, NOW)
+
+
+def test_refusing_upstream_is_left_alone() -> None:
+    # A full server refuses the call. Asked again at once it would only
+    # refuse again, and each refusal costs the server time.
+    upstream = build_upstream('s')
+    upstream.busy[''] = NOW + timedelta(seconds=1)
+    assert choose_upstream([upstream], NOW, '') is None
+
+
+def test_leaving_and_resting_upstreams_come_last() -> None:
+    """One that leaves gets none; a resting one is better than none."""
+    leaving = build_upstream('leaving', leaving=True)
+    resting = build_upstream('resting')
+    resting.closed_until = NOW + timedelta(seconds=1)
+    loaded = build_upstream('loaded', running=3)
+    assert choose_upstream([leaving, resting, loaded], NOW, '') is loaded
+    assert choose_upstream([leaving, resting], NOW, '') is resting
+    assert choose_upstream([leaving], NOW, '') is None
+
+
+def test_call_goes_elsewhere_after_a_failure() -> None:
+    """Unless there is nowhere else."""
+    first, second = build_upstream('a'), build_upstream('b', running=2)
+    assert choose_upstream([first, second], NOW, 'a') is second
+    assert choose_upstream([first], NOW, 'a') is first
+
+
+@pytest.mark.parametrize(
+    ('target', 'timeout', 'misses', 'patience'),
+    [
+        (500, 2000, 0, 500),
+        (500, 2000, 1, 1000),
+        (500, 2000, 9, 2000),
+        (0, 2000, 0, 500),
+        (500, 0, 3, 500),
+    ],
+)
+def test_patience_grows_to_the_route_s_timeout(
+    target: int,
+    timeout: int,
+    misses: int,
+    patience: int,
+) -> None:
+    # A server that turned slow never answers within the first patience. With
+    # the same patience for ever, its texts would never be scored.
+    found = find_patience(build_route(target, timeout), misses)
+    assert found == timedelta(milliseconds=patience)
+
+
+def test_whole_text_is_saved_as_such() -> None:
+    # An owner dies between a text's end and its score. Its successor goes on
+    # with the score; it doesn't make the text again.
+    call = ScoringCall('c', 'verse.example', '/score/', b'')
+    item = BatchItem('i', '/i', {}, b'', scoring=call)
+    run = ItemRun(item, 0, ItemState.running, texts=['a'], last_event=1)
+    run.scoring_failures = 1
+    run.expect_score()
+    saved = run.save()
+    assert saved == PartialText('i', ['a'], [], 1, True, 1)
+    successor = ItemRun(item, 0)
+    successor.restore(saved)
+    assert successor.state is ItemState.unscored
+    assert successor.scoring_failures == 1
+    assert successor.complete('s').text == 'a'
--- /dev/null
+++ b/quetzalcourse/tests/rollout/scored_batches_tests.py
@@ -0,0 +1,260 @@
+"""Scores of whole texts: asked for once a text stands, whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.upstream import (
+    count_events,
+    write_event,
+    write_text,
+)
+from quetzalcourse.standins.rollout.world import build_batch
+
+if TYPE_CHECKING:
+    from quetzalcourse.standins.rollout.upstream import Run
+    from quetzalcourse.standins.rollout.world import RolloutWorld
+
+ITEMS = [f'i-{number}' for number in range(12)]
+PREFIX = documents.SCORING_PREFIX
+
+
+def list_calls(world: RolloutWorld) -> list[Run]:
+    """List the scoring calls that servers began to work on."""
+    return [run for service in world.services for run in service.runs]
+
+
+def check_results(world: RolloutWorld, results: list[dict[str, Any]]) -> None:
+    """Check that each item has its whole text and a score of its own."""
+    assert sorted(result['id'] for result in results) == sorted(ITEMS)
+    names = {service.name for service in world.services}
+    for result in results:
+        assert result['state'] == 'completed'
+        assert result['text'] == write_text(result['id'])
+        server, _, call = result['score'].partition('.')
+        assert server in names
+        assert call == f'score-of-{result["id"]}'
+
+
+async def submit(world: RolloutWorld, names: list[str] = ITEMS) -> None:
+    """Submit a batch whose texts are to be scored."""
+    batch = build_batch(names, scored=True)
+    reply = await world.caller.submit(world.address(), 'b-1', batch)
+    assert reply.status == 202
+
+
+async def await_unscored(world: RolloutWorld) -> None:
+    """Wait until every text stands whole at the first daemon."""
+    batch = world.daemons[0].batches.runner.batches['b-1']
+    async with asyncio.timeout(10):
+        while not all(run.whole for run in batch.items):
+            await asyncio.sleep(0.05)
+
+
+async def test_texts_are_scored_once_they_are_whole(
+    world: RolloutWorld,
+) -> None:
+    """The call carries its own id and body, and neither key nor account."""
+    await submit(world)
+    check_results(world, await world.caller.read_all(world.address(), 'b-1'))
+    calls = list_calls(world)
+    assert sorted(call.request_id for call in calls) == sorted(
+        f'score-of-{name}' for name in ITEMS
+    )
+    ends = {run.request_id: run.at for one in world.engines for run in one.runs}
+    for call in calls:
+        name = call.request_id.removeprefix('score-of-')
+        assert call.body == f'text of {name}'.encode()
+        assert (call.client_account, call.key_seen) == ('', False)
+        assert call.at > ends[name] + 0.01 * count_events(name)
+
+
+async def test_results_without_a_scoring_call_have_no_score(
+    world: RolloutWorld,
+) -> None:
+    """Their results look as they always did."""
+    await world.caller.submit(world.address(), 'b-1', build_batch(ITEMS))
+    results = await world.caller.read_all(world.address(), 'b-1')
+    assert not any('score' in result for result in results)
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        'error',
+        'lost answer',
+        'dark',
+        'full',
+        'body cut off',
+        'wrong id',
+        'second answer',
+        'crash',
+    ],
+)
+async def test_faults_of_the_scoring_service_lose_no_score(
+    world: RolloutWorld,
+    fault: str,
+) -> None:
+    # A server of the scoring service fails, loses answers, falls silent, is
+    # full, cuts bodies off, answers for another call, or crashes. A trainer
+    # would learn from a score that is nobody's, or wait for one for ever.
+    server = world.services[0]
+    if fault == 'error':
+        server.faults.fail = 1
+    elif fault == 'lost answer':
+        server.faults.lose = 4
+    elif fault == 'dark':
+        server.faults.dark = True
+    elif fault == 'full':
+        server.slots = 0
+    elif fault == 'body cut off':
+        server.faults.short = 4
+    elif fault == 'wrong id':
+        server.faults.misname = 4
+    elif fault == 'second answer':
+        server.faults.double = 4
+    await submit(world)
+    if fault == 'crash':
+        await server.stop()
+        await world.store.remove('servers', server.name)
+    check_results(world, await world.caller.read_all(world.address(), 'b-1'))
+
+
+async def test_text_whose_scoring_always_fails_is_given_up(
+    world: RolloutWorld,
+) -> None:
+    # The scoring service fails on a text each time. Its item is abandoned
+    # after as many failures as the route allows, and the text is made once.
+    for service in world.services:
+        service.faults.fail = 100
+    await submit(world, ['i-0'])
+    results = await world.caller.read_all(world.address(), 'b-1')
+    assert [result['state'] for result in results] == ['abandoned']
+    assert len(list_calls(world)) == 3
+    assert sum(len(engine.runs) for engine in world.engines) == 1
+
+
+async def test_unscored_texts_hold_no_slot_of_an_engine(
+    world: RolloutWorld,
+) -> None:
+    # The scoring service is away for a while. Texts that wait for it must
+    # not keep other texts from being made.
+    for service in world.services:
+        service.slots = 0
+    await submit(world)
+    await await_unscored(world)
+    assert sum(engine.running for engine in world.engines) == 0
+    pool = world.daemons[0].pool
+    assert sum(one.running for one in pool.list_service(documents.ENGINES)) == 0
+    for service in world.services:
+        service.slots = 6
+    check_results(world, await world.caller.read_all(world.address(), 'b-1'))
+
+
+async def test_route_that_moves_takes_its_scoring_calls_along(
+    world: RolloutWorld,
+) -> None:
+    # The route of the scoring calls is dropped while texts wait for their
+    # scores, and comes back. Nothing says meanwhile that they have none.
+    for service in world.services:
+        service.slots = 0
+    await submit(world)
+    await await_unscored(world)
+    dropped = documents.build_config(2)
+    dropped['routes'] = [
+        route for route in dropped['routes'] if route['path_prefix'] != PREFIX
+    ]
+    await world.store.write('op', 'config', dropped)
+    await asyncio.sleep(0.5)
+    for service in world.services:
+        service.slots = 6
+    await asyncio.sleep(1.0)
+    assert list_calls(world) == []
+    await world.store.write('op', 'config', documents.build_config(3))
+    check_results(world, await world.caller.read_all(world.address(), 'b-1'))
+
+
+@pytest.mark.parametrize('end', ['killed', 'told to stop', 'cut off'])
+async def test_next_owner_scores_what_is_whole(
+    pair: RolloutWorld,
+    end: str,
+) -> None:
+    # The owner of a batch goes between the end of a text and its score. The
+    # next one asks for the score alone; made again, the texts would come
+    # late and their tokens be paid twice.
+    for service in pair.services:
+        service.slots = 0
+    await submit(pair)
+    await await_unscored(pair)
+    await asyncio.sleep(1.3)
+    if end == 'killed':
+        ending = asyncio.ensure_future(pair.end_daemon(pair.daemons[0]))
+    elif end == 'told to stop':
+        ending = asyncio.ensure_future(pair.daemons[0].on_drain())
+    else:
+        pair.doors[0].faults.mode = 'silent'
+        ending = asyncio.ensure_future(asyncio.sleep(0))
+    await asyncio.sleep(0.5)
+    for service in pair.services:
+        service.slots = 6
+    check_results(pair, await pair.caller.read_all(pair.address(1), 'b-1'))
+    await ending
+    assert sum(len(engine.runs) for engine in pair.engines) == len(ITEMS)
+
+
+async def test_ended_batch_is_scored_no_more(pair: RolloutWorld) -> None:
+    # A trainer has enough and ends its batch while calls are under way.
+    # Their slots are wanted by others.
+    for service in pair.services:
+        service.faults.slow = 60
+    await submit(pair)
+    await asyncio.sleep(0.6)
+    assert list_calls(pair)
+    reply = await pair.caller.call(
+        pair.address(1), 'DELETE', '/quetzalcourse/lots/b-1'
+    )
+    assert reply.status == 200
+    ended = len(list_calls(pair))
+    await asyncio.sleep(1.0)
+    assert len(list_calls(pair)) == ended
+    assert sum(service.running for service in pair.services) == 0
+
+
+async def test_lookups_pass_a_burst_of_scores(world: RolloutWorld) -> None:
+    # The texts of a large step end together and all want their scores. A
+    # human's lookup is served meanwhile, not refused and not behind them.
+    for service in world.services:
+        service.faults.slow = 20
+        service.slots = 6
+    names = [f'i-{number}' for number in range(60)]
+    await submit(world, names)
+    async with asyncio.timeout(10):
+        while sum(service.running for service in world.services) < 8:
+            await asyncio.sleep(0.02)
+    replies = await asyncio.gather(
+        *(
+            world.caller.call(
+                world.address(),
+                'POST',
+                documents.LOOKUP_PREFIX,
+                b'shelf',
+                request_id=f'r-{number}',
+            )
+            for number in range(2)
+        )
+    )
+    assert [reply.status for reply in replies] == [200, 200]
+    lookups = [run for run in list_calls(world) if run.request_id[0] == 'r']
+    assert len(lookups) == 2
+
+
+def test_stand_in_writes_events_that_make_the_text() -> None:
+    """The text is what the stream's events say, line by line."""
+    events = [
+        write_event('i', number) for number in range(1, count_events('i') + 1)
+    ]
+    assert write_text('i') == '\n'.join(events)
--- a/quetzalcourse/transport/dialect.py
+++ b/quetzalcourse/transport/dialect.py
@@ -12,6 +12,7 @@
     from quetzalcourse.state.batches import (
         BatchItem,
         ResultPage,
+        ScoringCall,
         StreamEvent,
         Submission,
     )
@@ -61,6 +62,13 @@
     ) -> list[tuple[str, str]]:
         """Write the headers of an item's request for an upstream."""
 
+    def write_scoring(
+        self,
+        call: ScoringCall,
+        terms: AttemptTerms,
+    ) -> list[tuple[str, str]]:
+        """Write the headers of a scoring call for an upstream."""
+
     def read_answer(
         self,
         request_id: str,
--- /dev/null
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -0,0 +1,98 @@
+"""Scoring calls to upstreams of plain services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.batches.scoring import (
+    ScoringOutcome,
+    ScoringState,
+)
+from quetzalcourse.log import get_log
+from quetzalcourse.state.calls import AnswerState, AttemptTerms
+from quetzalcourse.transport.upstream_calls import (
+    CallLostError,
+    LostState,
+    read_pieces,
+)
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    import aiohttp
+
+    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.state.batches import ScoringCall
+    from quetzalcourse.transport.dialect import UpstreamDialect
+    from quetzalcourse.transport.upstream_calls import UpstreamCalls
+
+log = get_log('scoring')
+
+
+class ScoringCalls:
+    """Makes scoring calls over the connections that requests share."""
+
+    def __init__(
+        self,
+        calls: UpstreamCalls,
+        dialect: UpstreamDialect,
+        pool: Pool,
+    ) -> None:
+        """Keep the parts."""
+        self._calls = calls
+        self._dialect = dialect
+        self._pool = pool
+
+    async def score(
+        self,
+        call: ScoringCall,
+        upstream: Upstream,
+        patience: timedelta,
+    ) -> ScoringOutcome:
+        """Make a call once and judge its answer."""
+        terms = AttemptTerms(upstream.name, '', patience)
+        try:
+            async with self._calls.open(
+                upstream.member.address,
+                'POST',
+                call.path,
+                self._dialect.write_scoring(call, terms),
+                call.body,
+                patience,
+            ) as answer:
+                return await self._judge(call, upstream, answer, patience)
+        except CallLostError as error:
+            if error.state is LostState.late:
+                self._pool.on_late(upstream)
+            else:
+                self._pool.on_failure(upstream, error.state.value)
+            return ScoringOutcome(ScoringState.lost, reason=error.state.value)
+
+    async def _judge(
+        self,
+        call: ScoringCall,
+        upstream: Upstream,
+        answer: aiohttp.ClientResponse,
+        patience: timedelta,
+    ) -> ScoringOutcome:
+        marks = self._dialect.read_answer(
+            call.id, answer.status, answer.headers
+        )
+        self._pool.on_load(upstream, marks.load)
+        reason = f'status {answer.status}'
+        if marks.state is AnswerState.not_run:
+            self._pool.on_busy(upstream, '')
+            return ScoringOutcome(ScoringState.not_run, reason=reason)
+        if marks.state is AnswerState.foreign:
+            self._pool.on_failure(upstream, 'foreign answer')
+            return ScoringOutcome(ScoringState.lost, reason='foreign answer')
+        # An answer that breaks off counts for nothing, so its body is read
+        # to the end though nobody wants it.
+        pieces = [piece async for piece in read_pieces(answer, patience)]
+        if marks.state is not AnswerState.served:
+            return ScoringOutcome(ScoringState.failed, reason=reason)
+        if not marks.stamp:
+            return ScoringOutcome(ScoringState.lost, reason='no stamp')
+        self._pool.on_success(upstream)
+        log.debug('Score came.', call=call.id, pieces=len(pieces))
+        return ScoringOutcome(ScoringState.scored, marks.stamp)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,12 +36,14 @@
 class BatchRecord:
     """A batch as its callers saw it.
 
+    :param scored: whether its texts are to be scored.
     :param pages: every result that was read, by position.
     """
 
     id: str
     items: list[str]
     min_version: int
+    scored: bool = False
     accepted: bool = False
     refused_only: bool = True
     pages: dict[int, dict[str, Any]] = field(default_factory=dict)
@@ -112,7 +114,12 @@
                 f'i-{number}-{item}'
                 for item in range(self._random.randint(1, 24))
             ]
-            record = BatchRecord(f'b-{number}', items, max(self.named - 1, 1))
+            record = BatchRecord(
+                f'b-{number}',
+                items,
+                max(self.named - 1, 1),
+                scored=number % 2 == 1,
+            )
             self.batches.append(record)
             await self._submit(record, stop)
             await asyncio.sleep(STEP_PAUSE)
@@ -157,7 +164,11 @@
             record.note(after, reply.read())
 
     async def _submit(self, record: BatchRecord, stop: asyncio.Event) -> None:
-        batch = build_batch(record.items, min_version=record.min_version)
+        batch = build_batch(
+            record.items,
+            scored=record.scored,
+            min_version=record.min_version,
+        )
         while not stop.is_set():
             reply = await self._try_submit(record.id, batch)
             if reply is None or reply.status != UNAVAILABLE:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -85,6 +85,10 @@
         return [f'{record.id}: {item} is {result["state"]}']
     if result['text'] != write_text(item):
         return [f'{record.id}: {item} is not whole']
+    call = str(result.get('score', '')).partition('.')[2]
+    wanted = f'score-of-{item}' if record.scored else ''
+    if call != wanted:
+        return [f'{record.id}: {item} has the score of {call!r}']
     versions = result['versions']
     if not isinstance(versions, list) or min(versions) < record.min_version:
         return [f'{record.id}: {item} was made with {versions}']
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for the developers, outside the product."""
