Reach the store by way of another daemon while it turns this one away

Cause: the store turns some daemons away for seconds and serves the others.

Change: rows of batches and members are read, written and followed by way of a daemon that says that the store answers it, under the same conditions. The owner of a batch keeps it, members go on to hear its beats. Leases stay with daemons that reach the store themselves.

Ruled out: sending whole calls of callers to other daemons, which leaves owners that can't commit to be taken over after a silence of 2.4 s.

--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -17,11 +17,10 @@
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.runner import ItemRunner
     from quetzalcourse.coordination.batches.scoring import Scorer
-    from quetzalcourse.coordination.feeds.follower import TableFollower
-    from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.feeds.ports import StoreClock
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
-    from quetzalcourse.deployment import StoreParts
+    from quetzalcourse.feed_parts import FeedParts
     from quetzalcourse.lifecycle import Lifecycle
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -52,21 +51,17 @@
 
 
 def build_batch_parts(
-    store: StoreParts,
-    feed: TableFollower,
+    feeds: FeedParts,
+    store_clock: StoreClock,
     calls: BatchCalls,
     pool: Pool,
     routes: RouteTable,
-    presence: Presence,
     clock: Clock,
     counters: Counters,
 ) -> BatchParts:
-    """Build the parts and connect them.
-
-    :param feed: follows the small rows of batches.
-    """
-    rows = BatchRows(store.table)
-    directory = BatchDirectory(feed)
+    """Build the parts and connect them."""
+    rows = BatchRows(feeds.store)
+    directory = BatchDirectory(feeds.batches)
     reader = ResultReader(rows, directory, clock)
     runner = BatchRunner(
         rows,
@@ -79,8 +74,9 @@
         counters,
     )
     runner.on_committed(reader.on_committed)
-    keeper = BatchKeeper(rows, directory, runner, presence, store.clock, clock)
+    members = feeds.presence
+    keeper = BatchKeeper(rows, directory, runner, members, store_clock, clock)
     batches = Batches(
-        rows, directory, reader, runner, presence, store.clock, clock
+        rows, directory, reader, runner, members, store_clock, clock
     )
     return BatchParts(reader, runner, keeper, batches)
--- a/quetzalcourse/coordination/feeds/relay.py
+++ b/quetzalcourse/coordination/feeds/relay.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.members import Topic
 from quetzalcourse.state.rows import Row
@@ -22,6 +23,7 @@
     from collections.abc import Iterable
 
     from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.coordination.feeds.store_helpers import StoreHelpers
     from quetzalcourse.coordination.feeds.reach import StoreReach
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.clock import Clock
@@ -51,6 +53,7 @@
     key: str
     content: bytes
     version: int
+    removed: bool = False
 
 
 class RowsTold(msgspec.Struct, frozen=True):
@@ -74,6 +77,7 @@
 
     :param followers: follow the tables that are asked for.
     :param reach: learns from every answer who reaches the store.
+    :param helpers: learns it too, and wakes to ask at once.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         peers: Peers,
         members: MemberView,
         reach: StoreReach,
+        helpers: StoreHelpers,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -90,6 +95,7 @@
         self._peers = peers
         self._members = members
         self._reach = reach
+        self._helpers = helpers
         self._clock = clock
         self._counters = counters
         self._random = random.Random()
@@ -100,9 +106,10 @@
         """Ask while the store does not answer, until cancelled."""
         while True:
             for follower in self._followers.values():
-                if follower.faulty:
+                if follower.faulty or self._helpers.asked.is_set():
                     self._ask(follower)
-            await self._clock.sleep(TICK)
+            self._helpers.asked.clear()
+            await wait_event(self._helpers.asked, TICK)
 
     def on_asked(self, sender: Member, content: bytes) -> None:
         """Answer a daemon with what it does not know.
@@ -129,6 +136,7 @@
         """Take rows that another daemon knows."""
         told = msgspec.msgpack.decode(content, type=RowsTold)
         self._reach.on_word(sender, hears_store=told.hears_store)
+        self._helpers.on_word(sender, hears_store=told.hears_store)
         follower = self._followers.get(told.table)
         if follower is None or not follower.faulty or not told.rows:
             return
--- /dev/null
+++ b/quetzalcourse/coordination/feeds/store_calls.py
@@ -0,0 +1,210 @@
+"""Calls to the store on their way by another daemon."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import msgspec
+from result import Err, Ok, Result
+
+from quetzalcourse.coordination.feeds.relay import RowTold
+from quetzalcourse.state.rows import (
+    Changes,
+    Commit,
+    Condition,
+    FaultKind,
+    Row,
+    StoreFault,
+    Transaction,
+    Write,
+)
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class ReadCall(msgspec.Struct, frozen=True, tag='read'):
+    """Read one row."""
+
+    key: str
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        return {_find_table(self.key)}
+
+
+class ScanCall(msgspec.Struct, frozen=True, tag='scan'):
+    """Read rows in the order of their keys."""
+
+    prefix: str
+    after: str
+    limit: int
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        return {_find_table(self.prefix)}
+
+
+class TransactCall(msgspec.Struct, frozen=True, tag='transact'):
+    """Write rows together if every condition holds.
+
+    :param conditions: keys with the versions that they must have.
+    :param writes: keys with their new contents, none to remove the row.
+    """
+
+    conditions: list[tuple[str, int]]
+    writes: list[tuple[str, bytes | None]]
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        keys = [key for key, _ in (*self.conditions, *self.writes)]
+        return {_find_table(key) for key in keys}
+
+
+class FollowCall(msgspec.Struct, frozen=True, tag='follow'):
+    """Wait for the changes of a table behind a version."""
+
+    table: str
+    version: int
+    wait_ms: int
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        return {self.table}
+
+
+class ListPartsCall(msgspec.Struct, frozen=True, tag='list_parts'):
+    """List the parts of a table."""
+
+    table: str
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        return {self.table}
+
+
+class ReadPartCall(msgspec.Struct, frozen=True, tag='read_part'):
+    """Read all rows of a part."""
+
+    table: str
+    part: str
+
+    @property
+    def tables(self) -> set[str]:
+        """Tables that are meant."""
+        return {self.table}
+
+
+StoreCall = (
+    ReadCall
+    | ScanCall
+    | TransactCall
+    | FollowCall
+    | ListPartsCall
+    | ReadPartCall
+)
+
+
+class StoreAsked(msgspec.Struct, frozen=True):
+    """A call that another daemon is to make.
+
+    :param number: which call of the sender it is.
+    """
+
+    number: int
+    call: StoreCall
+
+
+class StoreTold(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the store answered.
+
+    :param number: call that is answered.
+    :param fault: kind of the failure, empty if there was none.
+    :param version: of the rows just written, or the newest one told.
+    :param applied: whether a transaction took effect.
+    """
+
+    number: int
+    fault: str = ''
+    step: str = ''
+    peer: str = ''
+    history_lost: bool = False
+    rows: list[RowTold] = []
+    parts: list[str] = []
+    version: int = 0
+    applied: bool = False
+
+    def read_rows(self) -> list[Row]:
+        """Read the rows."""
+        return [
+            Row(row.key, row.content, row.version, row.removed)
+            for row in self.rows
+        ]
+
+    def read_fault(self) -> StoreFault:
+        """Read the failure."""
+        return StoreFault(
+            FaultKind(self.fault), self.step, self.peer, self.history_lost
+        )
+
+
+def _find_table(key: str) -> str:
+    return key.partition('/')[0]
+
+
+def pack_transaction(transaction: Transaction) -> TransactCall:
+    """Write a transaction as a call."""
+    return TransactCall(
+        [(one.key, one.version) for one in transaction.conditions],
+        [(one.key, one.content) for one in transaction.writes],
+    )
+
+
+def read_transaction(call: TransactCall) -> Transaction:
+    """Read a transaction from a call."""
+    return Transaction(
+        tuple(Condition(key, version) for key, version in call.conditions),
+        tuple(Write(key, content) for key, content in call.writes),
+    )
+
+
+def tell_rows(rows: list[Row] | tuple[Row, ...]) -> list[RowTold]:
+    """Write rows for another daemon."""
+    return [
+        RowTold(row.key, row.content, row.version, row.removed) for row in rows
+    ]
+
+
+def tell_fault(number: int, fault: StoreFault) -> StoreTold:
+    """Write a failure for another daemon."""
+    return StoreTold(
+        number,
+        fault.kind.value,
+        fault.step,
+        fault.peer,
+        fault.history_lost,
+    )
+
+
+def read_commit(told: StoreTold) -> Commit:
+    """Read what became of a transaction."""
+    return Commit(told.applied, tuple(told.read_rows()), told.version)
+
+
+def read_changes(told: StoreTold) -> Changes:
+    """Read changes of a table."""
+    return Changes(tuple(told.read_rows()), told.version)
+
+
+def read_row(told: StoreTold) -> Row | None:
+    """Read the one row, ``None`` if there is none."""
+    return next(iter(told.read_rows()), None)
+
+
+def read_answer(told: StoreTold) -> Result[StoreTold, StoreFault]:
+    """Tell an answer from a failure."""
+    return Err(told.read_fault()) if told.fault else Ok(told)
--- /dev/null
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -0,0 +1,91 @@
+"""Daemons by which this one reaches the store while that turns it away.
+
+The load that this answers: for some seconds the store refuses a third of the
+daemons, or their way to it is cut, and serves the others. Trainers go on to
+submit and read at those daemons, since the balancer needs two seconds to
+send them elsewhere, and each batch that is refused costs its step as long.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.tasks import wait_event
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Member
+
+# Others are asked four times a second; word older than four questions may
+# be of a daemon that is turned away itself by now.
+WORD_LIFE = timedelta(seconds=1)
+# How long a call waits for the first word of another daemon: a question and
+# its answer take some 5 ms between data centres. A call that found nobody
+# by then is refused, so the wait is a small share of a caller's 400 ms.
+WORD_WAIT = timedelta(milliseconds=50)
+# While the store is down for all every call looks for help in vain; they
+# share one question.
+ASK_GAP = timedelta(milliseconds=100)
+LONG_AGO = timedelta(days=-1)
+
+
+class StoreHelpers:
+    """Knows which daemons the store answers, as they say themselves.
+
+    :param follower: table by which the store's answers here are judged.
+    """
+
+    def __init__(self, follower: TableFollower, clock: Clock) -> None:
+        """Begin without a word from anyone."""
+        self.asked = asyncio.Event()
+        self._follower = follower
+        self._clock = clock
+        self._words: dict[str, tuple[Member, timedelta]] = {}
+        self._word = asyncio.Event()
+        self._asked_at = LONG_AGO
+        self._random = random.Random()
+
+    @property
+    def needed(self) -> bool:
+        """Whether the store fails to answer this daemon."""
+        return self._follower.faulty
+
+    def on_word(self, sender: Member, *, hears_store: bool) -> None:
+        """Take the word of another daemon.
+
+        :param hears_store: whether the store answers that one.
+        """
+        if not hears_store:
+            self._words.pop(sender.vm, None)
+            return
+        self._words[sender.vm] = (sender, self._clock.elapsed())
+        self._word.set()
+
+    def on_silence(self, helper: Member) -> None:
+        """Learn that a daemon did not answer."""
+        self._words.pop(helper.vm, None)
+
+    def find(self) -> Member | None:
+        """Find a daemon that the store answers, at random among them."""
+        oldest = self._clock.elapsed() - WORD_LIFE
+        fresh = [
+            member for member, said in self._words.values() if said >= oldest
+        ]
+        return self._random.choice(fresh) if fresh else None
+
+    async def seek(self) -> Member | None:
+        """Find a daemon, and ask the others at once if none is known."""
+        found = self.find()
+        if found is not None:
+            return found
+        now = self._clock.elapsed()
+        if now - self._asked_at >= ASK_GAP:
+            self._asked_at = now
+            self._word.clear()
+            self.asked.set()
+        await wait_event(self._word, WORD_WAIT)
+        return self.find()
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -6,11 +6,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.batch_rows import TABLE
+from quetzalcourse.coordination.batches import batch_rows
 from quetzalcourse.coordination.feeds import presence
 from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.feeds.store_helpers import StoreHelpers
 from quetzalcourse.coordination.feeds.reach import StoreReach
 from quetzalcourse.coordination.feeds.relay import FeedRelay
+from quetzalcourse.coordination.feeds.store_relay import StoreRelay
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.duties.usage_windows import WindowCounts
@@ -30,11 +32,22 @@
 BEAT_PAUSE_EACH = timedelta(milliseconds=8)
 BATCH_PAUSE = timedelta(milliseconds=100)
 BATCH_PAUSE_EACH = timedelta(milliseconds=5)
+# Rows that a daemon may reach by way of another one.
+RELAYED_TABLES = (
+    batch_rows.TABLE,
+    batch_rows.ITEMS,
+    batch_rows.PARTIALS,
+    batch_rows.RESULTS,
+    presence.TABLE,
+)
 
 
 @dataclass(frozen=True, slots=True)
 class FeedParts:
-    """What a daemon knows of the store's tables and of the others."""
+    """What a daemon knows of the store's tables and of the others.
+
+    :param store: rows of batches and members, directly or by others.
+    """
 
     operators: TableFollower
     upstreams: TableFollower
@@ -43,6 +56,7 @@
     presence: presence.Presence
     reach: StoreReach
     relay: FeedRelay
+    store: StoreRelay
 
     def on_members(self) -> None:
         """Read less often where there are more daemons."""
@@ -90,15 +104,19 @@
         counters,
         single_part=True,
     )
+    helpers = StoreHelpers(operators, clock)
+    by_others = StoreRelay(
+        store.table, store.feed, peers, helpers, RELAYED_TABLES, counters
+    )
     batches = TableFollower(
-        store.feed, TABLE, clock, counters, pause=BATCH_PAUSE
+        by_others, batch_rows.TABLE, clock, counters, pause=BATCH_PAUSE
     )
     members = TableFollower(
-        store.feed, presence.TABLE, clock, counters, pause=BEAT_PAUSE
+        by_others, presence.TABLE, clock, counters, pause=BEAT_PAUSE
     )
     beats = presence.Presence(
         own,
-        store.table,
+        by_others,
         members,
         clock,
         counts.describe,
@@ -107,10 +125,16 @@
     )
     reach = StoreReach(operators, beats, clock)
     relay = FeedRelay(
-        (operators, upstreams), peers, beats, reach, clock, counters
+        (operators, upstreams),
+        peers,
+        beats,
+        reach,
+        helpers,
+        clock,
+        counters,
     )
     parts = FeedParts(
-        operators, upstreams, batches, members, beats, reach, relay
+        operators, upstreams, batches, members, beats, reach, relay, by_others
     )
     beats.on_change(parts.on_members)
     return parts
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -179,12 +179,11 @@
         )
         scorer = ScoringCalls(self.calls, self._deployment.upstreams, self.pool)
         self.batches = build_batch_parts(
-            self.store,
-            self.feeds.batches,
+            self.feeds,
+            self.store.clock,
             BatchCalls(items, scorer),
             self.pool,
             self.routes,
-            self.presence,
             self.clock,
             self.counters,
         )
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -48,3 +48,5 @@
     demand = 'demand'
     rows_asked = 'rows_asked'
     rows_told = 'rows_told'
+    store_asked = 'store_asked'
+    store_told = 'store_told'
--- a/quetzalcourse/tests/rollout/outages_tests.py
+++ b/quetzalcourse/tests/rollout/outages_tests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.world import build_batch
 from quetzalcourse.tests.rollout.calls import LOOKUP, look_up
 
 if TYPE_CHECKING:
@@ -118,3 +119,76 @@
     await starting
     reply = await world.caller.call(world.address(1), 'POST', LOOKUP, b'salt')
     assert reply.status == 200
+
+
+ITEMS = [f'i-{number}' for number in range(12)]
+
+
+@pytest.mark.parametrize('mode', ['busy', 'reset', 'silent'])
+async def test_daemon_out_of_reach_of_the_store_takes_batches(
+    pair: RolloutWorld,
+    mode: str,
+) -> None:
+    # The store turns one daemon away for some seconds while it serves the
+    # other. A trainer whose channels lead there would lose its step: both of
+    # its tries are over before the balancer has sent it elsewhere.
+    await await_acquaintance(pair)
+    pair.doors[0].faults.mode = mode
+    await asyncio.sleep(2.0)
+    reply = await pair.caller.submit(
+        pair.address(0), 'b-1', build_batch(ITEMS, scored=True)
+    )
+    assert reply.status == 202
+    results = await pair.caller.read_all(pair.address(0), 'b-1')
+    assert {result['state'] for result in results} == {'completed'}
+    assert results == await pair.caller.read_all(pair.address(1), 'b-1')
+    reply = await pair.caller.call(
+        pair.address(0), 'DELETE', '/quetzalcourse/lots/b-1'
+    )
+    assert reply.status == 200
+    runs = [run.request_id for one in pair.engines for run in one.runs]
+    assert len(runs) == len(set(runs))
+
+
+async def test_submission_goes_by_another_daemon_at_the_first_refusal(
+    pair: RolloutWorld,
+) -> None:
+    """No daemon has said yet that the store answers it."""
+    await await_acquaintance(pair)
+    pair.doors[0].faults.mode = 'busy'
+    reply = await pair.caller.submit(
+        pair.address(0), 'b-1', build_batch(ITEMS)
+    )
+    assert reply.status == 202
+
+
+async def test_owner_out_of_reach_of_the_store_keeps_its_batch(
+    pair: RolloutWorld,
+) -> None:
+    # The store turns the owner of a batch away in the middle of it. Were the
+    # batch taken over, its texts would be made again seconds later.
+    await await_acquaintance(pair)
+    for engine in pair.engines:
+        engine.faults.slow = 40
+    await pair.caller.submit(pair.address(0), 'b-1', build_batch(ITEMS))
+    pair.doors[0].faults.mode = 'busy'
+    results = await pair.caller.read_all(pair.address(1), 'b-1')
+    assert {result['state'] for result in results} == {'completed'}
+    runs = [run.request_id for one in pair.engines for run in one.runs]
+    assert len(runs) == len(set(runs))
+
+
+async def test_batch_is_refused_truly_where_nobody_reaches_the_store(
+    pair: RolloutWorld,
+) -> None:
+    # The store is down for all. Nobody can help, and the refusal says so
+    # within a moment of the last try.
+    await await_acquaintance(pair)
+    pair.store.faults.mode = 'busy'
+    reply = await pair.caller.submit(
+        pair.address(0), 'b-1', build_batch(ITEMS)
+    )
+    assert reply.status == 503
+    pair.store.faults.mode = ''
+    await asyncio.sleep(1.0)
+    assert not any(engine.runs for engine in pair.engines)
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -35,6 +35,7 @@
     'store_calls': 'Calls to the store, by call and outcome.',
     'store_feed_faults': 'Times that a table could not be followed.',
     'store_silence_seconds': 'Age of what is known of a table, in seconds.',
+    'store_calls_relayed': 'Calls to the store by way of another daemon.',
     'upstream_failures': 'Failed attempts that made upstreams rest.',
     'usage_reports': 'Reports of usage sent, by whether they were taken.',
 }
