Learn from answers how long an attempt waits

Hypothesis: an upstream that falls silent costs each lookup 600 ms of its 1,500, and each scoring call 533 ms, though answers take 45 and 110 ms.

Change: the wait follows from the mean and deviation of a route's answers, grows while waits are in vain, and is never longer than before.

A short wait lets the second attempt still be in time.

--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.coordination.batches.item_run import ItemState
+from quetzalcourse.coordination.forwarding.patience import Patience
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.exceptions import RefusedError
@@ -37,8 +38,9 @@
 # load is known. The rest is for humans, who come one at a time: two of six
 # slots take bursts of 50 requests a second of 38 ms each.
 SCORING_SHARE = 2 / 3
-# A call is as long on its way as a human's may be; one that is silent for
-# longer is made again elsewhere, with twice the time each time it is lost.
+# Until answers have shown how long calls take, one is as long on its way as
+# a human's may be; one that is lost is made again elsewhere, with twice the
+# time each time.
 DEFAULT_PATIENCE = timedelta(milliseconds=500)
 log = get_log('scoring')
 
@@ -50,6 +52,7 @@
     not_run = 'not_run'
     failed = 'failed'
     lost = 'lost'
+    late = 'late'
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,7 @@
         self._clock = clock
         self._counters = counters
         self._on_end: Callable[[], None] = lambda: None
+        self._patience = Patience()
         self._tasks = Tasks('scoring')
 
     def on_end(self, listener: Callable[[], None]) -> None:
@@ -138,13 +142,14 @@
         call = run.item.scoring
         assert call is not None  # noqa: S101
         began = self._clock.elapsed()
-        patience = min(find_patience(route, run.misses), batch.given_up - began)
+        wait = find_wait(route, run.misses, self._patience)
+        patience = min(wait, batch.given_up - began)
         try:
             outcome = await self._scorer.score(call, upstream, patience)
         finally:
             self._release(run, upstream)
-        took = (self._clock.elapsed() - began).total_seconds()
-        self._counters.observe('scoring_call', took, state=outcome.state.value)
+        took = self._clock.elapsed() - began
+        self._note(route, outcome, took)
         if outcome.state is ScoringState.scored:
             log.info(
                 'Item is scored.',
@@ -152,7 +157,7 @@
                 item=run.item.id,
                 call=call.id,
                 upstream=upstream.name,
-                seconds=round(took, 3),
+                seconds=round(took.total_seconds(), 3),
             )
             batch.finish(run, run.complete(outcome.score))
             return
@@ -161,6 +166,20 @@
         if outcome.state is ScoringState.failed:
             self._fail(batch, run, route)
 
+    def _note(
+        self,
+        route: Route,
+        outcome: ScoringOutcome,
+        took: timedelta,
+    ) -> None:
+        self._counters.observe(
+            'scoring_call', took.total_seconds(), state=outcome.state.value
+        )
+        if outcome.state in {ScoringState.scored, ScoringState.failed}:
+            self._patience.on_answer(route.name, took)
+        elif outcome.state is ScoringState.late:
+            self._patience.on_vain(route.name, took)
+
     def _release(self, run: ItemRun, upstream: Upstream) -> None:
         self._pool.on_end(upstream)
         run.task = None
@@ -233,10 +252,11 @@
     return upstream.count_load(now) < most and not refusing
 
 
-def find_patience(route: Route, misses: int) -> timedelta:
+def find_wait(route: Route, misses: int, patience: Patience) -> timedelta:
     """Tell how long a call may take.
 
     :param misses: calls before it that brought no score.
     """
-    first = route.target_latency or DEFAULT_PATIENCE
-    return min(first * 2**misses, max(route.timeout, first))
+    longest = route.target_latency or DEFAULT_PATIENCE
+    first = patience.find_wait(route.name, longest)
+    return min(first * 2**misses, max(route.timeout, longest))
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.forwarding.patience import Patience
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.routing import RouteKind
@@ -18,9 +19,10 @@
 # A caller that comes back this soon finds another daemon or an upstream
 # that is open again, and has most of its time left.
 COME_BACK = timedelta(milliseconds=200)
-# An idempotent request leaves its upstream after this share of its time, so
-# that one which fell silent leaves time for another. Half of it would leave
-# the second attempt less than the first had.
+# While nothing is known of a route's answers, an idempotent request leaves
+# its upstream after this share of its time, so that one which fell silent
+# leaves time for another. Half of it would leave the second attempt less
+# than the first had.
 FIRST_SHARE = 0.4
 LEAST_PATIENCE = timedelta(milliseconds=250)
 # Work that can't be done in less is refused instead of started.
@@ -36,6 +38,9 @@
     :param replayable: whether its body can be sent once more.
     :param attempts: upstreams that it was sent to.
     :param may_have_run: whether one of them may have begun to run it.
+    :param attempt_began: time since boot at which the last one was chosen.
+    :param waits_for: how long it waits before another upstream is tried,
+        zero if none will be.
     """
 
     request_id: str
@@ -46,6 +51,8 @@
     replayable: bool = True
     attempts: int = 0
     may_have_run: bool = False
+    attempt_began: timedelta = timedelta(0)
+    waits_for: timedelta = timedelta(0)
     tried: set[str] = field(default_factory=set)
 
     @property
@@ -60,6 +67,7 @@
     def __init__(self, pool: Pool, clock: Clock) -> None:
         """Keep the pool that attempts choose from."""
         self._pool = pool
+        self._patience = Patience()
         self._clock = clock
 
     def measure_left(self, forwarding: Forwarding) -> timedelta:
@@ -81,6 +89,7 @@
         if upstream is None:
             raise RefusedError(_refuse_without(forwarding))
         forwarding.attempts += 1
+        forwarding.attempt_began = self._clock.elapsed()
         forwarding.tried.add(upstream.name)
         return upstream
 
@@ -88,8 +97,22 @@
         """Tell how long to wait for the head of an attempt's answer."""
         left = self.measure_left(forwarding)
         if not self.may_repeat(forwarding, not_run=False):
+            forwarding.waits_for = timedelta(0)
             return left
-        return min(left, max(left * FIRST_SHARE, LEAST_PATIENCE))
+        longest = min(left, max(left * FIRST_SHARE, LEAST_PATIENCE))
+        wait = self._patience.find_wait(forwarding.route.name, longest)
+        forwarding.waits_for = wait
+        return wait
+
+    def on_answer(self, forwarding: Forwarding) -> None:
+        """Learn that the attempt's answer begins to come."""
+        took = self._clock.elapsed() - forwarding.attempt_began
+        self._patience.on_answer(forwarding.route.name, took)
+
+    def on_late(self, forwarding: Forwarding) -> None:
+        """Learn that the attempt's answer did not come in time."""
+        if forwarding.waits_for:
+            self._patience.on_vain(forwarding.route.name, forwarding.waits_for)
 
     def may_repeat(self, forwarding: Forwarding, *, not_run: bool) -> bool:
         """Tell whether another upstream may be tried.
--- a/quetzalcourse/tests/coordination/batches/scoring_tests.py
+++ b/quetzalcourse/tests/coordination/batches/scoring_tests.py
@@ -9,9 +9,10 @@
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.scoring import (
     choose_upstream,
-    find_patience,
+    find_wait,
     has_room,
 )
+from quetzalcourse.coordination.forwarding.patience import Patience
 from quetzalcourse.coordination.forwarding.pool import Upstream
 from quetzalcourse.state.batches import BatchItem, PartialText, ScoringCall
 from quetzalcourse.state.pool import PoolMember
@@ -134,7 +135,7 @@
 ) -> None:
     # A server that turned slow never answers within the first patience. With
     # the same patience for ever, its texts would never be scored.
-    found = find_patience(build_route(target, timeout), misses)
+    found = find_wait(build_route(target, timeout), misses, Patience())
     assert found == timedelta(milliseconds=patience)
 
 
--- a/quetzalcourse/tests/rollout/outages_tests.py
+++ b/quetzalcourse/tests/rollout/outages_tests.py
@@ -156,9 +156,7 @@
     """No daemon has said yet that the store answers it."""
     await await_acquaintance(pair)
     pair.doors[0].faults.mode = 'busy'
-    reply = await pair.caller.submit(
-        pair.address(0), 'b-1', build_batch(ITEMS)
-    )
+    reply = await pair.caller.submit(pair.address(0), 'b-1', build_batch(ITEMS))
     assert reply.status == 202
 
 
@@ -185,9 +183,7 @@
     # within a moment of the last try.
     await await_acquaintance(pair)
     pair.store.faults.mode = 'busy'
-    reply = await pair.caller.submit(
-        pair.address(0), 'b-1', build_batch(ITEMS)
-    )
+    reply = await pair.caller.submit(pair.address(0), 'b-1', build_batch(ITEMS))
     assert reply.status == 503
     pair.store.faults.mode = ''
     await asyncio.sleep(1.0)
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -182,6 +182,7 @@
         except CallLostError as error:
             not_run = error.state is LostState.not_sent
             if error.state is LostState.late:
+                self._forwarder.on_late(forwarding)
                 self._pool.on_late(upstream)
             else:
                 self._pool.on_failure(upstream, error.state.value)
@@ -208,6 +209,7 @@
         if marks.state is AnswerState.foreign:
             self._pool.on_failure(upstream, 'foreign answer')
             raise AttemptFailedError('foreign answer', not_run=False)
+        self._forwarder.on_answer(forwarding)
         failed = answer.status >= SERVER_ERROR
         if caller.begun and marks.state is not AnswerState.served:
             raise AttemptFailedError(f'status {answer.status}', not_run=False)
--- a/quetzalcourse/transport/scoring_calls.py
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -62,11 +62,12 @@
             ) as answer:
                 return await self._judge(call, upstream, answer, patience)
         except CallLostError as error:
+            reason = error.state.value
             if error.state is LostState.late:
                 self._pool.on_late(upstream)
-            else:
-                self._pool.on_failure(upstream, error.state.value)
-            return ScoringOutcome(ScoringState.lost, reason=error.state.value)
+                return ScoringOutcome(ScoringState.late, reason=reason)
+            self._pool.on_failure(upstream, reason)
+            return ScoringOutcome(ScoringState.lost, reason=reason)
 
     async def _judge(
         self,
--- a/tools/yardstick.py
+++ b/tools/yardstick.py
@@ -70,6 +70,7 @@
     parser.add_argument('--jobs', type=int, default=JOBS)
     parser.add_argument('--day-cap', type=int)
     parser.add_argument('--why', required=True)
+    parser.add_argument('--reports', type=Path, help='folder to keep them in')
     return parser.parse_args()
 
 
@@ -124,7 +125,12 @@
         if not report.exists():
             sys.stderr.write(ended.stdout[-2000:] + ended.stderr[-2000:])
             return Outcome(None, {}, 0, 0, 0)
-        return read_report(json.loads(report.read_text()))
+        text = report.read_text()
+    if options.reports:
+        name = f'{one.checkout.name}-{one.site.stem}-{one.day}-{one.seed}.json'
+        options.reports.mkdir(parents=True, exist_ok=True)
+        (options.reports / name).write_text(text)
+    return read_report(json.loads(text))
 
 
 def read_report(report: dict) -> Outcome:
