Take the slot before a running item moves, and move by what is gained

A load of weights, which stops streams for 0.9 s, also counted as a slow pace.

Change: a move takes its slot at the other upstream first, only if the pace there gains half a second over the events still expected, and leaves a slot to items that wait. One long gap of a stream is a pause, not its pace.

--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -47,7 +47,7 @@
     :param last_event: number of the last event, ``None`` before the first.
     :param saved_event: last event of the text that was saved.
     :param saved_whole: whether it was saved as whole.
-    :param moving: whether it is to go on at another upstream.
+    :param target: upstream where it is to go on, empty if it stays.
     """
 
     item: BatchItem
@@ -65,7 +65,7 @@
     upstream: str = ''
     avoided: str = ''
     began: timedelta = timedelta(0)
-    moving: bool = False
+    target: str = ''
     task: asyncio.Task[None] | None = None
 
     @property
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -13,6 +13,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.batches.moves import choose_target
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -25,9 +27,9 @@
 # A group's items share their prompt, which is read once where they run
 # together; more load than this beside others costs more than that saves.
 GROUP_SHARE = 0.25
-# Running items are reviewed twenty times a second each; the pace that is
-# usual changes more slowly.
-MEDIAN_LIFE = timedelta(milliseconds=250)
+# Running items are reviewed twenty times a second each; the best pace
+# changes more slowly.
+BEST_LIFE = timedelta(milliseconds=250)
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +55,7 @@
         """Keep the pool that is chosen from."""
         self._pool = pool
         self._clock = clock
-        self._medians: dict[str, tuple[timedelta, float]] = {}
+        self._best: dict[str, tuple[timedelta, float]] = {}
 
     def choose(self, need: Need) -> Upstream | None:
         """Choose the upstream for an item.
@@ -89,24 +91,26 @@
             and not _is_busy(upstream, need.model, now)
         ]
 
-    def may_move(self, need: Need, upstream: Upstream) -> bool:
-        """Tell whether an item should leave a slow upstream.
+    def may_gain(self, upstream: Upstream) -> bool:
+        """Tell whether any upstream of a service is faster than this one.
+
+        It spares most items the weighing of all upstreams.
+        """
+        return upstream.pace > self._find_best_pace(upstream.member.service)
+
+    def choose_target(
+        self,
+        need: Need,
+        upstream: Upstream,
+        made: int,
+    ) -> Upstream | None:
+        """Choose a faster upstream where a running item should go on.
 
         :param upstream: where it runs.
+        :param made: events that it has so far.
         """
-        if not is_slow(upstream, self._find_usual_pace(need)):
-            return False
-        fit = self.list_fit(need)
-        median = find_median_pace(fit)
-        if not is_slow(upstream, median):
-            return False
         now = self._clock.elapsed()
-        return any(
-            other.count_load(now) < other.member.slots
-            and not is_slow(other, median)
-            and other.name != upstream.name
-            for other in fit
-        )
+        return choose_target(upstream, self.list_fit(need), made, now)
 
     def _list_weighed(self, need: Need) -> list[Upstream]:
         weighed = self._pool.sample_service(need.service)
@@ -115,13 +119,14 @@
             return weighed
         return [*weighed, near]
 
-    def _find_usual_pace(self, need: Need) -> float:
+    def _find_best_pace(self, service: str) -> float:
         now = self._clock.elapsed()
-        found_at, median = self._medians.get(need.service, (None, 0.0))
-        if found_at is None or now - found_at >= MEDIAN_LIFE:
-            median = find_median_pace(self.list_fit(need))
-            self._medians[need.service] = (now, median)
-        return median
+        found_at, best = self._best.get(service, (None, 0.0))
+        if found_at is None or now - found_at >= BEST_LIFE:
+            weighed = self._pool.sample_service(service)
+            best = min((one.pace for one in weighed if one.pace), default=0.0)
+            self._best[service] = (now, best)
+        return best
 
     def _rank(
         self,
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -157,7 +157,7 @@
                 elif run.retry_at > now:
                     continue
                 elif run.state is ItemState.waiting:
-                    self._begin(batch, run, now)
+                    self._begin(batch, run)
                 elif run.state is ItemState.unscored:
                     self._scoring.begin(batch, run)
 
@@ -182,7 +182,7 @@
         saved = answer.is_ok() and isinstance(answer.unwrap(), Written)
         self._counters.add('batch_texts_saved', saved=str(saved))
 
-    def _begin(self, batch: BatchRun, run: ItemRun, now: timedelta) -> None:
+    def _begin(self, batch: BatchRun, run: ItemRun) -> None:
         need = self._find_need(batch, run)
         if need is None:
             batch.finish(run, run.abandon())
@@ -190,13 +190,15 @@
         upstream = self._placement.choose(need)
         if upstream is None:
             return
-        run.state = ItemState.running
-        run.upstream = upstream.name
-        run.began = now
-        run.moving = False
         # Counted here and not by the task, which begins later: all items
         # that are placed in one go would find the same upstream empty.
         self._pool.on_start(upstream)
+        self._start(batch, run, upstream)
+
+    def _start(self, batch: BatchRun, run: ItemRun, upstream: Upstream) -> None:
+        run.state = ItemState.running
+        run.upstream = upstream.name
+        run.began = self._clock.elapsed()
         run.task = self._tasks.begin(self._attempt(batch, run, upstream))
 
     def _find_need(self, batch: BatchRun, run: ItemRun) -> Need | None:
@@ -213,11 +215,18 @@
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
         upstream = self._pool.find(run.upstream)
-        if run.moving or upstream is None or run.last_event is None:
+        if run.target or upstream is None or run.last_event is None:
+            return
+        if not self._placement.may_gain(upstream):
             return
         need = self._find_need(batch, run)
-        if need is not None and self._placement.may_move(need, upstream):
-            run.moving = True
+        if need is None:
+            return
+        target = self._placement.choose_target(need, upstream, len(run.texts))
+        if target is None or not _may_go_on(batch, run, target):
+            return
+        run.target = target.name
+        self._pool.on_start(target)
 
     async def _attempt(
         self,
@@ -229,10 +238,13 @@
         try:
             result = await self._items.run(batch, run, upstream)
         finally:
-            self._on_end(run, upstream)
+            target = self._on_end(run, upstream)
         if result is None:
             run.avoided = upstream.name
             run.state = ItemState.waiting
+            if target is not None and run.retry_at <= self._clock.elapsed():
+                self._pool.on_start(target)
+                self._start(batch, run, target)
             return
         if result.state is ResultState.abandoned:
             log.warning(
@@ -243,10 +255,19 @@
             return
         batch.finish(run, result)
 
-    def _on_end(self, run: ItemRun, upstream: Upstream) -> None:
+    def _on_end(self, run: ItemRun, upstream: Upstream) -> Upstream | None:
+        """Give slots back.
+
+        :returns: upstream at which a slot was kept for the item, if any.
+        """
         self._pool.on_end(upstream)
+        target = self._pool.find(run.target)
+        if target is not None:
+            self._pool.on_end(target)
+        run.target = ''
         run.task = None
         self._wake.set()
+        return target
 
     def _give_up(self, batch: BatchRun) -> None:
         for run in batch.items:
@@ -318,3 +339,9 @@
             count=len(results),
             total=batch.head.total,
         )
+
+
+def _may_go_on(batch: BatchRun, run: ItemRun, upstream: Upstream) -> bool:
+    """Tell whether a text keeps to one weight version where it must."""
+    held = upstream.find_version(batch.head.model)
+    return not batch.head.single_version or run.versions[-1:] == [held]
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from quetzalcourse.coordination.batches.moves import PaceReader
 from quetzalcourse.coordination.batches.placement import Need, Placement
 from quetzalcourse.coordination.forwarding.pool import (
     MOST_WEIGHED,
@@ -103,10 +104,59 @@
     bench = Bench(3)
     for number, pace in enumerate((0.16, 0.04, 0.04)):
         bench.set_pace(number, pace)
-    assert bench.placement.may_move(NEED, bench.find(0))
-    assert not bench.placement.may_move(NEED, bench.find(1))
+    slow = bench.find(0)
+    assert bench.placement.may_gain(slow)
+    target = bench.placement.choose_target(NEED, slow, 10)
+    assert target in (bench.find(1), bench.find(2))
+    for fast in (1, 2):
+        here = bench.find(fast)
+        assert bench.placement.choose_target(NEED, here, 10) is None
     bench.place(2 * SLOTS)
-    assert not bench.placement.may_move(NEED, bench.find(0))
+    assert bench.placement.choose_target(NEED, slow, 10) is None
+
+
+def test_items_leave_a_slow_engine_one_for_each_free_slot() -> None:
+    # Ten items run on an engine that turned slow, and two slots are free
+    # elsewhere beside the one that is spared. Were all ten to leave, eight
+    # would come back and stand still meanwhile, again and again.
+    bench = Bench(2)
+    bench.set_pace(0, 0.16)
+    bench.set_pace(1, 0.04)
+    fast = bench.find(1)
+    fast.running = SLOTS - 3
+    moved = 0
+    for _ in range(10):
+        target = bench.placement.choose_target(NEED, bench.find(0), 10)
+        if target is not None:
+            bench.pool.on_start(target)
+            moved += 1
+    assert moved == 2
+
+
+def test_long_item_leaves_a_slightly_slower_engine() -> None:
+    # An engine is a third slower than the rest, as machines differ. An item
+    # of a hundred events has about as many to come, which is a second; for
+    # one that has just begun the move costs more than it gains.
+    bench = Bench(2)
+    bench.set_pace(0, 0.042)
+    bench.set_pace(1, 0.032)
+    here = bench.find(0)
+    assert bench.placement.choose_target(NEED, here, 100) is bench.find(1)
+    assert bench.placement.choose_target(NEED, here, 10) is None
+
+
+def test_load_of_weights_is_no_slow_pace() -> None:
+    # A load stops all streams of an engine for 0.9 s. Counted as its pace,
+    # all its items would leave it just when it goes on.
+    reader = PaceReader()
+    readings = [
+        reader.read(timedelta(milliseconds=at), 1)
+        for at in (500, 533, 566, 1466, 1499, 2399)
+    ]
+    assert readings[0] is None
+    assert readings[3] is None
+    assert [readings[1], readings[2], readings[4]] == [0.033] * 3
+    assert readings[5] == 0.9
 
 
 def test_few_readings_say_nothing_of_a_pace() -> None:
@@ -116,7 +166,7 @@
     for number in (1, 2):
         bench.set_pace(number, 0.04)
     bench.pool.on_pace(bench.find(0), 0.5)
-    assert not bench.placement.may_move(NEED, bench.find(0))
+    assert bench.placement.choose_target(NEED, bench.find(0), 100) is None
 
 
 def test_group_stays_together_while_there_is_room() -> None:
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.batches.moves import PaceReader
 from quetzalcourse.log import get_log
 from quetzalcourse.state.calls import AnswerState, AttemptTerms
 from quetzalcourse.transport.upstream_calls import (
@@ -194,7 +195,7 @@
         :returns: whether it came to its end.
         """
         rest = b''
-        last_at: timedelta | None = None
+        pace = PaceReader()
         async for piece in read_pieces(answer, STALL):
             *frames, rest = (rest + piece).split(FRAME_END)
             for frame in frames:
@@ -205,29 +206,16 @@
                     self._miss(batch, run, upstream, 'mixed weights')
                     return False
                 run.append(event, version)
-            now = self._clock.elapsed()
-            if frames:
-                self._note_pace(upstream, last_at, now, len(frames))
-                last_at = now
-            if run.moving:
+            reading = pace.read(self._clock.elapsed(), len(frames))
+            if reading is not None:
+                self._pool.on_pace(upstream, reading)
+            if run.target:
                 self._miss(batch, run, upstream, 'moved')
                 return False
         if rest.strip():
             raise GarbledStreamError('broken event')
         return True
 
-    def _note_pace(
-        self,
-        upstream: Upstream,
-        last_at: timedelta | None,
-        now: timedelta,
-        events: int,
-    ) -> None:
-        # The time to the first event is that of the prompt and the queue.
-        if last_at is not None:
-            pace = (now - last_at).total_seconds() / events
-            self._pool.on_pace(upstream, pace)
-
     def _read_event(self, run: ItemRun, frame: bytes) -> StreamEvent:
         event = self._dialect.read_event(frame)
         if event is None:
