Send the attempt after a silence where no cut lies between

Change: after an attempt without an answer the next one goes to the own data centre first, and last to those that were silent.

--- a/quetzalcourse/coordination/batches/moves.py
+++ b/quetzalcourse/coordination/batches/moves.py
@@ -55,7 +55,8 @@
         """
         if not events:
             return None
-        last_at, self.last_at = self.last_at, now
+        last_at = self.last_at
+        self.last_at = now
         if last_at is None:
             return None
         gap = now - last_at
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -39,6 +39,7 @@
     :param attempts: upstreams that it was sent to.
     :param may_have_run: whether one of them may have begun to run it.
     :param attempt_began: time since boot at which the last one was chosen.
+    :param silent: data centres of upstreams that did not answer.
     :param waits_for: how long it waits before another upstream is tried,
         zero if none will be.
     """
@@ -54,6 +55,7 @@
     attempt_began: timedelta = timedelta(0)
     waits_for: timedelta = timedelta(0)
     tried: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
 
     @property
     def repeatable(self) -> bool:
@@ -81,7 +83,9 @@
         """
         if self.measure_left(forwarding) < LEAST_TIME:
             raise RefusedError(self.refuse_late(forwarding))
-        upstream = self._pool.choose(forwarding.service, forwarding.tried)
+        upstream = self._pool.choose(
+            forwarding.service, forwarding.tried, forwarding.silent
+        )
         if upstream is None and forwarding.may_have_run:
             # One that broke off may well serve the rest; where it refused,
             # asking it again at once would only be refused again.
@@ -109,6 +113,10 @@
         took = self._clock.elapsed() - forwarding.attempt_began
         self._patience.on_answer(forwarding.route.name, took)
 
+    def on_silence(self, forwarding: Forwarding, upstream: Upstream) -> None:
+        """Learn that an upstream could not be reached, or did not answer."""
+        forwarding.silent.add(upstream.member.data_centre)
+
     def on_late(self, forwarding: Forwarding) -> None:
         """Learn that the attempt's answer did not come in time."""
         if forwarding.waits_for:
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -163,6 +163,7 @@
         self,
         service: str,
         avoided: Collection[str] = (),
+        silent: Collection[str] = (),
     ) -> Upstream | None:
         """Choose the upstream for a request, the least loaded one.
 
@@ -170,6 +171,10 @@
         be worse than an attempt that may fail.
 
         :param avoided: ids of upstreams that failed this request.
+        :param silent: data centres from which it got no answer. A cut
+            between data centres silences all upstreams behind it, and the
+            next attempt may be the last one that is allowed; it goes where
+            no cut lies between, to the own data centre first.
         """
         now = self._clock.elapsed()
         fit = [
@@ -180,7 +185,10 @@
         is_open = [upstream for upstream in fit if upstream.is_open(now)]
         if not is_open:
             return min(fit, key=lambda one: one.closed_until, default=None)
-        return min(is_open, key=lambda one: self._rank(one, now))
+        return min(
+            is_open,
+            key=lambda one: (self._is_far(one, silent), self._rank(one, now)),
+        )
 
     def _rank(
         self,
@@ -192,6 +200,15 @@
         doubtful = upstream.faults > 0
         return (doubtful, share, not near, self._random.random())
 
+    def _is_far(self, upstream: Upstream, silent: Collection[str]) -> int:
+        """Rank an upstream after an attempt that got no answer."""
+        if not silent:
+            return 0
+        place = upstream.member.data_centre
+        if place in silent:
+            return 2
+        return int(place != self._data_centre)
+
     def on_start(self, upstream: Upstream) -> None:
         """Count a request that is sent."""
         upstream.running += 1
--- a/quetzalcourse/tests/coordination/forwarding/pool_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/pool_tests.py
@@ -173,3 +173,25 @@
     assert [one.name for one in pool.list_service('other')] == ['s-1']
     pool.remove('s-1')
     assert not pool.list_service('other')
+
+
+def test_attempt_after_silence_stays_on_this_side_of_a_cut() -> None:
+    # The own data centre is cut off from the others. A request met one of
+    # theirs, which is silent, and may be sent once more. Another one of
+    # theirs would be silent too, and the caller would get nothing at all.
+    built = Pool('hall-a', FakeClock(), Counters())
+    built.replace(replace(MEMBER, name='far-1', data_centre='hall-b'))
+    built.replace(replace(MEMBER, name='far-2', data_centre='hall-b'))
+    built.replace(replace(MEMBER, name='other', data_centre='hall-c'))
+    near = replace(MEMBER, name='near')
+    built.replace(near)
+    loaded = built.find('near')
+    assert loaded is not None
+    loaded.running = 5
+    chosen = built.choose('app', {'far-1'}, {'hall-b'})
+    assert chosen is loaded
+    built.remove('near')
+    chosen = built.choose('app', {'far-1'}, {'hall-b'})
+    assert chosen is built.find('other')
+    built.remove('other')
+    assert built.choose('app', {'far-1'}, {'hall-b'}) is built.find('far-2')
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -181,6 +181,8 @@
                 self._finish(forwarding, upstream, answer)
         except CallLostError as error:
             not_run = error.state is LostState.not_sent
+            if error.state is not LostState.unanswered:
+                self._forwarder.on_silence(forwarding, upstream)
             if error.state is LostState.late:
                 self._forwarder.on_late(forwarding)
                 self._pool.on_late(upstream)
