Run the batches of a model at one daemon of its data centre

Change: the daemons of a data centre agree on a home for each model, among those with three quarters of the strongest one's processor time. Whoever takes a submission offers it there and runs it itself after 150 ms without an answer; both may write it, and the store lets one win. An offer of unknown outcome is never answered with a refusal.

--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -9,6 +9,7 @@
 from quetzalcourse.coordination.batches.batch_rows import BatchRows
 from quetzalcourse.coordination.batches.batches import Batches
 from quetzalcourse.coordination.batches.directory import BatchDirectory
+from quetzalcourse.coordination.batches.homes import BatchHomes
 from quetzalcourse.coordination.batches.placement import Placement
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.coordination.batches.runner import BatchRunner
@@ -18,6 +19,7 @@
     from quetzalcourse.coordination.batches.runner import ItemRunner
     from quetzalcourse.coordination.batches.scoring import Scorer
     from quetzalcourse.coordination.feeds.ports import StoreClock
+    from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.feed_parts import FeedParts
@@ -28,10 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchCalls:
-    """Calls to upstreams that batches need."""
+    """Calls to upstreams and to other daemons that batches need."""
 
     items: ItemRunner
     scorer: Scorer
+    peers: Peers
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,9 @@
     runner.on_committed(reader.on_committed)
     members = feeds.presence
     keeper = BatchKeeper(rows, directory, runner, members, store_clock, clock)
+    homes = BatchHomes(calls.peers, members)
     batches = Batches(
-        rows, directory, reader, runner, members, store_clock, clock
+        rows, directory, reader, runner, homes, members, store_clock, clock
     )
+    homes.on_offer(batches.take_offer)
     return BatchParts(reader, runner, keeper, batches)
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -50,6 +50,10 @@
         """Whether every result stands in the store."""
         return self.listed >= self.head.total
 
+    def count_unfinished(self) -> int:
+        """Count the items that have no result yet."""
+        return sum(run.state is not ItemState.finished for run in self.items)
+
     def finish(self, run: ItemRun, result: ItemResult) -> None:
         """Take the result of an item."""
         if run.state is ItemState.finished:
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -14,6 +14,7 @@
     split_items,
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
+from quetzalcourse.coordination.batches.homes import MOST_ITEMS, OfferOutcome
 from quetzalcourse.exceptions import QuetzalcourseError, RefusedError
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import (
@@ -26,11 +27,14 @@
 from quetzalcourse.state.rows import ABSENT, FaultKind, Row
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.directory import (
         BatchDirectory,
         BatchView,
     )
+    from quetzalcourse.coordination.batches.homes import BatchHomes
     from quetzalcourse.coordination.batches.result_reader import ResultReader
     from quetzalcourse.coordination.batches.runner import BatchRunner
     from quetzalcourse.coordination.feeds.ports import StoreClock
@@ -60,6 +64,7 @@
         directory: BatchDirectory,
         reader: ResultReader,
         runner: BatchRunner,
+        homes: BatchHomes,
         members: MemberView,
         store_clock: StoreClock,
         clock: Clock,
@@ -69,6 +74,7 @@
         self._directory = directory
         self._reader = reader
         self._runner = runner
+        self._homes = homes
         self._members = members
         self._store_clock = store_clock
         self._clock = clock
@@ -91,32 +97,68 @@
         if now is None:
             raise RefusedError(_refuse_store())
         head = _build_head(batch_id, client_account, route, submission, now)
-        chunks = split_items(submission.items)
+        outcome = await self._homes.offer(head, submission.items)
+        if outcome is not OfferOutcome.accepted:
+            unsure = outcome is OfferOutcome.unknown
+            await self._accept(head, submission.items, unsure=unsure)
+
+    async def take_offer(
+        self,
+        head: BatchHead,
+        items: Sequence[BatchItem],
+    ) -> OfferOutcome:
+        """Accept a batch that another daemon was asked for."""
+        if self._directory.find(head.id) is not None:
+            return OfferOutcome.accepted
+        running = sum(
+            one.count_unfinished() for one in self._runner.batches.values()
+        )
+        if self._members.own.leaving or running + len(items) > MOST_ITEMS:
+            return OfferOutcome.declined
+        try:
+            await self._accept(head, items)
+        except RefusedError:
+            return OfferOutcome.declined
+        except OutcomeUnknownError:
+            return OfferOutcome.unknown
+        return OfferOutcome.accepted
+
+    async def _accept(
+        self,
+        head: BatchHead,
+        items: Sequence[BatchItem],
+        *,
+        unsure: bool = False,
+    ) -> None:
+        """Accept a batch and begin to run it.
+
+        :param unsure: whether another daemon may have accepted it.
+        """
         accepted_at = self._clock.elapsed()
         own = self._members.own
         owner = Ownership(own.vm, own.incarnation, 1)
         if own.leaving:
             owner = Ownership('', '', 1)
         # The feed may show the batch before the answer to its write comes.
-        self._runner.reserved.add(batch_id)
+        self._runner.reserved.add(head.id)
         try:
-            written = await self._create(head, chunks, owner)
+            written = await self._create(
+                head, split_items(items), owner, unsure=unsure
+            )
         finally:
-            self._runner.reserved.discard(batch_id)
+            self._runner.reserved.discard(head.id)
         if written is None:
             return
         log.info(
             'Batch is accepted.',
-            batch=batch_id,
+            batch=head.id,
             items=head.total,
             step=head.step,
             min_version=head.min_version,
         )
         if owner.incarnation:
             self._runner.add(
-                build_batch_run(
-                    head, submission.items, (), written.version, accepted_at
-                )
+                build_batch_run(head, items, (), written.version, accepted_at)
             )
 
     async def read_results(
@@ -201,13 +243,15 @@
         head: BatchHead,
         chunks: list[bytes],
         owner: Ownership,
+        *,
+        unsure: bool,
     ) -> Written | None:
         """Write a batch until it stands, here or by another daemon.
 
+        :param unsure: whether a write of it may be under way already.
         :returns: the write, ``None`` if it stood already.
         """
         ends = self._clock.elapsed() + PATIENCE
-        unsure = False
         replaced = ABSENT
         while self._clock.elapsed() < ends:
             answer = await self._rows.create(head, chunks, owner, replaced)
--- /dev/null
+++ b/quetzalcourse/coordination/batches/homes.py
@@ -0,0 +1,179 @@
+"""Which daemon runs the batches of a model.
+
+The load that this answers: a trainer submits a step every few seconds, each
+by another daemon. Each of these would open a connection for each item of its
+step, learn anew which upstreams are slow or silent, and fill upstreams that
+others fill at the same moment. So the daemons of a data centre agree on one
+that runs the batches of a model; whoever takes a submission offers it there,
+and runs the batch itself if that one is gone, leaving or has enough to do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import itertools
+from datetime import timedelta
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+from quetzalcourse.coordination.slots.ownership import find_owner
+from quetzalcourse.coordination.tasks import Tasks
+from quetzalcourse.log import get_log
+from quetzalcourse.state.batches import BatchHead, BatchItem
+from quetzalcourse.state.members import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.coordination.ports import MemberView, Peers
+    from quetzalcourse.state.members import Member
+
+# A sound home answers within 20 ms, most of which is the store's; behind a
+# slow store both write, and the store lets one of them win.
+OFFER_TIME = timedelta(milliseconds=150)
+# Items that a home runs at most. Each costs some 3 ms of a core a second:
+# this many are three fifths of one, beside the callers' requests.
+MOST_ITEMS = 200
+# A weaker machine than this share of the strongest is no home: the streams
+# of a whole model would leave nothing of it for callers.
+STRONG_SHARE = 0.75
+# Larger batches are run where they come in; a message holds 4 MB.
+MOST_BYTES = 1_000_000
+log = get_log('homes')
+
+
+class OfferOutcome(enum.StrEnum):
+    """What became of an offered batch; ``unknown`` may still be accepted."""
+
+    accepted = 'accepted'
+    declined = 'declined'
+    unknown = 'unknown'
+
+
+class BatchTaker(Protocol):
+    """Takes a batch that is offered."""
+
+    async def __call__(
+        self,
+        head: BatchHead,
+        items: Sequence[BatchItem],
+    ) -> OfferOutcome:
+        """Accept a batch, or decline it."""
+
+
+class BatchOffered(msgspec.Struct, frozen=True):
+    """A batch that another daemon should accept and run.
+
+    :param number: which offer of the sender it is.
+    """
+
+    number: int
+    head: BatchHead
+    items: list[BatchItem]
+
+
+class OfferTold(msgspec.Struct, frozen=True):
+    """Whether an offered batch stands."""
+
+    number: int
+    accepted: bool
+
+
+def find_home(model: str, own: Member, members: Sequence[Member]) -> Member:
+    """Find the daemon that runs the batches of a model.
+
+    :param own: daemon that asks; only its data centre counts, so that a cut
+        between data centres separates no submission from its home.
+    :param members: live daemons.
+    """
+    near = [one for one in members if one.data_centre == own.data_centre]
+    strongest = max((one.cores for one in near), default=0)
+    strong = [one for one in near if one.cores >= strongest * STRONG_SHARE]
+    return find_owner(model, strong) or own
+
+
+class BatchHomes:
+    """Offers batches to their homes, and takes those that are offered."""
+
+    def __init__(self, peers: Peers, members: MemberView) -> None:
+        """Listen to offers and to answers."""
+        self._peers = peers
+        self._members = members
+        self._take: BatchTaker | None = None
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[bool]] = {}
+        self._tasks = Tasks('homes')
+        peers.subscribe(Topic.batch_offered, self.on_offered)
+        peers.subscribe(Topic.batch_told, self.on_told)
+
+    def on_offer(self, take: BatchTaker) -> None:
+        """Call a taker with each batch that is offered here."""
+        self._take = take
+
+    async def offer(
+        self,
+        head: BatchHead,
+        items: Sequence[BatchItem],
+    ) -> OfferOutcome:
+        """Offer a batch to its home.
+
+        :returns: ``declined`` also if this daemon is the home.
+        """
+        own = self._members.own
+        home = find_home(head.model, own, self._members.list_live())
+        if home.vm == own.vm:
+            return OfferOutcome.declined
+        offered = BatchOffered(next(self._numbers), head, list(items))
+        content = msgspec.msgpack.encode(offered)
+        if len(content) > MOST_BYTES:
+            return OfferOutcome.declined
+        outcome = await self._send(home, offered.number, content)
+        log.info(
+            'Batch is offered to its home.',
+            batch=head.id,
+            home=home.vm,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    def on_offered(self, sender: Member, content: bytes) -> None:
+        """Take a batch that another daemon offers."""
+        offered = msgspec.msgpack.decode(content, type=BatchOffered)
+        self._tasks.begin(self._accept(sender, offered))
+
+    def on_told(self, sender: Member, content: bytes) -> None:
+        """Take the answer to an offer."""
+        told = msgspec.msgpack.decode(content, type=OfferTold)
+        waiting = self._waiting.get(told.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(told.accepted)
+
+    async def _send(
+        self,
+        home: Member,
+        number: int,
+        content: bytes,
+    ) -> OfferOutcome:
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting[number] = waiting
+        self._peers.send(home, Topic.batch_offered, content)
+        try:
+            async with asyncio.timeout(OFFER_TIME.total_seconds()):
+                accepted = await waiting
+        except TimeoutError:
+            return OfferOutcome.unknown
+        finally:
+            self._waiting.pop(number, None)
+        return OfferOutcome.accepted if accepted else OfferOutcome.declined
+
+    async def _accept(self, sender: Member, offered: BatchOffered) -> None:
+        outcome = OfferOutcome.declined
+        if self._take is not None:
+            outcome = await self._take(offered.head, offered.items)
+        if outcome is OfferOutcome.unknown:
+            # Silence is the answer that promises nothing.
+            return
+        told = OfferTold(offered.number, outcome is OfferOutcome.accepted)
+        self._peers.send(sender, Topic.batch_told, msgspec.msgpack.encode(told))
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -46,6 +46,7 @@
     :param usage: requests of each account that ran, by window.
     :param calendar_offset: seconds that the VM's calendar is ahead of the
         store's clock.
+    :param cores: processor time that the VM has.
     """
 
     vm: str
@@ -56,6 +57,7 @@
     beat: int
     usage: dict[str, dict[str, int]] = {}
     calendar_offset: float | None = None
+    cores: float = 1
 
 
 def name_row(member: Member) -> str:
@@ -199,6 +201,7 @@
             self._beat,
             self._usage(),
             self._find_offset(),
+            self.own.cores,
         )
         # The condition keeps out beats of the run before whose answers were
         # lost: applied late, they would show that run as the living one.
@@ -281,4 +284,5 @@
         record.data_centre,
         record.address,
         record.leaving,
+        record.cores,
     )
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -40,6 +40,13 @@
     settle_ms: float = 1000
 
 
+class LimitsMessage(msgspec.Struct):
+    """What a process may use; ``cpu_share`` is of a core ``cores`` fast."""
+
+    cpu_share: float = 1
+    cores: float = 1
+
+
 class StoreMessage(msgspec.Struct):
     """The store: where it is and how large a row may be."""
 
@@ -64,6 +71,7 @@
     internal_ports: list[int]
     platform: StoreMessage
     metrics_port: int = METRICS_PORT
+    limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
     bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
     cloud: CloudMessage = msgspec.field(default_factory=CloudMessage)
 
@@ -108,6 +116,7 @@
         ),
         duties=frozenset(message.cloud.duties),
         peer_secret=derive_secret(message),
+        cores=message.limits.cpu_share * message.limits.cores,
     )
 
 
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -143,6 +143,7 @@
             self.incarnation,
             self.settings.data_centre,
             self.settings.listen.peers,
+            cores=self.settings.cores,
         )
         self.feeds = build_feed_parts(
             own,
@@ -181,7 +182,7 @@
         self.batches = build_batch_parts(
             self.feeds,
             self.store.clock,
-            BatchCalls(items, scorer),
+            BatchCalls(items, scorer, self.peers),
             self.pool,
             self.routes,
             self.clock,
--- a/quetzalcourse/settings/rollout.py
+++ b/quetzalcourse/settings/rollout.py
@@ -50,6 +50,7 @@
     :param vm: name of the VM.
     :param duties: duties that this deployment has.
     :param peer_secret: signs messages between daemons.
+    :param cores: processor time of the VM, in cores.
     """
 
     vm: str
@@ -58,3 +59,4 @@
     terms: ServiceTerms
     duties: frozenset[str]
     peer_secret: bytes
+    cores: float = 1
--- a/quetzalcourse/standins/rollout/world.py
+++ b/quetzalcourse/standins/rollout/world.py
@@ -185,11 +185,18 @@
 class RolloutWorld:
     """Store, servers and daemons, all on loopback.
 
-    :param daemons: how many daemons; each stands in a data centre of its
-        own name.
+    :param daemons: how many daemons.
+    :param together: whether they share a data centre; otherwise each stands
+        in one of its own.
     """
 
-    def __init__(self, daemons: int = 1, engines: int = 2) -> None:
+    def __init__(
+        self,
+        daemons: int = 1,
+        engines: int = 2,
+        *,
+        together: bool = False,
+    ) -> None:
         """Open the sockets of the stand-ins."""
         self.store = StoreStandin()
         self.cloud = CloudStandin()
@@ -211,6 +218,7 @@
         self.doors: list[StoreDoor] = []
         self._ended: list[RolloutApplication] = []
         self._count = daemons
+        self._together = together
 
     async def start(self) -> None:
         """Start everything and wait until the daemons are ready."""
@@ -226,8 +234,9 @@
         door = StoreDoor(self.store)
         self.doors.append(door)
         await door.server.start()
+        zone = 'hall-a' if self._together else f'hall-of-{name}'
         settings = documents.build_settings(
-            name, door.server.address, self.cloud.server.address
+            name, door.server.address, self.cloud.server.address, zone
         )
         message = msgspec.convert(settings, SettingsMessage)
         daemon = RolloutApplication(PlatformDeployment(message))
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -14,6 +14,7 @@
     :param incarnation: name of this run; a replaced VM has another.
     :param address: IP number and port for messages between daemons.
     :param leaving: whether it has begun its graceful shutdown.
+    :param cores: processor time that its VM has, in cores.
     """
 
     vm: str
@@ -21,6 +22,7 @@
     data_centre: str
     address: str
     leaving: bool = False
+    cores: float = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,3 +52,5 @@
     rows_told = 'rows_told'
     store_asked = 'store_asked'
     store_told = 'store_told'
+    batch_offered = 'batch_offered'
+    batch_told = 'batch_told'
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/homes_tests.py
@@ -0,0 +1,78 @@
+"""Which daemon runs the batches of a model."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from quetzalcourse.coordination.batches.homes import find_home
+from quetzalcourse.state.members import Member
+
+MODELS = [f'model-{number}' for number in range(60)]
+
+
+def build_members(count: int, data_centre: str = 'hall-a') -> list[Member]:
+    """Build live daemons of one data centre."""
+    return [
+        Member(
+            f'{data_centre}-{number}',
+            f'{data_centre}-{number}-run',
+            data_centre,
+            f'{data_centre}-{number}:1',
+        )
+        for number in range(count)
+    ]
+
+
+def test_all_daemons_of_a_data_centre_agree() -> None:
+    # A step comes in at another daemon each time. If these did not agree,
+    # each step would open its connections anew.
+    members = build_members(4)
+    for model in MODELS:
+        homes = {find_home(model, own, members).vm for own in members}
+        assert len(homes) == 1
+
+
+def test_models_spread_over_daemons() -> None:
+    # Many models are trained. One daemon that ran them all would be full
+    # while its neighbours stand idle.
+    members = build_members(4)
+    homes = Counter(
+        find_home(model, members[0], members).vm for model in MODELS
+    )
+    assert len(homes) == 4
+    assert max(homes.values()) < len(MODELS) / 2
+
+
+def test_home_is_on_the_own_side_of_a_cut() -> None:
+    """Daemons of other data centres are no homes."""
+    members = [*build_members(2), *build_members(6, 'hall-b')]
+    for model in MODELS:
+        home = find_home(model, members[0], members)
+        assert home.data_centre == 'hall-a'
+
+
+def test_weak_machine_is_no_home() -> None:
+    # A data centre has machines of half a core and of two. The streams of a
+    # whole model on half a core would hold up the callers there.
+    weak, strong = build_members(2)
+    members = [replace(weak, cores=0.5), replace(strong, cores=2.0)]
+    assert {find_home(one, weak, members).vm for one in MODELS} == {strong.vm}
+
+
+def test_home_changes_only_with_its_daemon() -> None:
+    # A daemon leaves. The models that others run stay where their
+    # connections are.
+    members = build_members(5)
+    before = {one: find_home(one, members[0], members) for one in MODELS}
+    rest = members[:4]
+    for model, home in before.items():
+        if home in rest:
+            assert find_home(model, members[0], rest) == home
+
+
+def test_lone_daemon_is_its_own_home() -> None:
+    """Also while it knows of nobody, not even itself."""
+    own = build_members(1)[0]
+    assert find_home('verse', own, [own]) == own
+    assert find_home('verse', own, []) == own
--- a/quetzalcourse/tests/rollout/conftest.py
+++ b/quetzalcourse/tests/rollout/conftest.py
@@ -28,3 +28,12 @@
     await running.start()
     yield running
     await running.stop()
+
+
+@pytest_asyncio.fixture
+async def neighbours() -> AsyncIterator[RolloutWorld]:
+    """Start three daemons in one data centre with their platform."""
+    running = RolloutWorld(daemons=3, together=True)
+    await running.start()
+    yield running
+    await running.stop()
--- /dev/null
+++ b/quetzalcourse/tests/rollout/homes_tests.py
@@ -0,0 +1,135 @@
+"""Batches that are run by the home of their model."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from quetzalcourse.coordination.batches import homes
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.world import build_batch
+
+if TYPE_CHECKING:
+    from quetzalcourse.rollout_application import RolloutApplication
+    from quetzalcourse.standins.rollout.world import RolloutWorld
+
+ITEMS = [f'i-{number}' for number in range(12)]
+
+
+async def await_acquaintance(world: RolloutWorld) -> None:
+    """Wait until all daemons know one another."""
+    async with asyncio.timeout(10):
+        while any(
+            len(daemon.presence.list_live()) < len(world.daemons)
+            for daemon in world.daemons
+        ):
+            await asyncio.sleep(0.05)
+
+
+def find_home(world: RolloutWorld) -> RolloutApplication:
+    """Find the daemon that runs the model's batches."""
+    presence = world.daemons[0].presence
+    home = homes.find_home(documents.MODEL, presence.own, presence.list_live())
+    return next(one for one in world.daemons if one.settings.vm == home.vm)
+
+
+def list_owners(world: RolloutWorld, batch: str) -> list[str]:
+    """List the daemons that run a batch."""
+    return [
+        daemon.settings.vm
+        for daemon in world.daemons
+        if batch in daemon.batches.runner.batches
+    ]
+
+
+async def test_steps_are_run_by_one_daemon_wherever_they_come_in(
+    neighbours: RolloutWorld,
+) -> None:
+    # A trainer submits its steps by one daemon after another. Run by each of
+    # these in turn, every step would open its connections anew.
+    await await_acquaintance(neighbours)
+    for engine in neighbours.engines:
+        engine.faults.slow = 10
+    home = find_home(neighbours).settings.vm
+    for number in range(3):
+        names = [f'{number}-{name}' for name in ITEMS]
+        reply = await neighbours.caller.submit(
+            neighbours.address(number), f'b-{number}', build_batch(names)
+        )
+        assert reply.status == 202
+        assert list_owners(neighbours, f'b-{number}') == [home]
+    for number in range(3):
+        results = await neighbours.caller.read_all(
+            neighbours.address(number), f'b-{number}'
+        )
+        assert {result['state'] for result in results} == {'completed'}
+    runs = [run.request_id for one in neighbours.engines for run in one.runs]
+    assert len(runs) == len(set(runs))
+
+
+@pytest.mark.parametrize('end', ['dead', 'cut off from the store', 'full'])
+async def test_batch_is_run_where_it_came_in_without_a_home(
+    neighbours: RolloutWorld,
+    end: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The home of a model has just died, can't write, or has enough to do,
+    # and the others don't know yet. A submission must not wait for it.
+    await await_acquaintance(neighbours)
+    for engine in neighbours.engines:
+        engine.faults.slow = 10
+    home = find_home(neighbours)
+    number = neighbours.daemons.index(home)
+    if end == 'dead':
+        await neighbours.end_daemon(home)
+    elif end == 'full':
+        full = 'quetzalcourse.coordination.batches.batches.MOST_ITEMS'
+        monkeypatch.setattr(full, 0)
+    else:
+        neighbours.doors[number].faults.mode = 'silent'
+    other = (number + 1) % 3
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    reply = await neighbours.caller.submit(
+        neighbours.address(other), 'b-1', build_batch(ITEMS)
+    )
+    assert reply.status == 202
+    assert loop.time() - began < 1
+    results = await neighbours.caller.read_all(neighbours.address(other), 'b-1')
+    assert sorted(result['id'] for result in results) == sorted(ITEMS)
+    assert {result['state'] for result in results} == {'completed'}
+
+
+async def test_submission_that_its_home_may_hold_is_not_refused(
+    neighbours: RolloutWorld,
+) -> None:
+    # The home's answer is lost and then the store turns everybody away. Its
+    # write may still take effect, so no refusal would be true; the caller's
+    # channel is cut, and it asks again.
+    await await_acquaintance(neighbours)
+    home = find_home(neighbours)
+    number = neighbours.daemons.index(home)
+    neighbours.store.faults.slow_answer = 0.6
+    other = (number + 1) % 3
+    submitted = asyncio.ensure_future(
+        neighbours.caller.submit(
+            neighbours.address(other), 'b-1', build_batch(ITEMS)
+        )
+    )
+    await asyncio.sleep(0.05)
+    neighbours.doors[other].faults.mode = 'busy'
+    try:
+        status = (await submitted).status
+    except OSError:
+        status = 0
+    assert status != 503
+    neighbours.doors[other].faults.mode = ''
+    neighbours.store.faults.slow_answer = 0
+    reply = await neighbours.caller.submit(
+        neighbours.address(other), 'b-1', build_batch(ITEMS)
+    )
+    assert reply.status == 202
+    results = await neighbours.caller.read_all(neighbours.address(other), 'b-1')
+    assert sorted(result['id'] for result in results) == sorted(ITEMS)
