Begin long items first, by their callers' estimates, at the faster upstreams

Cause: a step ends with its longest item. Trainers submit at the same moment, so a quarter of the items of the larger site waited 0.6 s and a twentieth 1.6 s, long ones like short ones; one upstream in three is 1.3 times slower.

Change: items begin in the order of the time that they leave until they are due, by estimate and by what estimates of the model were worth so far; slots of slower upstreams are filled after the others.

--- /dev/null
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -0,0 +1,97 @@
+"""How long items take, and which of them begin first.
+
+The load that this answers: the trainers of several models submit their steps
+at the same moment, twice as many items as there are slots. A step ends with
+its longest item, and lengths are most uneven: half of the items are over in
+half a second, one in twelve takes five. A long one that waits for a second
+makes its whole step a second late, a short one nothing. Callers estimate the
+length of each item; an estimate is right at the median and may be off by a
+factor of three, which is still enough to tell long items from short ones.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.coordination.batches.item_run import ItemRun
+
+# Share of a new item in the running means; some thirty items of a step are
+# enough to follow a model whose answers grow longer.
+WEIGHT = 1 / 16
+
+
+@dataclass(slots=True)
+class ModelTimes:
+    """What the items of a model have shown.
+
+    :param factor: logarithm of the seconds that an item took for each token
+        of its estimate; errors of estimates are factors, so their logarithms
+        are averaged.
+    :param pace: seconds between two events.
+    """
+
+    factor: float
+    pace: float
+
+
+class Lengths:
+    """Predicts how long items still take."""
+
+    def __init__(self) -> None:
+        """Begin without items."""
+        self._models: dict[str, ModelTimes] = {}
+
+    def learn(
+        self,
+        model: str,
+        estimate: int,
+        events: int,
+        took: timedelta,
+    ) -> None:
+        """Learn from an item that ran from its first event to its last.
+
+        :param estimate: tokens that its caller expected.
+        """
+        seconds = took.total_seconds()
+        if estimate <= 0 or events <= 0 or seconds <= 0:
+            return
+        factor = math.log(seconds / estimate)
+        pace = seconds / events
+        known = self._models.setdefault(model, ModelTimes(factor, pace))
+        known.factor += (factor - known.factor) * WEIGHT
+        known.pace += (pace - known.pace) * WEIGHT
+
+    def predict(self, model: str, estimate: int, made: int) -> timedelta:
+        """Predict how long an item still takes.
+
+        :param made: events that it has already.
+        :returns: zero if nothing is known of it.
+        """
+        known = self._models.get(model)
+        if known is None or estimate <= 0:
+            return timedelta(0)
+        seconds = math.exp(known.factor) * estimate - known.pace * made
+        return timedelta(seconds=max(seconds, 0))
+
+    def order(
+        self,
+        waiting: Sequence[tuple[BatchRun, ItemRun]],
+    ) -> list[tuple[BatchRun, ItemRun]]:
+        """Order items by the time that they leave until they are due.
+
+        Items of which nothing is known keep the order of their batch.
+        """
+        return sorted(waiting, key=self._find_latest_start)
+
+    def _find_latest_start(self, one: tuple[BatchRun, ItemRun]) -> timedelta:
+        batch, run = one
+        model = batch.head.model
+        estimate = run.item.length_estimate
+        return batch.due - self.predict(model, estimate, len(run.texts))
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -24,6 +24,10 @@
 # An upstream of this pace against the median is one that turned slow; the
 # pace of sound ones differs by less than half, as their load does.
 SLOW_PACE = 1.8
+# Servers of one kind differ by a third, and what a long item loses there is
+# lost to its step; so the slower ones are filled after the others. Below this
+# the difference is that of their load.
+SLOWER_PACE = 1.12
 # A group's items share their prompt, which is read once where they run
 # together; more load than this beside others costs more than that saves.
 GROUP_SHARE = 0.25
@@ -47,6 +51,11 @@
     avoided: str = ''
     near: str = ''
 
+    @property
+    def place(self) -> tuple[str, str, int]:
+        """What decides whether any slot is free for it."""
+        return self.service, self.model, self.oldest
+
 
 class Placement:
     """Chooses upstreams for items."""
@@ -134,11 +143,12 @@
         need: Need,
         now: timedelta,
         median: float,
-    ) -> tuple[bool, bool, bool, float, int]:
+    ) -> tuple[bool, bool, bool, bool, float, int]:
         return (
             upstream.name == need.avoided,
             is_slow(upstream, median),
             upstream.faults > 0,
+            median > 0 and upstream.pace > median * SLOWER_PACE,
             _share(upstream, now),
             -upstream.find_version(need.model),
         )
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -11,6 +11,7 @@
 
 from quetzalcourse.coordination.batches.batch_rows import Written
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
+from quetzalcourse.coordination.batches.lengths import Lengths
 from quetzalcourse.coordination.batches.placement import Need
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks, wait_event
@@ -18,7 +19,7 @@
 from quetzalcourse.state.batches import ResultState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.batch_run import BatchRun
@@ -88,6 +89,7 @@
         self._routes = routes
         self._clock = clock
         self._counters = counters
+        self._lengths = Lengths()
         self._on_committed: list[CommitListener] = []
         self._wake = asyncio.Event()
         self._tasks = Tasks('batches')
@@ -146,6 +148,7 @@
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
+        waiting: list[tuple[BatchRun, ItemRun]] = []
         for batch in sorted(self.batches.values(), key=lambda one: one.due):
             if now >= batch.given_up:
                 self._give_up(batch)
@@ -157,9 +160,23 @@
                 elif run.retry_at > now:
                     continue
                 elif run.state is ItemState.waiting:
-                    self._begin(batch, run)
+                    waiting.append((batch, run))
                 elif run.state is ItemState.unscored:
                     self._scoring.begin(batch, run)
+        self._begin_waiting(waiting)
+
+    def _begin_waiting(
+        self,
+        waiting: Sequence[tuple[BatchRun, ItemRun]],
+    ) -> None:
+        # Where one found no slot, the next one with the same need finds none.
+        full: set[tuple[str, str, int]] = set()
+        for batch, run in self._lengths.order(waiting):
+            need = self._find_need(batch, run)
+            if need is None:
+                batch.finish(run, run.abandon())
+            elif need.place not in full and not self._begin(batch, run, need):
+                full.add(need.place)
 
     def _save(self, batch: BatchRun, now: timedelta) -> None:
         # An owner that dies takes the texts with it; of those that take
@@ -182,18 +199,15 @@
         saved = answer.is_ok() and isinstance(answer.unwrap(), Written)
         self._counters.add('batch_texts_saved', saved=str(saved))
 
-    def _begin(self, batch: BatchRun, run: ItemRun) -> None:
-        need = self._find_need(batch, run)
-        if need is None:
-            batch.finish(run, run.abandon())
-            return
+    def _begin(self, batch: BatchRun, run: ItemRun, need: Need) -> bool:
         upstream = self._placement.choose(need)
         if upstream is None:
-            return
+            return False
         # Counted here and not by the task, which begins later: all items
         # that are placed in one go would find the same upstream empty.
         self._pool.on_start(upstream)
         self._start(batch, run, upstream)
+        return True
 
     def _start(self, batch: BatchRun, run: ItemRun, upstream: Upstream) -> None:
         run.state = ItemState.running
@@ -235,6 +249,7 @@
         upstream: Upstream,
     ) -> None:
         result = None
+        resumed = run.last_event is not None
         try:
             result = await self._items.run(batch, run, upstream)
         finally:
@@ -246,6 +261,13 @@
                 self._pool.on_start(target)
                 self._start(batch, run, target)
             return
+        if result.state is ResultState.completed and not resumed:
+            self._lengths.learn(
+                batch.head.model,
+                run.item.length_estimate,
+                len(run.texts),
+                self._clock.elapsed() - run.began,
+            )
         if result.state is ResultState.abandoned:
             log.warning(
                 'Item is given up.', batch=batch.head.id, item=run.item.id
--- a/quetzalcourse/platform/callers.py
+++ b/quetzalcourse/platform/callers.py
@@ -19,6 +19,9 @@
 RESULTS_PATH = '/quetzalcourse/lots/'
 ITEMS_PATH = '/quetzalcourse/items/'
 READY_PATH = '/quetzalcourse/ready'
+# The client's estimate of an item's output tokens; `X-Token-Counts` gives no
+# more than their maximum.
+LENGTH_HINT = 'x-length-hint'
 # An answer holds 1 MB of results at most; escaping may double a text.
 PAGE_BYTES = 1_000_000
 
@@ -130,6 +133,7 @@
                 item.tokens,
                 item.group,
                 _read_scorer(item.scorer),
+                _read_length_hint(item.headers),
             )
             for item in message.requests
         )
@@ -169,3 +173,10 @@
     if message is None:
         return None
     return ScoringCall(message.id, message.hostname, message.path, message.body)
+
+
+def _read_length_hint(headers: dict[str, str]) -> int:
+    for name, text in headers.items():
+        if name.lower() == LENGTH_HINT and text.isdecimal():
+            return int(text)
+    return 0
--- a/quetzalcourse/state/batches.py
+++ b/quetzalcourse/state/batches.py
@@ -32,6 +32,8 @@
     :param tokens: prompt tokens and the most output tokens together.
     :param group: items of one group share their prompt.
     :param scoring: call that scores its text, ``None`` if none does.
+    :param length_estimate: output tokens that its caller expects, 0 if it
+        does not say; right at the median, and often far off.
     """
 
     id: str
@@ -41,6 +43,7 @@
     tokens: int = 0
     group: str = ''
     scoring: ScoringCall | None = None
+    length_estimate: int = 0
 
 
 class BatchHead(msgspec.Struct, frozen=True):
