Spread loads over upstreams, save and beat more often, and drop nearness of groups

Loads had gone to the same upstreams for all models: of 18, two to four fitted no model's newest step at a time and five only one, while items waited for the others. They go to upstreams of the fewest uses now.

--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -7,6 +7,7 @@
 
 from quetzalcourse.coordination.batches.adoption import BatchKeeper
 from quetzalcourse.coordination.batches.batch_rows import BatchRows
+from quetzalcourse.coordination.batches.batch_writer import BatchWriter
 from quetzalcourse.coordination.batches.batches import Batches
 from quetzalcourse.coordination.batches.directory import BatchDirectory
 from quetzalcourse.coordination.batches.homes import BatchHomes
@@ -66,17 +67,18 @@
     rows = BatchRows(feeds.store)
     directory = BatchDirectory(feeds.batches)
     reader = ResultReader(rows, directory, clock)
+    writer = BatchWriter(rows, clock, counters)
+    writer.on_committed(reader.on_committed)
     runner = BatchRunner(
-        rows,
         calls.items,
         ItemScoring(calls.scorer, pool, routes, clock, counters),
+        writer,
         Placement(pool, clock),
         pool,
         routes,
         clock,
         counters,
     )
-    runner.on_committed(reader.on_committed)
     members = feeds.presence
     keeper = BatchKeeper(rows, directory, runner, members, store_clock, clock)
     homes = BatchHomes(calls.peers, members)
--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -38,7 +38,7 @@
 KEPT = timedelta(minutes=2)
 REMOVAL_MARGIN = timedelta(seconds=30)
 # As long as a daemon's silence counts as its end.
-SHOWN = timedelta(seconds=2)
+SHOWN = timedelta(seconds=1.4)
 REMOVAL_GAP = timedelta(seconds=1)
 log = get_log('batches')
 
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -107,19 +107,12 @@
     def stop(self) -> None:
         """Stop all items; what was not committed is run again elsewhere."""
         for run in self.items:
+            run.leaves = False
             if run.task is not None:
                 run.task.cancel()
         if self.committer is not None:
             self.committer.cancel()
 
-    def find_near(self, run: ItemRun) -> str:
-        """Name the upstream that runs another item of the same group."""
-        for other in self.items:
-            same = other.item.group == run.item.group
-            if same and other.state is ItemState.running:
-                return other.upstream
-        return ''
-
 
 def _is_worth_saving(run: ItemRun, oldest: timedelta) -> bool:
     """Tell whether an owner's death would cost more than its saving.
--- /dev/null
+++ b/quetzalcourse/coordination/batches/batch_writer.py
@@ -0,0 +1,123 @@
+"""Writes what an owner has of its batches into the store."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from quetzalcourse.coordination.batches.batch_rows import Written
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.coordination.batches.batch_rows import BatchRows
+    from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.state.batches import ItemResult, PartialText
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+    CommitListener = Callable[[str, int, list[ItemResult]], None]
+
+COMMIT_RETRY = timedelta(milliseconds=150)
+# Results that finish this close together share one write of the store.
+COMMIT_GAP = timedelta(milliseconds=20)
+log = get_log('batches')
+
+
+class BatchWriter:
+    """Writes results and texts under the owner's row."""
+
+    def __init__(
+        self,
+        rows: BatchRows,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        """Keep the parts."""
+        self._rows = rows
+        self._clock = clock
+        self._counters = counters
+        self._listeners: list[CommitListener] = []
+
+    def on_committed(self, listener: CommitListener) -> None:
+        """Call a listener with results that stand from now on.
+
+        It gets the batch's id and the position of the first of them.
+        """
+        self._listeners.append(listener)
+
+    async def commit(self, batch: BatchRun) -> bool:
+        """Commit results as they finish, until all stand.
+
+        :returns: whether they do; otherwise another daemon owns the batch.
+        """
+        while not batch.done:
+            await batch.wake.wait()
+            await self._clock.sleep(COMMIT_GAP)
+            batch.wake.clear()
+            results = batch.take_finished()
+            if results and not await self._write(batch, results):
+                return False
+        return True
+
+    async def save(
+        self,
+        batch: BatchRun,
+        partials: dict[int, PartialText],
+    ) -> None:
+        """Save texts that are not whole, for the next owner.
+
+        One that is not written is only made again.
+        """
+        answer = await self._rows.save(
+            batch.head.id, batch.owner_version, partials
+        )
+        saved = answer.is_ok() and isinstance(answer.unwrap(), Written)
+        self._counters.add('batch_texts_saved', saved=str(saved))
+
+    async def _write(self, batch: BatchRun, results: list[ItemResult]) -> bool:
+        """Write results until they stand.
+
+        :returns: whether this daemon still owns the batch.
+        """
+        unsure = False
+        while True:
+            answer = await self._rows.commit(
+                batch.head.id, batch.owner_version, batch.listed, results
+            )
+            if isinstance(answer, Err):
+                # The write may have taken effect; only a later conflict
+                # with its own row can tell.
+                unsure = True
+                await self._clock.sleep(COMMIT_RETRY)
+                continue
+            written = isinstance(answer.ok_value, Written)
+            if written or (unsure and await self._stands(batch, results)):
+                self._note(batch, results)
+                return True
+            return False
+
+    async def _stands(self, batch: BatchRun, results: list[ItemResult]) -> bool:
+        while True:
+            answer = await self._rows.read_results(batch.head.id, batch.listed)
+            if isinstance(answer, Err):
+                await self._clock.sleep(COMMIT_RETRY)
+                continue
+            return answer.ok_value[: len(results)] == results
+
+    def _note(self, batch: BatchRun, results: list[ItemResult]) -> None:
+        position = batch.listed
+        batch.listed += len(results)
+        for listener in self._listeners:
+            listener(batch.head.id, position, results)
+        self._counters.add('batch_results', len(results))
+        log.info(
+            'Results stand.',
+            batch=batch.head.id,
+            position=position,
+            count=len(results),
+            total=batch.head.total,
+        )
--- a/quetzalcourse/coordination/batches/lengths.py
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -25,6 +25,9 @@
 # Share of a new item in the running means; some thirty items of a step are
 # enough to follow a model whose answers grow longer.
 WEIGHT = 1 / 16
+# Share of its length so far by which an item goes on that is longer than
+# estimated: errors of estimates are factors of about 1.5.
+OVERRUN = 0.25
 
 
 @dataclass(slots=True)
@@ -80,6 +83,19 @@
         seconds = math.exp(known.factor) * estimate - known.pace * made
         return timedelta(seconds=max(seconds, 0))
 
+    def count_left(self, model: str, estimate: int, made: int) -> int:
+        """Estimate how many events an item still has before it.
+
+        :param made: events that it has already. Lengths are so uneven that
+            without an estimate it has about as many before it as behind it,
+            and some also when it is longer than estimated.
+        """
+        known = self._models.get(model)
+        if known is None or estimate <= 0:
+            return made
+        expected = math.exp(known.factor) * estimate / known.pace
+        return int(max(expected - made, made * OVERRUN))
+
     def order(
         self,
         waiting: Sequence[tuple[BatchRun, ItemRun]],
--- a/quetzalcourse/coordination/batches/moves.py
+++ b/quetzalcourse/coordination/batches/moves.py
@@ -23,8 +23,8 @@
 # Shortest time that a move has to gain; the move itself takes some 50 ms and
 # up to 150 ms where the other upstream reads prompts at that moment.
 LEAST_GAIN = timedelta(milliseconds=500)
-# Events that an item is taken to have still before it, at the least. Lengths
-# are so uneven that an item has about as many before it as behind it.
+# Events that an item is taken to have still before it, at the least: what is
+# expected of it may be short by a factor.
 LEAST_EVENTS = 12
 # Slots that a move leaves free, so that it takes none from items that wait.
 SPARE_SLOTS = 1
@@ -33,6 +33,35 @@
 # upstream just when it was as fast as ever again. A second gap of a stream
 # counts.
 PAUSE = timedelta(milliseconds=400)
+# An upstream that sends nothing for as long, fifteen times the usual, loads
+# weights for another half second or is gone; where a slot is to be had
+# elsewhere, a long item is better off there in either case.
+QUIET = timedelta(milliseconds=500)
+
+
+def find_refuge(
+    here: Upstream,
+    others: Iterable[Upstream],
+    now: timedelta,
+) -> Upstream | None:
+    """Find where an item can go on whose upstream fell quiet.
+
+    :param others: upstreams that may run it, the best first.
+    :returns: ``None`` if no other has slots to spare.
+    """
+    return next(
+        (
+            one
+            for one in others
+            if one.name != here.name and not one.faults and has_spare(one, now)
+        ),
+        None,
+    )
+
+
+def has_spare(upstream: Upstream, now: timedelta) -> bool:
+    """Tell whether an upstream has slots beside those for waiting items."""
+    return upstream.count_load(now) + SPARE_SLOTS < upstream.member.slots
 
 
 @dataclass(slots=True)
@@ -69,14 +98,14 @@
 def choose_target(
     here: Upstream,
     others: Iterable[Upstream],
-    made: int,
+    left: int,
     now: timedelta,
 ) -> Upstream | None:
     """Choose where an item should go on.
 
     :param here: upstream where it runs.
     :param others: upstreams that may run it.
-    :param made: events that it has so far.
+    :param left: events that it is expected to have still before it.
     :returns: ``None`` if it should stay.
     """
     if not here.pace:
@@ -87,11 +116,11 @@
         if one.name != here.name
         and one.pace
         and not one.faults
-        and one.count_load(now) + SPARE_SLOTS < one.member.slots
+        and has_spare(one, now)
     ]
     best = min(free, key=lambda one: one.pace, default=None)
     if best is None:
         return None
-    expected = max(made, LEAST_EVENTS)
-    gain = timedelta(seconds=(here.pace - best.pace) * expected)
+    events = max(left, LEAST_EVENTS)
+    gain = timedelta(seconds=(here.pace - best.pace) * events)
     return best if gain >= LEAST_GAIN else None
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -13,7 +13,10 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.moves import choose_target
+from quetzalcourse.coordination.batches.moves import (
+    choose_target,
+    find_refuge,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,9 +31,6 @@
 # lost to its step; so the slower ones are filled after the others. Below this
 # the difference is that of their load.
 SLOWER_PACE = 1.12
-# A group's items share their prompt, which is read once where they run
-# together; more load than this beside others costs more than that saves.
-GROUP_SHARE = 0.25
 # Running items are reviewed twenty times a second each; the best pace
 # changes more slowly.
 BEST_LIFE = timedelta(milliseconds=250)
@@ -42,14 +42,12 @@
 
     :param oldest: oldest weight version that may make its tokens.
     :param avoided: upstream that it has just left.
-    :param near: upstream that runs other items of its group.
     """
 
     service: str
     model: str
     oldest: int
     avoided: str = ''
-    near: str = ''
 
     @property
     def place(self) -> tuple[str, str, int]:
@@ -81,20 +79,14 @@
         if not fit:
             return None
         median = find_median_pace(usable)
-        best = min(fit, key=lambda one: self._rank(one, need, now, median))
-        near = next((one for one in fit if one.name == need.near), None)
-        if near is not None and not near.faults:
-            more = _share(near, now) - _share(best, now)
-            if more <= GROUP_SHARE and not is_slow(near, median):
-                return near
-        return best
+        return min(fit, key=lambda one: self._rank(one, need, now, median))
 
     def list_fit(self, need: Need) -> list[Upstream]:
         """List the upstreams that may run an item now."""
         now = self._clock.elapsed()
         return [
             upstream
-            for upstream in self._list_weighed(need)
+            for upstream in self._pool.sample_service(need.service)
             if upstream.is_open(now)
             and upstream.find_version(need.model) >= need.oldest
             and not _is_busy(upstream, need.model, now)
@@ -111,22 +103,23 @@
         self,
         need: Need,
         upstream: Upstream,
-        made: int,
+        left: int,
     ) -> Upstream | None:
         """Choose a faster upstream where a running item should go on.
 
         :param upstream: where it runs.
-        :param made: events that it has so far.
+        :param left: events that it is expected to have still before it.
         """
         now = self._clock.elapsed()
-        return choose_target(upstream, self.list_fit(need), made, now)
+        return choose_target(upstream, self.list_fit(need), left, now)
 
-    def _list_weighed(self, need: Need) -> list[Upstream]:
-        weighed = self._pool.sample_service(need.service)
-        near = self._pool.find(need.near) if need.near else None
-        if near is None or near in weighed:
-            return weighed
-        return [*weighed, near]
+    def find_refuge(self, need: Need, upstream: Upstream) -> Upstream | None:
+        """Find where an item can go on whose upstream fell quiet."""
+        now = self._clock.elapsed()
+        fit = self.list_fit(need)
+        median = find_median_pace(fit)
+        fit.sort(key=lambda one: self._rank(one, need, now, median))
+        return find_refuge(upstream, fit, now)
 
     def _find_best_pace(self, service: str) -> float:
         now = self._clock.elapsed()
@@ -143,12 +136,11 @@
         need: Need,
         now: timedelta,
         median: float,
-    ) -> tuple[bool, bool, bool, bool, float, int]:
+    ) -> tuple[bool, bool, int, float, int]:
         return (
             upstream.name == need.avoided,
-            is_slow(upstream, median),
             upstream.faults > 0,
-            median > 0 and upstream.pace > median * SLOWER_PACE,
+            rank_pace(upstream, median),
             _share(upstream, now),
             -upstream.find_version(need.model),
         )
@@ -160,9 +152,12 @@
     return paces[(len(paces) - 1) // 2] if paces else 0
 
 
-def is_slow(upstream: Upstream, median: float) -> bool:
-    """Tell whether an upstream is far slower than the others."""
-    return median > 0 and upstream.pace > median * SLOW_PACE
+def rank_pace(upstream: Upstream, median: float) -> int:
+    """Rank an upstream by its pace: 0 as usual, 1 slower, 2 far slower."""
+    if not median:
+        return 0
+    bounds = (SLOWER_PACE, SLOW_PACE)
+    return sum(upstream.pace > median * bound for bound in bounds)
 
 
 def _share(upstream: Upstream, now: timedelta) -> float:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -7,11 +7,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
-from result import Err
-
-from quetzalcourse.coordination.batches.batch_rows import Written
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.lengths import Lengths
+from quetzalcourse.coordination.batches.moves import LEAST_EVENTS, QUIET
 from quetzalcourse.coordination.batches.placement import Need
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks, wait_event
@@ -19,28 +17,28 @@
 from quetzalcourse.state.batches import ResultState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
-    from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.coordination.batches.batch_writer import BatchWriter
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
-    from quetzalcourse.state.batches import ItemResult, PartialText
+    from quetzalcourse.state.batches import ItemResult
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
-    CommitListener = Callable[[str, int, list[ItemResult]], None]
-
 TICK = timedelta(milliseconds=50)
-# Most items are done within a second; the text of longer ones is saved.
-SAVE_GAP = timedelta(seconds=1)
+# Half of the items are done before they are saved once. What an owner that
+# dies has not saved is made again, 30 ms an event, and its step waits; a
+# save is one write of the store, of the hundreds that it bears.
+SAVE_GAP = timedelta(milliseconds=350)
 # Without a batch there is nothing to look after; the next one wakes.
 IDLE = timedelta(seconds=1)
-COMMIT_RETRY = timedelta(milliseconds=150)
-# Results that finish this close together share one write of the store.
-COMMIT_GAP = timedelta(milliseconds=20)
+# Items are looked after twenty times a second; a pause of this much means
+# that the daemon was suspended or its core was taken away.
+HELD_UP = timedelta(milliseconds=250)
 log = get_log('batches')
 
 
@@ -68,9 +66,9 @@
 
     def __init__(
         self,
-        rows: BatchRows,
         items: ItemRunner,
         scoring: ItemScoring,
+        writer: BatchWriter,
         placement: Placement,
         pool: Pool,
         routes: RouteTable,
@@ -81,7 +79,6 @@
         self.batches: dict[str, BatchRun] = {}
         self.reserved: set[str] = set()
         self.paused = False
-        self._rows = rows
         self._items = items
         self._scoring = scoring
         self._placement = placement
@@ -90,18 +87,13 @@
         self._clock = clock
         self._counters = counters
         self._lengths = Lengths()
-        self._on_committed: list[CommitListener] = []
+        self._dispatched_at = timedelta(0)
+        self._held_up = False
+        self._writer = writer
         self._wake = asyncio.Event()
         self._tasks = Tasks('batches')
         scoring.on_end(self._wake.set)
 
-    def on_committed(self, listener: CommitListener) -> None:
-        """Call a listener with results that stand from now on.
-
-        It gets the batch's id and the position of the first of them.
-        """
-        self._on_committed.append(listener)
-
     def add(self, batch: BatchRun) -> None:
         """Begin to run a batch, unless it is run here already."""
         if batch.head.id in self.batches:
@@ -148,6 +140,8 @@
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
+        self._held_up = now - self._dispatched_at > HELD_UP
+        self._dispatched_at = now
         waiting: list[tuple[BatchRun, ItemRun]] = []
         for batch in sorted(self.batches.values(), key=lambda one: one.due):
             if now >= batch.given_up:
@@ -186,18 +180,7 @@
         partials = batch.save_long(now - SAVE_GAP)
         if partials:
             batch.saved_at = now
-            self._tasks.begin(self._write_partials(batch, partials))
-
-    async def _write_partials(
-        self,
-        batch: BatchRun,
-        partials: dict[int, PartialText],
-    ) -> None:
-        answer = await self._rows.save(
-            batch.head.id, batch.owner_version, partials
-        )
-        saved = answer.is_ok() and isinstance(answer.unwrap(), Written)
-        self._counters.add('batch_texts_saved', saved=str(saved))
+            self._tasks.begin(self._writer.save(batch, partials))
 
     def _begin(self, batch: BatchRun, run: ItemRun, need: Need) -> bool:
         upstream = self._placement.choose(need)
@@ -224,23 +207,50 @@
             batch.head.model,
             batch.head.min_version,
             run.avoided,
-            batch.find_near(run),
         )
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
         upstream = self._pool.find(run.upstream)
-        if run.target or upstream is None or run.last_event is None:
+        if run.target or upstream is None:
             return
-        if not self._placement.may_gain(upstream):
+        quiet = self._is_quiet(run)
+        if not quiet and not self._placement.may_gain(upstream):
             return
         need = self._find_need(batch, run)
         if need is None:
             return
-        target = self._placement.choose_target(need, upstream, len(run.texts))
+        left = self._lengths.count_left(
+            batch.head.model, run.item.length_estimate, len(run.texts)
+        )
+        if not quiet:
+            target = self._placement.choose_target(need, upstream, left)
+        elif left >= LEAST_EVENTS:
+            target = self._placement.find_refuge(need, upstream)
+        else:
+            return
         if target is None or not _may_go_on(batch, run, target):
             return
         run.target = target.name
         self._pool.on_start(target)
+        if quiet and run.task is not None:
+            log.info(
+                'Item leaves a quiet upstream.',
+                batch=batch.head.id,
+                item=run.item.id,
+                upstream=upstream.name,
+                target=target.name,
+                events=len(run.texts),
+                left=left,
+            )
+            run.leaves = True
+            run.task.cancel()
+
+    def _is_quiet(self, run: ItemRun) -> bool:
+        # A daemon that was held up itself finds all its streams quiet, and
+        # their events just behind; it asks again once it has read them.
+        if self._held_up:
+            return False
+        return self._clock.elapsed() - max(run.began, run.heard_at) > QUIET
 
     async def _attempt(
         self,
@@ -252,6 +262,9 @@
         resumed = run.last_event is not None
         try:
             result = await self._items.run(batch, run, upstream)
+        except asyncio.CancelledError:
+            if not run.leaves:
+                raise
         finally:
             target = self._on_end(run, upstream)
         if result is None:
@@ -287,6 +300,7 @@
         if target is not None:
             self._pool.on_end(target)
         run.target = ''
+        run.leaves = False
         run.task = None
         self._wake.set()
         return target
@@ -300,15 +314,8 @@
             batch.finish(run, run.abandon())
 
     async def _commit(self, batch: BatchRun) -> None:
-        while not batch.done:
-            await batch.wake.wait()
-            await self._clock.sleep(COMMIT_GAP)
-            batch.wake.clear()
-            results = batch.take_finished()
-            if results and not await self._write(batch, results):
-                self._end(batch, 'deposed')
-                return
-        self._end(batch, 'done')
+        done = await self._writer.commit(batch)
+        self._end(batch, 'done' if done else 'deposed')
 
     def _end(self, batch: BatchRun, reason: str) -> None:
         # Another run may stand in its place by now, which goes on.
@@ -318,50 +325,6 @@
         else:
             batch.stop()
 
-    async def _write(self, batch: BatchRun, results: list[ItemResult]) -> bool:
-        """Write results until they stand.
-
-        :returns: whether this daemon still owns the batch.
-        """
-        unsure = False
-        while True:
-            answer = await self._rows.commit(
-                batch.head.id, batch.owner_version, batch.listed, results
-            )
-            if isinstance(answer, Err):
-                # The write may have taken effect; only a later conflict
-                # with its own row can tell.
-                unsure = True
-                await self._clock.sleep(COMMIT_RETRY)
-                continue
-            written = isinstance(answer.ok_value, Written)
-            if written or (unsure and await self._stands(batch, results)):
-                self._note(batch, results)
-                return True
-            return False
-
-    async def _stands(self, batch: BatchRun, results: list[ItemResult]) -> bool:
-        while True:
-            answer = await self._rows.read_results(batch.head.id, batch.listed)
-            if isinstance(answer, Err):
-                await self._clock.sleep(COMMIT_RETRY)
-                continue
-            return answer.ok_value[: len(results)] == results
-
-    def _note(self, batch: BatchRun, results: list[ItemResult]) -> None:
-        position = batch.listed
-        batch.listed += len(results)
-        for listener in self._on_committed:
-            listener(batch.head.id, position, results)
-        self._counters.add('batch_results', len(results))
-        log.info(
-            'Results stand.',
-            batch=batch.head.id,
-            position=position,
-            count=len(results),
-            total=batch.head.total,
-        )
-
 
 def _may_go_on(batch: BatchRun, run: ItemRun, upstream: Upstream) -> bool:
     """Tell whether a text keeps to one weight version where it must."""
--- a/quetzalcourse/coordination/feeds/calendar.py
+++ b/quetzalcourse/coordination/feeds/calendar.py
@@ -32,6 +32,7 @@
         self._store_clock = store_clock
         self._offsets: dict[str, timedelta] = {}
         self._chosen: timedelta | None = None
+        self._outdated = False
 
     def elapsed(self) -> timedelta:
         """Tell the steady time of this machine."""
@@ -40,9 +41,10 @@
     def now(self) -> datetime:
         """Tell the calendar time in UTC that most daemons agree on."""
         store_now = self._store_clock.estimate()
-        if store_now is None or self._chosen is None:
+        chosen = self._choose()
+        if store_now is None or chosen is None:
             return self._clock.now()
-        return EPOCH + store_now + self._chosen
+        return EPOCH + store_now + chosen
 
     async def sleep(self, duration: timedelta) -> None:
         """Pause the calling task."""
@@ -67,4 +69,12 @@
         if self._offsets.get(vm) == offset:
             return
         self._offsets[vm] = offset
-        self._chosen = median_low(self._offsets.values())
+        self._outdated = True
+
+    def _choose(self) -> timedelta | None:
+        # Offsets of hundreds of daemons come with every answer of the store,
+        # far more often than anybody asks for the time.
+        if self._outdated:
+            self._chosen = median_low(self._offsets.values())
+            self._outdated = False
+        return self._chosen
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -27,7 +27,9 @@
     UsageCounts = dict[str, dict[str, int]]
 
 TABLE = 'members'
-BEAT = timedelta(seconds=1)
+# Work of a daemon that dies stands still until it has been silent for two
+# beats, so beats are as close as their writes allow.
+BEAT = timedelta(seconds=0.5)
 # All beats together stay under a tenth of what the store bears, however
 # many daemons there are: 350 of them beat every 4.4 seconds.
 BEATS_PER_SECOND = 80
--- a/quetzalcourse/coordination/versions/load_plan.py
+++ b/quetzalcourse/coordination/versions/load_plan.py
@@ -5,7 +5,10 @@
 load every version, loads would take longer than the time between versions.
 So each version goes to a share of the upstreams only, those that are
 furthest behind first: half of a model's upstreams then serve a new step at
-once with the version before, while the other half load.
+once with the version before, while the other half load. Where all models
+submit at the same moment, an upstream that none of them may use stands idle
+while items wait for the others; so a version goes first to upstreams that
+fit the fewest other models.
 """
 
 from __future__ import annotations
@@ -54,6 +57,7 @@
     :param named: newest named version of each of its models.
     """
     busy = {view.name for view in upstreams if view.loading}
+    uses = {view.name: count_uses(view, named) for view in upstreams}
     at_once = max(int(len(upstreams) * LOADING_SHARE), 1)
     loads: list[Load] = []
     share = -(-len(upstreams) // max(len(named), 1))
@@ -61,31 +65,46 @@
         named, key=lambda model: _count_fit(upstreams, model, named[model])
     )
     for model in by_need:
-        wanted = _list_wanted(upstreams, model, named[model], share, busy)
+        wanted = _list_wanted(upstreams, model, named[model], share, busy, uses)
         for name in wanted:
             if len(busy) < at_once and name not in busy:
                 busy.add(name)
+                uses[name] += 1
                 loads.append(Load(name, model, named[model]))
     return loads
 
 
+def count_uses(view: LoadView, named: Mapping[str, int]) -> int:
+    """Count the models whose newest step an upstream may run."""
+    return sum(
+        _has(view, model, version - 1) for model, version in named.items()
+    )
+
+
 def _list_wanted(
     upstreams: Sequence[LoadView],
     model: str,
     version: int,
     share: int,
     busy: AbstractSet[str],
+    uses: Mapping[str, int],
 ) -> list[str]:
     """List the upstreams that should load a version, first those far behind.
 
     :param share: how many upstreams should hold it.
     :param busy: upstreams that load already; waiting for one of them while
         others are free would leave loads unused.
+    :param uses: models whose newest step each upstream may run.
     """
     behind = [view for view in upstreams if not _has(view, model, version)]
     current = len(upstreams) - len(behind)
     behind.sort(
-        key=lambda view: (view.name in busy, view.versions.get(model, 0))
+        key=lambda view: (
+            view.name in busy,
+            _has(view, model, version - 1),
+            uses[view.name],
+            view.versions.get(model, 0),
+        )
     )
     return [view.name for view in behind[: max(share - current, 0)]]
 
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/lengths_tests.py
@@ -0,0 +1,148 @@
+"""Order of items by what their callers expect of their lengths."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.batches.batch_run import (
+    BatchRun,
+    build_batch_run,
+)
+from quetzalcourse.coordination.batches.item_run import ItemRun
+from quetzalcourse.coordination.batches.lengths import Lengths
+from quetzalcourse.state.batches import BatchHead, BatchItem
+
+DUE = 7500
+PACE = 0.04
+# Tokens of one event, which callers count in.
+TOKENS = 46
+
+
+def build_run(name: str, estimates: list[int], due: int = DUE) -> BatchRun:
+    """Build a batch whose items have estimates."""
+    head = BatchHead(name, 'a', 'r', 'h', len(estimates), 0, due, 20_000, 'm')
+    items = [
+        BatchItem(f'{name}-{number}', '/i', {}, b'', length_estimate=estimate)
+        for number, estimate in enumerate(estimates)
+    ]
+    return build_batch_run(head, items, (), 1, timedelta(0))
+
+
+def list_waiting(*batches: BatchRun) -> list[tuple[BatchRun, ItemRun]]:
+    """List all items of batches in their order."""
+    return [(batch, run) for batch in batches for run in batch.items]
+
+
+def teach(lengths: Lengths, count: int = 64) -> None:
+    """Show items whose estimates are right."""
+    for number in range(count):
+        events = 5 + number % 20
+        took = timedelta(seconds=events * PACE)
+        lengths.learn('m', events * TOKENS, events, took)
+
+
+def test_long_items_begin_first() -> None:
+    """Also where they stand last in their batch."""
+    lengths = Lengths()
+    teach(lengths)
+    batch = build_run('b', [500, 3000, 100, 6000])
+    ordered = [run.rank for _, run in lengths.order(list_waiting(batch))]
+    assert ordered == [3, 1, 0, 2]
+
+
+def test_unknown_lengths_keep_their_order() -> None:
+    """Nothing was learned yet, or no estimate came."""
+    batch = build_run('b', [100, 6000, 500])
+    ordered = Lengths().order(list_waiting(batch))
+    assert [run.rank for _, run in ordered] == [0, 1, 2]
+    lengths = Lengths()
+    teach(lengths)
+    batch = build_run('b', [0, 0, 0])
+    ordered = lengths.order(list_waiting(batch))
+    assert [run.rank for _, run in ordered] == [0, 1, 2]
+
+
+def test_batch_that_is_due_sooner_goes_first() -> None:
+    # A step is already three seconds late when the next one comes. Its short
+    # items go before those of the new one that are no longer than the time
+    # between them.
+    lengths = Lengths()
+    teach(lengths)
+    late = build_run('late', [1000], due=DUE - 4000)
+    new = build_run('new', [2000, 9000])
+    ordered = lengths.order(list_waiting(new, late))
+    assert [run.item.id for _, run in ordered] == ['new-1', 'late-0', 'new-0']
+
+
+def test_text_that_is_made_is_not_waited_for() -> None:
+    """An item that goes on elsewhere counts by what is left of it."""
+    lengths = Lengths()
+    teach(lengths)
+    batch = build_run('b', [4600, 2300])
+    batch.items[0].texts = ['x'] * 90
+    ordered = [run.rank for _, run in lengths.order(list_waiting(batch))]
+    assert ordered == [1, 0]
+
+
+@pytest.mark.parametrize(
+    ('estimate', 'made', 'left'),
+    [
+        (100 * TOKENS, 0, 100),
+        (100 * TOKENS, 60, 40),
+        (100 * TOKENS, 120, 30),
+        (0, 50, 50),
+    ],
+)
+def test_events_left_follow_from_the_estimate(
+    estimate: int,
+    made: int,
+    left: int,
+) -> None:
+    """An item that is longer than estimated still goes on for a while."""
+    lengths = Lengths()
+    teach(lengths)
+    assert abs(lengths.count_left('m', estimate, made) - left) <= 1
+
+
+@dataclass(slots=True)
+class Item:
+    """An item of a replayed step: its length and its estimate."""
+
+    seconds: float
+    estimate: int
+
+
+def replay(slots: int, items: list[Item]) -> float:
+    """Run items in their order, and tell when the last one ends."""
+    free = [0.0] * slots
+    for item in items:
+        free.sort()
+        free[0] += item.seconds
+    return max(free)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_steps_of_all_models_end_a_second_earlier(seed: int) -> None:
+    # Four models submit 224 items at once for 108 slots, one in twelve five
+    # times as long as the others. In the order of their submission the last
+    # step ends when a long item that waited ends.
+    source = random.Random(seed)
+    lengths = Lengths()
+    teach(lengths)
+    items = []
+    for _ in range(224):
+        events = min(source.lognormvariate(2.4, 0.8), 130)
+        if source.random() < 0.08:
+            events = min(events * 5, 130)
+        error = source.lognormvariate(0, 0.5)
+        seconds = events * PACE
+        items.append(Item(seconds, max(int(events * TOKENS * error), 1)))
+    batch = build_run('b', [item.estimate for item in items])
+    ordered = [items[run.rank] for _, run in lengths.order(list_waiting(batch))]
+    longest = max(item.seconds for item in items)
+    assert replay(108, ordered) <= longest + 0.35
+    assert replay(108, ordered) <= replay(108, items)
--- a/quetzalcourse/tests/coordination/versions/load_plan_tests.py
+++ b/quetzalcourse/tests/coordination/versions/load_plan_tests.py
@@ -7,6 +7,7 @@
 from quetzalcourse.coordination.versions.load_plan import (
     Load,
     LoadView,
+    count_uses,
     plan_loads,
 )
 
@@ -102,3 +103,22 @@
     """A load that runs counts as done."""
     views = [LoadView('e-0', {'a': 1}, 'a')]
     assert not plan_loads(views, {'a': 2})
+
+
+@pytest.mark.parametrize(('count', 'models'), [(18, 4), (23, 4), (6, 2)])
+def test_no_upstream_stands_idle_in_a_burst(count: int, models: int) -> None:
+    # All models submit their steps at the same moment, twice as many items
+    # as there are slots. Versions had gone to the same upstreams one after
+    # the other: of 18, four might run no model at all and five only one,
+    # while items waited for the rest.
+    names = tuple(f'm-{number}' for number in range(models))
+    views = build_views(count, names)
+    named = dict.fromkeys(names, 1)
+    for version in range(2, STEPS):
+        for name in names:
+            named[name] = version
+            views, _ = load_all(views, named)
+            if version > 4:
+                uses = [count_uses(view, named) for view in views]
+                assert min(uses) >= 1
+                assert max(uses) <= min(uses) + 2
--- /dev/null
+++ b/quetzalcourse/tests/platform/submissions_tests.py
@@ -0,0 +1,89 @@
+"""What the adapter reads from a submission, and writes of its results."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+
+from quetzalcourse.platform.callers import PlatformCallers
+from quetzalcourse.state.batches import (
+    ItemResult,
+    ResultPage,
+    ResultState,
+    ScoringCall,
+    Submission,
+)
+
+CALLERS = PlatformCallers()
+SCORER = {
+    'id': 'c-1',
+    'hostname': 'verse.example',
+    'path': '/score/7',
+    'body': base64.b64encode(b'text').decode(),
+}
+
+
+def read(**fields: Any) -> Submission:
+    """Read a submission of one item."""
+    item = {'id': 'i-1', 'path': '/drill/1'} | fields
+    body = json.dumps({'requests': [item]}).encode()
+    return CALLERS.read_submission(body).unwrap()
+
+
+def test_scorer_becomes_a_scoring_call() -> None:
+    """Its body is decoded; an item without one has no call."""
+    call = read(scorer=SCORER).items[0].scoring
+    assert call == ScoringCall('c-1', 'verse.example', '/score/7', b'text')
+    assert read().items[0].scoring is None
+
+
+@pytest.mark.parametrize('missing', ['id', 'hostname', 'path'])
+def test_scorer_that_lacks_a_field_is_refused(missing: str) -> None:
+    # A trainer's client is broken. Accepted, its items could never be
+    # completed, and it would wait for them until they are given up.
+    scorer = {name: SCORER[name] for name in SCORER if name != missing}
+    body = {'requests': [{'id': 'i', 'path': '/', 'scorer': scorer}]}
+    assert CALLERS.read_submission(json.dumps(body).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    ('headers', 'estimate'),
+    [
+        ({'X-Length-Hint': '93'}, 93),
+        ({'x-length-hint': '93'}, 93),
+        ({}, 0),
+        ({'X-Length-Hint': ''}, 0),
+        ({'X-Length-Hint': '-5'}, 0),
+        ({'X-Length-Hint': 'long'}, 0),
+        ({'X-Token-Counts': '664,8234'}, 0),
+    ],
+)
+def test_length_hint_is_an_estimate(
+    headers: dict[str, str],
+    estimate: int,
+) -> None:
+    """One that is no number says nothing; the header is passed on."""
+    item = read(headers=headers).items[0]
+    assert item.length_estimate == estimate
+    assert item.headers == headers
+
+
+def test_score_is_written_only_where_there_is_one() -> None:
+    """Clients that asked for none see results as they always were."""
+    results = (
+        ItemResult('a', ResultState.completed, 'text', [1], 'stamp'),
+        ItemResult('b', ResultState.completed, 'text', [1]),
+        ItemResult('c', ResultState.abandoned),
+    )
+    page = json.loads(CALLERS.write_page(ResultPage(3, 0, results)))
+    assert page['results'][0]['score'] == 'stamp'
+    assert 'score' not in page['results'][1]
+    assert page['results'][2] == {
+        'id': 'c',
+        'state': 'abandoned',
+        'text': '',
+        'versions': [],
+    }
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -206,7 +206,8 @@
                     self._miss(batch, run, upstream, 'mixed weights')
                     return False
                 run.append(event, version)
-            reading = pace.read(self._clock.elapsed(), len(frames))
+            run.heard_at = self._clock.elapsed()
+            reading = pace.read(run.heard_at, len(frames))
             if reading is not None:
                 self._pool.on_pace(upstream, reading)
             if run.target:
