Revert leaving upstreams that were silent for half a second

Hypothesis: a stream that is silent for 0.5 s is in a load of 0.9 s or at an upstream that is gone; a long item is better off elsewhere in both cases.

Loads are far more frequent than upstreams that go dark, and items that leave them find slots that others would have had.

--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -107,7 +107,6 @@
     def stop(self) -> None:
         """Stop all items; what was not committed is run again elsewhere."""
         for run in self.items:
-            run.leaves = False
             if run.task is not None:
                 run.task.cancel()
         if self.committer is not None:
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -48,8 +48,6 @@
     :param saved_event: last event of the text that was saved.
     :param saved_whole: whether it was saved as whole.
     :param target: upstream where it is to go on, empty if it stays.
-    :param leaves: whether its attempt is broken off to go on there.
-    :param heard_at: time since boot at which its last events came.
     """
 
     item: BatchItem
@@ -68,8 +66,6 @@
     avoided: str = ''
     began: timedelta = timedelta(0)
     target: str = ''
-    leaves: bool = False
-    heard_at: timedelta = timedelta(0)
     task: asyncio.Task[None] | None = None
 
     @property
--- a/quetzalcourse/coordination/batches/moves.py
+++ b/quetzalcourse/coordination/batches/moves.py
@@ -33,35 +33,6 @@
 # upstream just when it was as fast as ever again. A second gap of a stream
 # counts.
 PAUSE = timedelta(milliseconds=400)
-# An upstream that sends nothing for as long, fifteen times the usual, loads
-# weights for another half second or is gone; where a slot is to be had
-# elsewhere, a long item is better off there in either case.
-QUIET = timedelta(milliseconds=500)
-
-
-def find_refuge(
-    here: Upstream,
-    others: Iterable[Upstream],
-    now: timedelta,
-) -> Upstream | None:
-    """Find where an item can go on whose upstream fell quiet.
-
-    :param others: upstreams that may run it, the best first.
-    :returns: ``None`` if no other has slots to spare.
-    """
-    return next(
-        (
-            one
-            for one in others
-            if one.name != here.name and not one.faults and has_spare(one, now)
-        ),
-        None,
-    )
-
-
-def has_spare(upstream: Upstream, now: timedelta) -> bool:
-    """Tell whether an upstream has slots beside those for waiting items."""
-    return upstream.count_load(now) + SPARE_SLOTS < upstream.member.slots
 
 
 @dataclass(slots=True)
@@ -116,7 +87,7 @@
         if one.name != here.name
         and one.pace
         and not one.faults
-        and has_spare(one, now)
+        and one.count_load(now) + SPARE_SLOTS < one.member.slots
     ]
     best = min(free, key=lambda one: one.pace, default=None)
     if best is None:
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -13,10 +13,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.moves import (
-    choose_target,
-    find_refuge,
-)
+from quetzalcourse.coordination.batches.moves import choose_target
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -113,14 +110,6 @@
         now = self._clock.elapsed()
         return choose_target(upstream, self.list_fit(need), left, now)
 
-    def find_refuge(self, need: Need, upstream: Upstream) -> Upstream | None:
-        """Find where an item can go on whose upstream fell quiet."""
-        now = self._clock.elapsed()
-        fit = self.list_fit(need)
-        median = find_median_pace(fit)
-        fit.sort(key=lambda one: self._rank(one, need, now, median))
-        return find_refuge(upstream, fit, now)
-
     def _find_best_pace(self, service: str) -> float:
         now = self._clock.elapsed()
         found_at, best = self._best.get(service, (None, 0.0))
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -9,7 +9,6 @@
 
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.lengths import Lengths
-from quetzalcourse.coordination.batches.moves import LEAST_EVENTS, QUIET
 from quetzalcourse.coordination.batches.placement import Need
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks, wait_event
@@ -36,9 +35,6 @@
 SAVE_GAP = timedelta(milliseconds=350)
 # Without a batch there is nothing to look after; the next one wakes.
 IDLE = timedelta(seconds=1)
-# Items are looked after twenty times a second; a pause of this much means
-# that the daemon was suspended or its core was taken away.
-HELD_UP = timedelta(milliseconds=250)
 log = get_log('batches')
 
 
@@ -87,8 +83,6 @@
         self._clock = clock
         self._counters = counters
         self._lengths = Lengths()
-        self._dispatched_at = timedelta(0)
-        self._held_up = False
         self._writer = writer
         self._wake = asyncio.Event()
         self._tasks = Tasks('batches')
@@ -140,8 +134,6 @@
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
-        self._held_up = now - self._dispatched_at > HELD_UP
-        self._dispatched_at = now
         waiting: list[tuple[BatchRun, ItemRun]] = []
         for batch in sorted(self.batches.values(), key=lambda one: one.due):
             if now >= batch.given_up:
@@ -211,10 +203,9 @@
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
         upstream = self._pool.find(run.upstream)
-        if run.target or upstream is None:
+        if run.target or upstream is None or run.last_event is None:
             return
-        quiet = self._is_quiet(run)
-        if not quiet and not self._placement.may_gain(upstream):
+        if not self._placement.may_gain(upstream):
             return
         need = self._find_need(batch, run)
         if need is None:
@@ -222,35 +213,11 @@
         left = self._lengths.count_left(
             batch.head.model, run.item.length_estimate, len(run.texts)
         )
-        if not quiet:
-            target = self._placement.choose_target(need, upstream, left)
-        elif left >= LEAST_EVENTS:
-            target = self._placement.find_refuge(need, upstream)
-        else:
-            return
+        target = self._placement.choose_target(need, upstream, left)
         if target is None or not _may_go_on(batch, run, target):
             return
         run.target = target.name
         self._pool.on_start(target)
-        if quiet and run.task is not None:
-            log.info(
-                'Item leaves a quiet upstream.',
-                batch=batch.head.id,
-                item=run.item.id,
-                upstream=upstream.name,
-                target=target.name,
-                events=len(run.texts),
-                left=left,
-            )
-            run.leaves = True
-            run.task.cancel()
-
-    def _is_quiet(self, run: ItemRun) -> bool:
-        # A daemon that was held up itself finds all its streams quiet, and
-        # their events just behind; it asks again once it has read them.
-        if self._held_up:
-            return False
-        return self._clock.elapsed() - max(run.began, run.heard_at) > QUIET
 
     async def _attempt(
         self,
@@ -262,9 +229,6 @@
         resumed = run.last_event is not None
         try:
             result = await self._items.run(batch, run, upstream)
-        except asyncio.CancelledError:
-            if not run.leaves:
-                raise
         finally:
             target = self._on_end(run, upstream)
         if result is None:
@@ -300,7 +264,6 @@
         if target is not None:
             self._pool.on_end(target)
         run.target = ''
-        run.leaves = False
         run.task = None
         self._wake.set()
         return target
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -206,8 +206,7 @@
                     self._miss(batch, run, upstream, 'mixed weights')
                     return False
                 run.append(event, version)
-            run.heard_at = self._clock.elapsed()
-            reading = pace.read(run.heard_at, len(frames))
+            reading = pace.read(self._clock.elapsed(), len(frames))
             if reading is not None:
                 self._pool.on_pace(upstream, reading)
             if run.target:
