--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -12,10 +12,19 @@
     Pool,
     Upstream,
 )
-from quetzalcourse.coordination.versions.load_plan import plan_loads
+from quetzalcourse.coordination.versions.load_plan import (
+    count_uses,
+    plan_loads,
+)
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.coordination.batches.lengths_tests import (
+    BURST_SLOTS,
+    build_burst,
+    order_burst,
+    replay,
+)
 from quetzalcourse.tests.coordination.feeds.reach_tests import (
     NEIGHBOUR,
     OUTSIDER,
@@ -31,6 +40,8 @@
     'placements_per_second',
     'weight_loads_per_version',
     'cut_noticed_seconds',
+    'burst_beyond_longest_item',
+    'upstreams_without_use',
 )
 UPSTREAMS = 23
 DESIGN_UPSTREAMS = 890
@@ -43,6 +54,7 @@
 VERSIONS = 12
 NEED = Need('engines', 'verse', 1)
 TICK = timedelta(milliseconds=100)
+BURSTS = 20
 # Length of the cuts of a data centre in the trials.
 CUT = timedelta(seconds=5.5)
 
@@ -54,6 +66,8 @@
         measure_speed(),
         measure_loads(),
         measure_cut(),
+        measure_burst(),
+        measure_idle(),
     ]
 
 
@@ -184,3 +198,44 @@
         baseline=CUT.total_seconds(),
         detail='the balancer takes two more seconds to act on it',
     )
+
+
+def measure_burst() -> Figure:
+    """Measure how long a burst goes on behind its longest item."""
+    ordered = 0.0
+    submitted = 0.0
+    for seed in range(BURSTS):
+        items = build_burst(seed)
+        longest = max(item.seconds for item in items)
+        ordered += replay(BURST_SLOTS, order_burst(items)) - longest
+        submitted += replay(BURST_SLOTS, items) - longest
+    return Figure(
+        'burst_beyond_longest_item',
+        ordered / BURSTS,
+        's',
+        at_most(0.35),
+        baseline=submitted / BURSTS,
+        detail=f'{len(items)} items on {BURST_SLOTS} slots, {BURSTS} bursts',
+    )
+
+
+def measure_idle() -> Figure:
+    """Count the upstreams that no model's newest step may use."""
+    names = tuple(f'm-{number}' for number in range(MODELS))
+    views = build_views(UPSTREAMS, names)
+    named = dict.fromkeys(names, 1)
+    idle = 0
+    for version in range(2, VERSIONS):
+        for name in names:
+            named[name] = version
+            while loads := plan_loads(views, named):
+                views = carry_out(views, loads)
+        idle += sum(not count_uses(view, named) for view in views)
+    return Figure(
+        'upstreams_without_use',
+        idle / (VERSIONS - 2),
+        'upstreams',
+        at_most(0),
+        baseline=UPSTREAMS,
+        detail=f'{MODELS} models on {UPSTREAMS} upstreams; baseline: no loads',
+    )
--- a/quetzalcourse/coordination/batches/homes.py
+++ b/quetzalcourse/coordination/batches/homes.py
@@ -30,11 +30,12 @@
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.members import Member
 
-# A sound home answers within 20 ms, most of which is the store's; behind a
+# A sound home answers within 50 ms, most of which is the store's; behind a
 # slow store both write, and the store lets one of them win.
 OFFER_TIME = timedelta(milliseconds=150)
-# Items that a home runs at most. Each costs some 3 ms of a core a second:
-# this many are three fifths of one, beside the callers' requests.
+# Items that a home runs at most: three open steps of 64 items, which is what
+# a trainer that has fallen behind keeps open. Larger ones are run where they
+# come in, so that no daemon reads the streams of a whole deployment.
 MOST_ITEMS = 200
 # A weaker machine than this share of the strongest is no home: the streams
 # of a whole model would leave nothing of it for callers.
--- a/quetzalcourse/coordination/batches/lengths.py
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -3,7 +3,7 @@
 The load that this answers: the trainers of several models submit their steps
 at the same moment, twice as many items as there are slots. A step ends with
 its longest item, and lengths are most uneven: half of the items are over in
-half a second, one in twelve takes five. A long one that waits for a second
+half a second, one in a hundred takes six. A long one that waits for a second
 makes its whole step a second late, a short one nothing. Callers estimate the
 length of each item; an estimate is right at the median and may be off by a
 factor of three, which is still enough to tell long items from short ones.
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -24,9 +24,9 @@
 # An upstream of this pace against the median is one that turned slow; the
 # pace of sound ones differs by less than half, as their load does.
 SLOW_PACE = 1.8
-# Servers of one kind differ by a third, and what a long item loses there is
-# lost to its step; so the slower ones are filled after the others. Below this
-# the difference is that of their load.
+# Upstreams of one kind differ by a third (31 and 42 ms an event), and what a
+# long item loses there is lost to its step; so the slower ones are filled
+# after the others. Below this the difference is that of their load.
 SLOWER_PACE = 1.12
 # Running items are reviewed twenty times a second each; the best pace
 # changes more slowly.
--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -23,9 +23,9 @@
 # Others are asked four times a second; word older than four questions may
 # be of a daemon that is turned away itself by now.
 WORD_LIFE = timedelta(seconds=1)
-# How long a call waits for the first word of another daemon: a question and
-# its answer take some 5 ms between data centres. A call that found nobody
-# by then is refused, so the wait is a small share of a caller's 400 ms.
+# How long a call waits for the first word of another daemon; data centres
+# are a few milliseconds apart. A call that found nobody by then is refused,
+# so the wait is a small share of the 400 ms in which a caller is answered.
 WORD_WAIT = timedelta(milliseconds=50)
 # While the store is down for all every call looks for help in vain; they
 # share one question.
--- a/quetzalcourse/tests/coordination/batches/lengths_tests.py
+++ b/quetzalcourse/tests/coordination/batches/lengths_tests.py
@@ -20,6 +20,10 @@
 PACE = 0.04
 # Tokens of one event, which callers count in.
 TOKENS = 46
+BURST_ITEMS = 224
+BURST_SLOTS = 108
+LONG_SHARE = 0.08
+MOST_EVENTS = 130
 
 
 def build_run(name: str, estimates: list[int], due: int = DUE) -> BatchRun:
@@ -125,24 +129,37 @@
     return max(free)
 
 
+def build_burst(seed: int) -> list[Item]:
+    """Build the items that four models submit at the same moment."""
+    source = random.Random(seed)
+    items = []
+    for _ in range(BURST_ITEMS):
+        events = source.lognormvariate(2.4, 0.8)
+        if source.random() < LONG_SHARE:
+            events *= 5
+        events = min(events, MOST_EVENTS)
+        error = source.lognormvariate(0, 0.5)
+        estimate = max(int(events * TOKENS * error), 1)
+        items.append(Item(events * PACE, estimate))
+    return items
+
+
+def order_burst(items: list[Item]) -> list[Item]:
+    """Order items as a daemon does that has learned their lengths."""
+    lengths = Lengths()
+    teach(lengths)
+    batch = build_run('b', [item.estimate for item in items])
+    ordered = lengths.order(list_waiting(batch))
+    return [items[run.rank] for _, run in ordered]
+
+
 @pytest.mark.parametrize('seed', range(6))
 def test_steps_of_all_models_end_a_second_earlier(seed: int) -> None:
     # Four models submit 224 items at once for 108 slots, one in twelve five
     # times as long as the others. In the order of their submission the last
     # step ends when a long item that waited ends.
-    source = random.Random(seed)
-    lengths = Lengths()
-    teach(lengths)
-    items = []
-    for _ in range(224):
-        events = min(source.lognormvariate(2.4, 0.8), 130)
-        if source.random() < 0.08:
-            events = min(events * 5, 130)
-        error = source.lognormvariate(0, 0.5)
-        seconds = events * PACE
-        items.append(Item(seconds, max(int(events * TOKENS * error), 1)))
-    batch = build_run('b', [item.estimate for item in items])
-    ordered = [items[run.rank] for _, run in lengths.order(list_waiting(batch))]
+    items = build_burst(seed)
+    ordered = order_burst(items)
     longest = max(item.seconds for item in items)
-    assert replay(108, ordered) <= longest + 0.35
-    assert replay(108, ordered) <= replay(108, items)
+    assert replay(BURST_SLOTS, ordered) <= longest + 0.35
+    assert replay(BURST_SLOTS, ordered) <= replay(BURST_SLOTS, items)
--- a/quetzalcourse/tests/rollout/batch_homes_tests.py
+++ b/quetzalcourse/tests/rollout/batch_homes_tests.py
@@ -10,6 +10,7 @@
 from quetzalcourse.coordination.batches import homes
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.world import build_batch
+from quetzalcourse.tests.rollout.calls import await_acquaintance
 
 if TYPE_CHECKING:
     from quetzalcourse.rollout_application import RolloutApplication
@@ -18,16 +19,6 @@
 ITEMS = [f'i-{number}' for number in range(12)]
 
 
-async def await_acquaintance(world: RolloutWorld) -> None:
-    """Wait until all daemons know one another."""
-    async with asyncio.timeout(10):
-        while any(
-            len(daemon.presence.list_live()) < len(world.daemons)
-            for daemon in world.daemons
-        ):
-            await asyncio.sleep(0.05)
-
-
 def find_home(world: RolloutWorld) -> RolloutApplication:
     """Find the daemon that runs the model's batches."""
     presence = world.daemons[0].presence
--- a/quetzalcourse/tests/rollout/calls.py
+++ b/quetzalcourse/tests/rollout/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 from quetzalcourse.standins.rollout import documents
@@ -21,3 +22,13 @@
     return await world.caller.call(
         world.address(), 'POST', path, b'salt', **options
     )
+
+
+async def await_acquaintance(world: RolloutWorld) -> None:
+    """Wait until all daemons know one another."""
+    async with asyncio.timeout(10):
+        while any(
+            len(daemon.presence.list_live()) < len(world.daemons)
+            for daemon in world.daemons
+        ):
+            await asyncio.sleep(0.05)
--- a/quetzalcourse/tests/rollout/outages_tests.py
+++ b/quetzalcourse/tests/rollout/outages_tests.py
@@ -9,22 +9,16 @@
 
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.world import build_batch
-from quetzalcourse.tests.rollout.calls import LOOKUP, look_up
+from quetzalcourse.tests.rollout.calls import (
+    LOOKUP,
+    await_acquaintance,
+    look_up,
+)
 
 if TYPE_CHECKING:
     from quetzalcourse.standins.rollout.world import RolloutWorld
 
 
-async def await_acquaintance(world: RolloutWorld) -> None:
-    """Wait until all daemons know one another."""
-    async with asyncio.timeout(10):
-        while any(
-            len(daemon.presence.list_live()) < len(world.daemons)
-            for daemon in world.daemons
-        ):
-            await asyncio.sleep(0.05)
-
-
 async def test_lapsed_entries_are_kept_while_the_store_returns(
     world: RolloutWorld,
 ) -> None:
