Count only an upstream's own failures towards giving an item up

Cause: every answer that was neither a success nor a refusal counted as a failure, also 504, by which a server says that the time of a call was over. That time is the daemon's own short wait since waits are learned from answers; at a slow server the answer 504 and the end of the wait race each other.

Change: 500 alone is a failure; other answers mean that the request is tried again.

Tests: two new ones, of scores and of items, fail on the code before.

--- a/quetzalcourse/platform/upstreams.py
+++ b/quetzalcourse/platform/upstreams.py
@@ -19,6 +19,7 @@
 OK_LAST = 299
 MISDIRECTED = 421
 UNPROCESSABLE = 422
+SERVER_ERROR = 500
 # What the system sets itself, or must not pass on.
 OWN_HEADERS = frozenset(
     (
@@ -90,7 +91,9 @@
             return AnswerMarks(AnswerState.served, load, number, stamp)
         if status == UNPROCESSABLE:
             return AnswerMarks(AnswerState.impossible, load)
-        return AnswerMarks(AnswerState.failed, load)
+        if status == SERVER_ERROR:
+            return AnswerMarks(AnswerState.failed, load)
+        return AnswerMarks(AnswerState.unfinished, load)
 
     def read_event(self, frame: bytes) -> StreamEvent | None:
         """Read one event of a stream, ``None`` if it can't be one."""
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -27,6 +27,7 @@
 MISDIRECTED = 421
 ERROR = 500
 UNAVAILABLE = 503
+OVERRUN = 504
 BEAT_SECONDS = 0.5
 MOST_EVENTS = 12
 EVENT_SECONDS = 0.01
@@ -58,6 +59,7 @@
     :param cut_after: event after which the next streams are cut.
     :param cuts: how many streams are cut so.
     :param double: answers that are followed by a second one.
+    :param overrun: requests that are answered 504, their time being over.
     :param short: answers of plain requests whose body breaks off.
     :param misname: answers of plain requests that name another one.
     :param dark: whether it answers nothing at all.
@@ -69,6 +71,7 @@
     cut_after: int = 0
     cuts: int = 0
     double: int = 0
+    overrun: int = 0
     short: int = 0
     misname: int = 0
     dark: bool = False
@@ -276,6 +279,9 @@
         elif self.faults.fail:
             self.faults.fail -= 1
             await self._answer(request, head, b'failed', ERROR)
+        elif self.faults.overrun:
+            self.faults.overrun -= 1
+            await self._answer(request, head, b'too late', OVERRUN)
         elif model:
             await self._stream(request, head, model, resumed_after)
         else:
--- a/quetzalcourse/state/calls.py
+++ b/quetzalcourse/state/calls.py
@@ -77,11 +77,17 @@
 
 
 class AnswerState(enum.StrEnum):
-    """What an upstream's answer says of its request."""
+    """What an upstream's answer says of its request.
+
+    ``failed`` is the upstream's own failure, which counts towards giving a
+    request up; ``unfinished`` says nothing of the request itself, such as
+    that its time was over.
+    """
 
     served = 'served'
     not_run = 'not_run'
     failed = 'failed'
+    unfinished = 'unfinished'
     impossible = 'impossible'
     foreign = 'foreign'
 
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -274,6 +274,19 @@
     assert sum(len(engine.runs) for engine in world.engines) == 3
 
 
+async def test_item_that_ran_out_of_time_is_not_given_up(
+    world: RolloutWorld,
+) -> None:
+    # Servers answer that an item's time was over. Only their own failures
+    # say that it can't be done, so it is tried on.
+    for engine in world.engines:
+        engine.faults.overrun = 3
+    await world.caller.submit(world.address(), 'b-1', build_batch(['i-0']))
+    (result,) = await world.caller.read_all(world.address(), 'b-1')
+    assert result['state'] == 'completed'
+    assert sum(len(engine.runs) for engine in world.engines) == 7
+
+
 async def test_large_text_is_read_back(world: RolloutWorld) -> None:
     # A commit holds more text than a row of the store does. The store would
     # refuse it again and again, and the batch would never end.
--- a/quetzalcourse/tests/rollout/scored_batches_tests.py
+++ b/quetzalcourse/tests/rollout/scored_batches_tests.py
@@ -138,6 +138,21 @@
     assert sum(len(engine.runs) for engine in world.engines) == 1
 
 
+async def test_scoring_that_ran_out_of_time_is_no_failure(
+    world: RolloutWorld,
+) -> None:
+    # Servers of the scoring service answer that the time of a call was over,
+    # which is the daemon's own short wait. Counted as failures of the text,
+    # its item would be abandoned though it has a score a moment later.
+    for service in world.services:
+        service.faults.overrun = 3
+    await submit(world, ['i-0'])
+    (result,) = await world.caller.read_all(world.address(), 'b-1')
+    assert result['state'] == 'completed'
+    assert result['score'].endswith('.score-of-i-0')
+    assert len(list_calls(world)) == 7
+
+
 async def test_unscored_texts_hold_no_slot_of_an_engine(
     world: RolloutWorld,
 ) -> None:
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -145,6 +145,10 @@
             return run.abandon()
         if marks.state is AnswerState.failed:
             return self._fail(batch, run, upstream, answer.status)
+        if marks.state is AnswerState.unfinished:
+            self._miss(batch, run, upstream, f'status {answer.status}')
+            run.postpone(self._clock.elapsed())
+            return None
         if marks.weight_version:
             self._pool.on_version(upstream, model, marks.weight_version)
         if not self._accepts(batch, run, marks.weight_version):
--- a/quetzalcourse/transport/scoring_calls.py
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -90,8 +90,10 @@
         # An answer that breaks off counts for nothing, so its body is read
         # to the end though nobody wants it.
         pieces = [piece async for piece in read_pieces(answer, patience)]
-        if marks.state is not AnswerState.served:
+        if marks.state is AnswerState.failed:
             return ScoringOutcome(ScoringState.failed, reason=reason)
+        if marks.state is not AnswerState.served:
+            return ScoringOutcome(ScoringState.lost, reason=reason)
         if not marks.stamp:
             return ScoringOutcome(ScoringState.lost, reason='no stamp')
         self._pool.on_success(upstream)
