Move an item only to the upstream that its slot was taken at

Found by reading the change once more: the slot of a moving item was given back by the upstream's name. Had the upstream begun anew meanwhile, its next run counted a slot more than it has; had it begun to leave, the item went there all the same. Both are shown by tests that failed before.

--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from quetzalcourse.coordination.forwarding.pool import Upstream
     from quetzalcourse.state.batches import BatchItem, StreamEvent
 
 FIRST_RETRY = timedelta(milliseconds=50)
@@ -47,7 +48,8 @@
     :param last_event: number of the last event, ``None`` before the first.
     :param saved_event: last event of the text that was saved.
     :param saved_whole: whether it was saved as whole.
-    :param target: upstream where it is to go on, empty if it stays.
+    :param target: upstream where it is to go on, and where a slot is taken
+        for it; ``None`` if it stays.
     """
 
     item: BatchItem
@@ -65,7 +67,7 @@
     upstream: str = ''
     avoided: str = ''
     began: timedelta = timedelta(0)
-    target: str = ''
+    target: Upstream | None = None
     task: asyncio.Task[None] | None = None
 
     @property
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -203,9 +203,9 @@
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
         upstream = self._pool.find(run.upstream)
-        if run.target or upstream is None or run.last_event is None:
+        if run.target is not None or run.last_event is None:
             return
-        if not self._placement.may_gain(upstream):
+        if upstream is None or not self._placement.may_gain(upstream):
             return
         need = self._find_need(batch, run)
         if need is None:
@@ -216,7 +216,7 @@
         target = self._placement.choose_target(need, upstream, left)
         if target is None or not _may_go_on(batch, run, target):
             return
-        run.target = target.name
+        run.target = target
         self._pool.on_start(target)
 
     async def _attempt(
@@ -257,16 +257,22 @@
     def _on_end(self, run: ItemRun, upstream: Upstream) -> Upstream | None:
         """Give slots back.
 
-        :returns: upstream at which a slot was kept for the item, if any.
+        :returns: upstream at which a slot was kept for the item, if it still
+            takes work.
         """
         self._pool.on_end(upstream)
-        target = self._pool.find(run.target)
-        if target is not None:
-            self._pool.on_end(target)
-        run.target = ''
+        target = run.target
+        run.target = None
         run.task = None
         self._wake.set()
-        return target
+        if target is None:
+            return None
+        self._pool.on_end(target)
+        # It may have left or begun anew while the last event came.
+        known = self._pool.find(target.name) is target
+        return (
+            target if known and target.is_open(self._clock.elapsed()) else None
+        )
 
     def _give_up(self, batch: BatchRun) -> None:
         for run in batch.items:
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -0,0 +1,194 @@
+"""Items that move: their slots, and upstreams that go meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_asyncio
+
+from quetzalcourse.coordination.batches.batch_run import build_batch_run
+from quetzalcourse.coordination.batches.placement import BEST_LIFE, Placement
+from quetzalcourse.coordination.batches.runner import BatchRunner
+from quetzalcourse.coordination.batches.scoring import ItemScoring
+from quetzalcourse.coordination.forwarding.pool import PACE_READINGS, Pool
+from quetzalcourse.coordination.forwarding.route_table import RouteTable
+from quetzalcourse.platform.documents import read_manifest
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.state.batches import BatchHead, BatchItem, StreamEvent
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.tests.clocks import FakeClock
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from typing import Any
+
+    from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.coordination.batches.item_run import ItemRun
+    from quetzalcourse.coordination.forwarding.pool import Upstream
+
+SLOTS = 4
+EVENTS = 40
+# Items are looked after each 50 ms.
+ROUND_SECONDS = 0.12
+
+
+class HeldItems:
+    """Upstreams that send some events and wait for a test to go on."""
+
+    def __init__(self) -> None:
+        """Begin without attempts."""
+        self.attempts: list[tuple[str, str]] = []
+        self.proceed = asyncio.Event()
+
+    async def run(
+        self,
+        batch: BatchRun,
+        run: ItemRun,
+        upstream: Upstream,
+    ) -> None:
+        """Take events once; the next one ends an attempt that moves."""
+        self.attempts.append((upstream.name, run.resume_after))
+        if run.last_event is None:
+            for number in range(1, EVENTS + 1):
+                run.append(StreamEvent(number, 'x'), 1)
+        await self.proceed.wait()
+        self.proceed.clear()
+
+
+class NoWriter:
+    """Store that is never written."""
+
+    async def commit(self, batch: BatchRun) -> bool:
+        """Wait for results that never come."""
+        await asyncio.Event().wait()
+        return True
+
+    async def save(self, batch: BatchRun, partials: Any) -> None:
+        """Take texts and forget them."""
+
+
+def build_member(name: str, **changes: Any) -> PoolMember:
+    """Build an engine."""
+    versions = {'m': 1}
+    return PoolMember(
+        name,
+        documents.ENGINES,
+        f'{name}:1',
+        'hall-a',
+        SLOTS,
+        versions=versions,
+        **changes,
+    )
+
+
+class World:
+    """A runner with one item on an engine that turned slow."""
+
+    def __init__(self) -> None:
+        """Begin with a slow engine only."""
+        clock = FakeClock()
+        counters = Counters()
+        self.pool = Pool('hall-a', clock, counters)
+        self.pool.replace(build_member('slow'))
+        self.set_pace('slow', 0.2)
+        routes = RouteTable()
+        config = json.dumps(documents.build_config()).encode()
+        routes.adopt(read_manifest(config).unwrap())
+        self.items = HeldItems()
+        none: Any = None
+        writer: Any = NoWriter()
+        self.runner = BatchRunner(
+            self.items,
+            ItemScoring(none, self.pool, routes, clock, counters),
+            writer,
+            Placement(self.pool, clock),
+            self.pool,
+            routes,
+            clock,
+            counters,
+        )
+        head = BatchHead(
+            'b', 'desk', 'r-drill', 'h', 1, 0, 7500, 20_000, 'm', min_version=1
+        )
+        item = BatchItem('i', '/i', {}, b'')
+        self.batch = build_batch_run(head, [item], (), 1, clock.elapsed())
+        self.clock = clock
+
+    def set_pace(self, name: str, seconds: float) -> None:
+        """Let an engine's streams have a pace."""
+        upstream = self.pool.find(name)
+        assert upstream is not None
+        for _ in range(PACE_READINGS * 5):
+            self.pool.on_pace(upstream, seconds)
+
+    def count_running(self) -> dict[str, int]:
+        """Count the slots that are taken at each engine."""
+        upstreams = self.pool.list_service(documents.ENGINES)
+        return {one.name: one.running for one in upstreams}
+
+    async def add_fast(self) -> None:
+        """Add a fast engine, and let the item see it."""
+        self.pool.replace(build_member('fast'))
+        self.set_pace('fast', 0.03)
+        self.clock.move(BEST_LIFE)
+        await asyncio.sleep(ROUND_SECONDS)
+
+
+@pytest_asyncio.fixture
+async def world() -> AsyncIterator[World]:
+    """Run the item at the slow engine, and add a fast one."""
+    built = World()
+    running = asyncio.ensure_future(built.runner.run())
+    built.runner.add(built.batch)
+    await asyncio.sleep(ROUND_SECONDS)
+    await built.add_fast()
+    yield built
+    built.runner.drop('b', 'test')
+    running.cancel()
+
+
+async def test_moving_item_takes_its_slot_first(world: World) -> None:
+    # An item leaves a slow engine with its next event. Until then its slot
+    # at the other engine is taken, so that no other item goes there.
+    assert world.count_running() == {'slow': 1, 'fast': 1}
+    world.items.proceed.set()
+    await asyncio.sleep(ROUND_SECONDS)
+    assert world.items.attempts == [('slow', ''), ('fast', str(EVENTS))]
+    assert world.count_running() == {'slow': 0, 'fast': 1}
+
+
+@pytest.mark.parametrize('end', ['leaves', 'begins anew', 'is gone'])
+async def test_item_does_not_follow_an_engine_that_goes(
+    world: World,
+    end: str,
+) -> None:
+    # The other engine is drained, restarts or disappears between the moment
+    # at which the slot was taken and the item's next event. Sent there, the
+    # item would reach an engine that takes no work; counted there, the
+    # engine's next run would have a slot more than it has.
+    if end == 'leaves':
+        world.pool.replace(build_member('fast', leaving=True))
+    elif end == 'begins anew':
+        world.pool.replace(build_member('fast', started=7))
+    else:
+        world.pool.remove('fast')
+    world.items.proceed.set()
+    await asyncio.sleep(ROUND_SECONDS)
+    first, second = world.items.attempts
+    assert first == ('slow', '')
+    if end != 'begins anew':
+        assert second == ('slow', str(EVENTS))
+    assert sum(world.count_running().values()) == 1
+    assert min(world.count_running().values()) >= 0
+
+
+async def test_dropped_batch_gives_both_slots_back(world: World) -> None:
+    # A batch ends while its item is about to move. A slot that stayed taken
+    # would be lost to all later items.
+    world.runner.drop('b', 'ended')
+    await asyncio.sleep(ROUND_SECONDS)
+    assert set(world.count_running().values()) == {0}
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -213,7 +213,7 @@
             reading = pace.read(self._clock.elapsed(), len(frames))
             if reading is not None:
                 self._pool.on_pace(upstream, reading)
-            if run.target:
+            if run.target is not None:
                 self._miss(batch, run, upstream, 'moved')
                 return False
         if rest.strip():
