Take no batch whose route is not known yet, and give up no item of it

Found by reading the change once more: a batch that came in by a route just added could be run by a daemon with the manifest before it. To that daemon the route looked dropped, and it abandoned every item of a batch that had just been accepted. A head names the manifest of its acceptance now; who knows only an older one declines the offer, and an owner waits for the manifest. The test failed before.

--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Err
 
 from quetzalcourse.coordination.batches.batch_rows import (
@@ -96,7 +97,10 @@
         now = self._store_clock.estimate()
         if now is None:
             raise RefusedError(_refuse_store())
-        head = _build_head(batch_id, client_account, route, submission, now)
+        head = msgspec.structs.replace(
+            _build_head(batch_id, client_account, route, submission, now),
+            manifest_version=self._runner.manifest_version,
+        )
         outcome = await self._homes.offer(head, submission.items)
         if outcome is not OfferOutcome.accepted:
             unsure = outcome is OfferOutcome.unknown
@@ -113,7 +117,12 @@
         running = sum(
             one.count_unfinished() for one in self._runner.batches.values()
         )
-        if self._members.own.leaving or running + len(items) > MOST_ITEMS:
+        able = (
+            not self._members.own.leaving
+            and running + len(items) <= MOST_ITEMS
+            and self._runner.manifest_version >= head.manifest_version
+        )
+        if not able:
             return OfferOutcome.declined
         try:
             await self._accept(head, items)
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -88,6 +88,11 @@
         self._tasks = Tasks('batches')
         scoring.on_end(self._wake.set)
 
+    @property
+    def manifest_version(self) -> int:
+        """Version of the routing manifest by which items are sent."""
+        return self._routes.version
+
     def add(self, batch: BatchRun) -> None:
         """Begin to run a batch, unless it is run here already."""
         if batch.head.id in self.batches:
@@ -160,10 +165,16 @@
         for batch, run in self._lengths.order(waiting):
             need = self._find_need(batch, run)
             if need is None:
-                batch.finish(run, run.abandon())
+                self._on_missing_route(batch, run)
             elif need.place not in full and not self._begin(batch, run, need):
                 full.add(need.place)
 
+    def _on_missing_route(self, batch: BatchRun, run: ItemRun) -> None:
+        # A route that is not known yet is not one that was dropped: the
+        # batch came in at a daemon with a newer manifest, which follows.
+        if self._routes.version >= batch.head.manifest_version:
+            batch.finish(run, run.abandon())
+
     def _save(self, batch: BatchRun, now: timedelta) -> None:
         # An owner that dies takes the texts with it; of those that take
         # long, the next one goes on from what was saved.
--- a/quetzalcourse/state/batches.py
+++ b/quetzalcourse/state/batches.py
@@ -59,6 +59,8 @@
     :param wanted_groups: whole groups that its caller waits for.
     :param chunks: rows that hold its items.
     :param refused: whether it stands for a refusal instead of a batch.
+    :param manifest_version: routing manifest under which it was accepted;
+        who knows only an older one knows nothing of its route.
     """
 
     id: str
@@ -77,6 +79,7 @@
     max_attempts: int = 1
     chunks: int = 1
     refused: bool = False
+    manifest_version: int = 0
 
 
 class Ownership(msgspec.Struct, frozen=True):
--- a/quetzalcourse/tests/rollout/batch_homes_tests.py
+++ b/quetzalcourse/tests/rollout/batch_homes_tests.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 import pytest
 
 from quetzalcourse.coordination.batches import homes
+from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.world import build_batch
 from quetzalcourse.tests.rollout.calls import await_acquaintance
@@ -124,3 +126,43 @@
     assert reply.status == 202
     results = await neighbours.caller.read_all(neighbours.address(other), 'b-1')
     assert sorted(result['id'] for result in results) == sorted(ITEMS)
+
+
+async def test_home_with_an_older_manifest_gives_up_no_item(
+    neighbours: RolloutWorld,
+) -> None:
+    # A route is added, and a batch comes in by it at a daemon that knows it
+    # while the home does not yet. To the home the route looks dropped, and
+    # it would abandon every item of a batch that has just been accepted.
+    await await_acquaintance(neighbours)
+    home = find_home(neighbours)
+    number = neighbours.daemons.index(home)
+    other = (number + 1) % 3
+    config = documents.build_config(2)
+    added = documents.build_route(
+        '/added/',
+        'rollout',
+        service=documents.ENGINES,
+        max_attempts=3,
+        item_ttl_s=20.0,
+        result_due_ms=7500,
+    )
+    config['routes'] = [
+        one
+        for one in config['routes']
+        if one['path_prefix'] != documents.BATCH_PREFIX
+    ]
+    config['routes'].append(added)
+    manifest = json.dumps(config).encode()
+    neighbours.daemons[other].routes.adopt(read_manifest(manifest).unwrap())
+    reply = await neighbours.caller.call(
+        neighbours.address(other),
+        'POST',
+        '/added/b-1',
+        json.dumps(build_batch(ITEMS)).encode(),
+        request_id='b-1',
+    )
+    assert reply.status == 202
+    results = await neighbours.caller.read_all(neighbours.address(other), 'b-1')
+    assert {result['state'] for result in results} == {'completed'}
+    assert sorted(result['id'] for result in results) == sorted(ITEMS)
