Offer no batch to its home while the store does not answer

The daemon that took the submission could not know the outcome, and cut its caller off where it had refused truly before, with the time to come back. Now nothing is offered and nothing taken while the store does not answer. The test failed before.

--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -81,7 +81,7 @@
     )
     members = feeds.presence
     keeper = BatchKeeper(rows, directory, runner, members, store_clock, clock)
-    homes = BatchHomes(calls.peers, members)
+    homes = BatchHomes(calls.peers, members, feeds.operators)
     batches = Batches(
         rows, directory, reader, runner, homes, members, store_clock, clock
     )
--- a/quetzalcourse/coordination/batches/homes.py
+++ b/quetzalcourse/coordination/batches/homes.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.members import Member
 
@@ -96,12 +97,25 @@
 
 
 class BatchHomes:
-    """Offers batches to their homes, and takes those that are offered."""
+    """Offers batches to their homes, and takes those that are offered.
 
-    def __init__(self, peers: Peers, members: MemberView) -> None:
+    While the store does not answer, nothing is offered and nothing taken: a
+    home that tries in vain could not say whether the batch stands, and its
+    caller could not be refused truly.
+
+    :param follower: table by which the store's answers here are judged.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        members: MemberView,
+        follower: TableFollower,
+    ) -> None:
         """Listen to offers and to answers."""
         self._peers = peers
         self._members = members
+        self._follower = follower
         self._take: BatchTaker | None = None
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[bool]] = {}
@@ -124,7 +138,7 @@
         """
         own = self._members.own
         home = find_home(head.model, own, self._members.list_live())
-        if home.vm == own.vm:
+        if home.vm == own.vm or self._follower.faulty:
             return OfferOutcome.declined
         offered = BatchOffered(next(self._numbers), head, list(items))
         content = msgspec.msgpack.encode(offered)
@@ -171,7 +185,7 @@
 
     async def _accept(self, sender: Member, offered: BatchOffered) -> None:
         outcome = OfferOutcome.declined
-        if self._take is not None:
+        if self._take is not None and not self._follower.faulty:
             outcome = await self._take(offered.head, offered.items)
         if outcome is OfferOutcome.unknown:
             # Silence is the answer that promises nothing.
--- a/quetzalcourse/tests/rollout/batch_homes_tests.py
+++ b/quetzalcourse/tests/rollout/batch_homes_tests.py
@@ -166,3 +166,23 @@
     results = await neighbours.caller.read_all(neighbours.address(other), 'b-1')
     assert {result['state'] for result in results} == {'completed'}
     assert sorted(result['id'] for result in results) == sorted(ITEMS)
+
+
+async def test_submission_is_refused_truly_while_the_store_is_down(
+    neighbours: RolloutWorld,
+) -> None:
+    # The store is down for all. A home that tried in vain could not tell
+    # whether the batch stands, and the caller would be cut off instead of
+    # being told when to come back.
+    await await_acquaintance(neighbours)
+    neighbours.store.faults.mode = 'busy'
+    await asyncio.sleep(1.5)
+    for number in range(3):
+        reply = await neighbours.caller.submit(
+            neighbours.address(number), f'b-{number}', build_batch(ITEMS)
+        )
+        assert reply.status == 503
+        assert float(reply.headers['Retry-After']) > 0
+    neighbours.store.faults.mode = ''
+    await asyncio.sleep(1.0)
+    assert not any(engine.runs for engine in neighbours.engines)
