Bound the doublings of a scoring call's wait

Found by reading the change once more: a text whose scoring service is away for some 40 s has 50 misses behind it, and doubling its wait as often raised an error before the call began; its slot was never given back and its item never ended.

--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -15,7 +15,10 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
-from quetzalcourse.coordination.batches.item_run import ItemState
+from quetzalcourse.coordination.batches.item_run import (
+    MOST_DOUBLINGS,
+    ItemState,
+)
 from quetzalcourse.coordination.forwarding.patience import Patience
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks
@@ -259,4 +262,7 @@
     """
     longest = route.target_latency or DEFAULT_PATIENCE
     first = patience.find_wait(route.name, longest)
-    return min(first * 2**misses, max(route.timeout, longest))
+    # A text that waits for minutes has hundreds of misses behind it; so many
+    # doublings of a duration are none any more, and would end its calls.
+    doublings = min(misses, MOST_DOUBLINGS)
+    return min(first * 2**doublings, max(route.timeout, longest))
