Watch the owners of open batches closely, among any number of daemons

Cause: beats of all daemons share 80 writes a second, so among 195 a daemon beats every 2.4 s and its silence is believed after 5.3 s (2 beats and 0.4 s), and rows of daemons are read every 1.6 s. A step that is due in 7.5 s does not survive its owner's end.

Change: a daemon that runs a batch beats each half second whatever the number, each row says how soon the next beat follows, and the three daemons that would take a batch over read its owner's row every 0.3 s, directly. The conditional write stays the only fence. Daemons on strong machines take over first.

Ruled out: heartbeats between random peers (a second membership beside the rows), watching by every daemon (reads would grow with the daemons).

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -14,6 +14,7 @@
     name_row,
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
+from quetzalcourse.coordination.batches.takers import rank_takers
 from quetzalcourse.coordination.slots.ownership import rank_members
 from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.log import get_log
@@ -153,7 +154,8 @@
         own = self._presence.own
         if view.owner is not None and view.owner.incarnation == own.incarnation:
             return timedelta(0)
-        ranked = rank_members(view.id, self._presence.list_live())
+        before = view.owner.incarnation if view.owner is not None else ''
+        ranked = rank_takers(view.id, before, self._presence.list_live())
         return RANK_WAIT * ranked.index(own) if own in ranked else RANK_WAIT * 9
 
     def _begin(self, view: BatchView) -> None:
--- /dev/null
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -0,0 +1,107 @@
+"""A few daemons that look closely at the owner of each open batch.
+
+The load that this answers: among hundreds of daemons each one reads the
+others' rows only every second or two, so that reads do not grow with the
+daemons. The owner of a batch that dies is noticed as much later, and its
+step is due in a few seconds. So the daemons that would take a batch over
+read its owner's row directly; there are as many of them in any deployment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from quetzalcourse.coordination.batches.takers import rank_takers
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.batches.directory import (
+        BatchDirectory,
+        BatchView,
+    )
+    from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.clock import Clock
+
+# Two of them may have died with the owner, as in a data centre that is lost.
+WATCHERS = 3
+# An owner's row changes each half second.
+WATCH_GAP = timedelta(milliseconds=300)
+IDLE = timedelta(milliseconds=500)
+# Who watches follows from all live daemons, which change more slowly.
+CHOICE_LIFE = timedelta(seconds=2)
+
+
+class OwnerWatch:
+    """Reads the rows of owners whose batches this daemon would take over.
+
+    :param members: copy of the daemons' rows, which learns what is read.
+    """
+
+    def __init__(
+        self,
+        directory: BatchDirectory,
+        presence: Presence,
+        table: Table,
+        members: TableFollower,
+        clock: Clock,
+    ) -> None:
+        """Begin without owners to watch."""
+        self._directory = directory
+        self._presence = presence
+        self._table = table
+        self._members = members
+        self._clock = clock
+        self._choices: dict[str, tuple[int, timedelta, bool]] = {}
+
+    async def run(self) -> None:
+        """Watch owners until the task is cancelled."""
+        while True:
+            watched = self._find_owners()
+            self._presence.watch(watched, WATCH_GAP)
+            await asyncio.gather(*(self._look(vm) for vm in watched))
+            await self._clock.sleep(WATCH_GAP if watched else IDLE)
+
+    def _find_owners(self) -> set[str]:
+        """Find the VMs whose batches this daemon would take over."""
+        known = self._directory.batches
+        for batch in self._choices.keys() - known.keys():
+            self._choices.pop(batch)
+        if self._presence.own.leaving:
+            return set()
+        return {
+            view.owner.vm
+            for view in known.values()
+            if view.open
+            and view.owner is not None
+            and self._is_foreign(view.owner.vm)
+            and self._is_taker(view)
+        }
+
+    def _is_foreign(self, vm: str) -> bool:
+        return vm != self._presence.own.vm and vm in self._presence.records
+
+    def _is_taker(self, view: BatchView) -> bool:
+        now = self._clock.elapsed()
+        version, chosen_at, chosen = self._choices.get(
+            view.id, (-1, now, False)
+        )
+        if version == view.owner_version and now - chosen_at < CHOICE_LIFE:
+            return chosen
+        owner = view.owner.incarnation if view.owner is not None else ''
+        ranked = rank_takers(view.id, owner, self._presence.list_live())
+        chosen = self._presence.own in ranked[:WATCHERS]
+        self._choices[view.id] = (view.owner_version, now, chosen)
+        return chosen
+
+    async def _look(self, vm: str) -> None:
+        answer = await self._table.read(self._presence.find_row(vm))
+        if isinstance(answer, Err):
+            # Its beats may stand in the store all the same.
+            self._presence.on_unread(vm)
+        elif answer.ok_value is not None:
+            self._members.adopt([answer.ok_value])
--- /dev/null
+++ b/quetzalcourse/coordination/batches/takers.py
@@ -0,0 +1,45 @@
+"""Which daemons take over a batch whose owner is gone, in their order."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.slots.ownership import weigh_member
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.state.members import Member
+
+# A weaker machine than this share of the strongest runs no batch while a
+# strong one lives: the streams of a whole step leave nothing of it for
+# callers.
+STRONG_SHARE = 0.75
+
+
+def list_strong(members: Sequence[Member]) -> list[Member]:
+    """List the members whose machines are among the strongest."""
+    strongest = max((one.cores for one in members), default=0)
+    return [one for one in members if one.cores >= strongest * STRONG_SHARE]
+
+
+def rank_takers(
+    batch: str,
+    owner: str,
+    members: Sequence[Member],
+) -> list[Member]:
+    """Sort the daemons by who takes a batch over first.
+
+    Daemons with the same list agree without a message.
+
+    :param owner: run of the daemon that owned the batch.
+    :param members: live daemons; one that is silent for less than its time
+        is among them.
+    """
+    others = [one for one in members if one.incarnation != owner]
+    strong = {one.incarnation for one in list_strong(others)}
+    weigh = partial(weigh_member, batch)
+    return sorted(
+        others, key=lambda one: (one.incarnation not in strong, weigh(one))
+    )
--- /dev/null
+++ b/quetzalcourse/coordination/feeds/beats.py
@@ -0,0 +1,44 @@
+"""How often a daemon tells that it lives, and when its silence is its end.
+
+The load that this answers: hundreds of daemons share one store, so each of
+them may write only every few seconds, and reads what the others wrote only
+every second or two. A daemon that runs batches and dies leaves a step of
+seconds standing still until that is noticed. So the few that run batches
+beat as often as in a small deployment, whatever the number of the others,
+and each row says how soon the next one follows.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+# Work of a daemon that dies stands still until it has been silent for two
+# beats, so beats are as close as their writes allow.
+BEAT = timedelta(seconds=0.5)
+# Beats of daemons without batches stay under a tenth of what the store
+# bears, however many there are: 350 of them beat every 4.4 seconds.
+BEATS_PER_SECOND = 80
+# A silence of two beats and the time that a slow write takes.
+SILENT_BEATS = 2
+SLOW_WRITE = timedelta(seconds=0.4)
+
+
+def find_gap(daemons: int, *, urgent: bool) -> timedelta:
+    """Tell how soon a daemon beats again.
+
+    :param daemons: how many share the store.
+    :param urgent: whether work stands still if this one dies.
+    """
+    if urgent:
+        return BEAT
+    return max(BEAT, timedelta(seconds=daemons / BEATS_PER_SECOND))
+
+
+def find_longest_silence(gap: timedelta, read_gap: timedelta) -> timedelta:
+    """Tell after which silence a daemon counts as gone.
+
+    :param gap: how soon it promised its next beat.
+    :param read_gap: time between two reads of its row; a beat may stand in
+        the store for as long without being seen.
+    """
+    return max(gap * SILENT_BEATS, gap + read_gap) + SLOW_WRITE
--- a/quetzalcourse/coordination/slots/ownership.py
+++ b/quetzalcourse/coordination/slots/ownership.py
@@ -29,12 +29,12 @@
 
     :param members: live members of the upstream's data centre.
     """
-    return sorted(members, key=partial(_rank, upstream))
+    return sorted(members, key=partial(weigh_member, upstream))
 
 
 def find_owner(upstream: str, members: Sequence[Member]) -> Member | None:
     """Name the owner of an upstream, ``None`` if there is no member."""
-    return min(members, key=partial(_rank, upstream), default=None)
+    return min(members, key=partial(weigh_member, upstream), default=None)
 
 
 def count_fallback(slots: int, rank: int, members: int) -> int:
@@ -52,6 +52,7 @@
     return each + int(rank < rest)
 
 
-def _rank(upstream: str, member: Member) -> tuple[bool, int]:
+def weigh_member(upstream: str, member: Member) -> tuple[bool, int]:
+    """Weigh a member for one upstream; the lightest owns it."""
     name = f'{upstream}/{member.incarnation}'
     return member.leaving, xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
@@ -0,0 +1,242 @@
+"""How soon the death of a batch's owner is noticed among many daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import pytest
+
+from quetzalcourse.coordination.batches.batch_rows import HEAD, OWNER, name_row
+from quetzalcourse.coordination.batches.directory import BatchDirectory
+from quetzalcourse.coordination.batches.owner_watch import WATCHERS, OwnerWatch
+from quetzalcourse.coordination.batches.takers import rank_takers
+from quetzalcourse.coordination.feeds import beats
+from quetzalcourse.coordination.feeds import presence as members
+from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.feed_parts import BEAT_PAUSE, BEAT_PAUSE_EACH
+from quetzalcourse.state.batches import BatchHead, Ownership
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.members import Member
+from quetzalcourse.state.rows import Row
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.feeds import FakeFeed
+
+STEP = timedelta(milliseconds=50)
+SMALL = 11
+LARGE = 195
+# What a death may take longer to be noticed among many daemons.
+MOST_RATIO = 1.5
+WARM_UP = timedelta(seconds=8)
+# Seconds for which the daemons that only stand by count as alive.
+STANDING_BY = 3600
+# A beat and the quarter of a second for which changes are collected.
+OWNER_BEAT = timedelta(seconds=0.75)
+LONGEST = timedelta(minutes=1)
+# Until the first beat is written, in seconds of the loop's own time.
+REAL_START = 0.1
+HEAD_ROW = BatchHead('b', 'desk', 'r', 'h', 4, 0, 7500, 20_000, 'm')
+
+
+def build_member(number: int) -> Member:
+    """Build a daemon; one in four has a strong machine."""
+    return Member(
+        f'vm-{number}',
+        f'vm-{number}-a',
+        f'hall-{number % 5}',
+        f'10.0.0.{number}:1',
+        cores=0.5 if number % 4 else 2,
+    )
+
+
+class NoStoreClock:
+    """Store whose clock nobody has read."""
+
+    def estimate(self) -> timedelta | None:
+        """Know nothing."""
+        return None
+
+
+class Daemon:
+    """What a daemon knows of the others and of one open batch."""
+
+    def __init__(self, world: WatchWorld, own: Member) -> None:
+        """Begin to follow and to watch."""
+        clock = world.clock
+        feed: Any = world.feed
+        follower = TableFollower(
+            feed,
+            members.TABLE,
+            clock,
+            Counters(),
+            pause=max(BEAT_PAUSE, BEAT_PAUSE_EACH * world.count),
+        )
+        batches = TableFollower(feed, 'batches', clock, Counters())
+        directory = BatchDirectory(batches)
+        self.presence = members.Presence(
+            own,
+            feed,
+            follower,
+            clock,
+            dict,
+            lambda _: None,
+            SharedCalendar(clock, NoStoreClock()),
+        )
+        watch = OwnerWatch(directory, self.presence, feed, follower, clock)
+        batches.adopt(world.list_batch_rows())
+        self._tasks = [
+            asyncio.ensure_future(body)
+            for body in (follower.run(), watch.run())
+        ]
+
+    def begin_beats(self) -> None:
+        """Begin to beat, which goes by the loop's own time."""
+        self._tasks.append(asyncio.ensure_future(self.presence.run()))
+
+    def kill(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            task.cancel()
+
+
+class WatchWorld:
+    """Daemons of one deployment, of which the first owns a batch."""
+
+    def __init__(self, count: int) -> None:
+        """Begin with rows of all daemons."""
+        self.clock = FakeClock()
+        self.feed = FakeFeed(self.clock)
+        self.count = count
+        self.everyone = [build_member(number) for number in range(count)]
+        self.owner = self.everyone[0]
+        self.takers = rank_takers('b', self.owner.incarnation, self.everyone)
+        self.owner_lives = True
+        self._next_beat = self.clock.elapsed()
+        for one in self.everyone[1:]:
+            self._write(one, STANDING_BY)
+
+    def list_batch_rows(self) -> list[Row]:
+        """List the rows of the batch."""
+        owner = Ownership(self.owner.vm, self.owner.incarnation, 1)
+        return [
+            Row(name_row('b', HEAD), msgspec.json.encode(HEAD_ROW), 1),
+            Row(name_row('b', OWNER), msgspec.json.encode(owner), 1),
+        ]
+
+    async def measure(self, taker: Member, *, cut: bool = False) -> timedelta:
+        """Measure how long the owner's end goes unnoticed.
+
+        :param cut: whether the store turns the taker away instead.
+        :returns: the time, ``LONGEST`` and more if it is never noticed.
+        """
+        watching = Daemon(self, taker)
+        await self.pass_time(WARM_UP)
+        assert self._sees_owner(watching)
+        self.feed.down = cut
+        self.owner_lives = cut
+        began = self.clock.elapsed()
+        while self._sees_owner(watching):
+            if self.clock.elapsed() - began > LONGEST:
+                break
+            await self.pass_time(STEP)
+        watching.kill()
+        return self.clock.elapsed() - began
+
+    async def pass_time(self, duration: timedelta) -> None:
+        """Let time pass."""
+        ends = self.clock.elapsed() + duration
+        while self.clock.elapsed() < ends:
+            if self.owner_lives and self.clock.elapsed() >= self._next_beat:
+                self._next_beat = self.clock.elapsed() + OWNER_BEAT
+                self._write(self.owner, beats.BEAT.total_seconds())
+            await self.clock.advance(STEP)
+
+    def read_gap(self) -> float:
+        """Read how soon the owner promises its next beat."""
+        row = self.feed.rows[members.name_row(self.owner)]
+        record = msgspec.json.decode(row.content, type=members.PresenceRecord)
+        return record.gap
+
+    def _sees_owner(self, watching: Daemon) -> bool:
+        owner = self.owner
+        return watching.presence.is_live(owner.vm, owner.incarnation)
+
+    def _write(self, one: Member, gap: float) -> None:
+        record = members.PresenceRecord(
+            one.vm,
+            one.incarnation,
+            one.data_centre,
+            one.address,
+            leaving=False,
+            beat=1,
+            cores=one.cores,
+            gap=gap,
+        )
+        self.feed.put(members.name_row(one), msgspec.json.encode(record))
+
+
+@pytest.mark.parametrize('rank', range(WATCHERS))
+async def test_death_is_noticed_as_soon_among_many(rank: int) -> None:
+    # The daemon that runs a step dies. Among two hundred daemons, each of
+    # which beats every few seconds, its silence said nothing for over five
+    # seconds, and the trainer waited for a step that was due in seven.
+    small, large = WatchWorld(SMALL), WatchWorld(LARGE)
+    few = await small.measure(small.takers[rank])
+    many = await large.measure(large.takers[rank])
+    assert many <= few * MOST_RATIO
+
+
+async def test_reads_do_not_grow_with_the_daemons() -> None:
+    # Were each daemon to look closely at each owner, the store would refuse
+    # the reads of a large deployment.
+    world = WatchWorld(LARGE)
+    takers = [Daemon(world, one) for one in world.takers[:WATCHERS]]
+    bystander = Daemon(world, world.takers[WATCHERS])
+    await world.pass_time(WARM_UP)
+    assert all(one.presence.is_watching(world.owner.vm) for one in takers)
+    assert not bystander.presence.is_watching(world.owner.vm)
+    for one in (*takers, bystander):
+        one.kill()
+
+
+async def test_silent_store_is_no_death() -> None:
+    # The store turns a daemon away that watches an owner. Every batch would
+    # be taken from daemons that run it well.
+    world = WatchWorld(SMALL)
+    taken = await world.measure(world.takers[0], cut=True)
+    assert taken >= LONGEST
+
+
+def test_strong_machines_take_over_first() -> None:
+    # A weak machine that takes over a large step reads all its streams, and
+    # its callers wait.
+    world = WatchWorld(LARGE)
+    strong = [one for one in world.everyone[1:] if one.cores > 1]
+    assert {one.vm for one in world.takers[: len(strong)]} == {
+        one.vm for one in strong
+    }
+
+
+async def test_daemon_that_runs_a_batch_promises_to_beat_soon() -> None:
+    # Others believe its silence by what it promised. A promise that ends
+    # with its batch, before the next beat came, would make it look dead.
+    world = WatchWorld(LARGE)
+    urgent = True
+    owner = Daemon(world, world.owner)
+    world.owner_lives = False
+    owner.presence.on_urgency(lambda: urgent)
+    owner.begin_beats()
+    await world.pass_time(WARM_UP)
+    await asyncio.sleep(REAL_START)
+    first = world.read_gap()
+    urgent = False
+    began = asyncio.get_running_loop().time()
+    while world.read_gap() == first:
+        await world.pass_time(STEP)
+        await asyncio.sleep(0.01)
+    owner.kill()
+    assert first == beats.BEAT.total_seconds()
+    assert asyncio.get_running_loop().time() - began < 2 * first
--- /dev/null
+++ b/quetzalcourse/tests/feeds.py
@@ -0,0 +1,114 @@
+"""Table of a platform's store in memory, with its feed, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from quetzalcourse.state.rows import (
+    ABSENT,
+    Changes,
+    Commit,
+    FaultKind,
+    Row,
+    StoreFault,
+    Transaction,
+)
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from quetzalcourse.state.clock import Clock
+
+
+class FakeFeed:
+    """Rows of one table, whose versions come from a single counter.
+
+    ``reads`` counts the answers, ``down`` turns everything away.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Begin empty."""
+        self.rows: dict[str, Row] = {}
+        self.reads = 0
+        self.down = False
+        self._clock = clock
+        self._version = 1
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, content: bytes) -> int:
+        """Write a row, as another daemon does."""
+        self._version += 1
+        self.rows[key] = Row(key, content, self._version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._version
+
+    async def read(self, key: str) -> Result[Row | None, StoreFault]:
+        """Read one row."""
+        self.reads += 1
+        if self.down:
+            return Err(StoreFault(FaultKind.not_applied, 'read', ''))
+        return Ok(self.rows.get(key))
+
+    async def transact(
+        self,
+        transaction: Transaction,
+    ) -> Result[Commit, StoreFault]:
+        """Write rows if every condition holds."""
+        if self.down:
+            return Err(StoreFault(FaultKind.not_applied, 'write', ''))
+        for condition in transaction.conditions:
+            known = self.rows.get(condition.key)
+            version = known.version if known else ABSENT
+            if version != condition.version:
+                return Ok(Commit(applied=False))
+        version = ABSENT
+        for write in transaction.writes:
+            version = self.put(write.key, write.content or b'')
+        return Ok(Commit(applied=True, version=version))
+
+    async def list_parts(self, table: str) -> Result[list[str], StoreFault]:
+        """List the parts of the table."""
+        return Ok(sorted({key.split('/')[1] for key in self.rows}))
+
+    async def read_part(
+        self,
+        table: str,
+        part: str,
+    ) -> Result[Changes, StoreFault]:
+        """Read the rows of a part."""
+        self.reads += 1
+        rows = [
+            row for key, row in self.rows.items() if key.split('/')[1] == part
+        ]
+        return Ok(Changes(tuple(rows), self._version))
+
+    async def follow(
+        self,
+        table: str,
+        version: int,
+        wait: timedelta,
+    ) -> Result[Changes, StoreFault]:
+        """Wait for rows behind a version."""
+        self.reads += 1
+        if self.down:
+            return Err(StoreFault(FaultKind.not_applied, 'follow', ''))
+        if self._version <= version:
+            await self._wait(wait)
+        newer = sorted(
+            (row for row in self.rows.values() if row.version > version),
+            key=lambda row: row.version,
+        )
+        return Ok(Changes(tuple(newer), self._version))
+
+    async def _wait(self, wait: timedelta) -> None:
+        changed = asyncio.ensure_future(self._changed.wait())
+        sleeping = asyncio.ensure_future(self._clock.sleep(wait))
+        await asyncio.wait(
+            (changed, sleeping), return_when=asyncio.FIRST_COMPLETED
+        )
+        changed.cancel()
+        sleeping.cancel()
