Share the slots of upstreams between homes, and tell homes of loads

Cause: at the start of a step dozens of items were refused or stood still for 1.6 s.

Change: the daemon that orders loads tells the homes when loads begin and end; homes tell each other what they took and how soon their waiting items must begin, and a free slot is for the most urgent one, with a home that goes first at each upstream. A home holds 640 items (200 before), so that both open steps of a late trainer are run by one daemon. One line of the log tells of the daemons that are seen, not one for each.

--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -22,6 +22,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.homes import build_shares
 from quetzalcourse.tests.coordination.batches.lengths_tests import (
     BURST_SLOTS,
     build_burst,
@@ -106,7 +107,8 @@
     """Count the items that a slow upstream gets while others have room."""
     clock = FakeClock()
     pool = build_pool(clock)
-    placement = Placement(pool, clock)
+    shares, _ = build_shares(pool, clock)
+    placement = Placement(pool, shares, clock)
     for _ in range(ITEMS):
         upstream = placement.choose(NEED)
         if upstream is not None:
@@ -159,7 +161,8 @@
 def _find_rate(kind: type[Pool]) -> float:
     clock = FakeClock()
     pool = build_pool(clock, DESIGN_UPSTREAMS, kind)
-    placement = Placement(pool, clock)
+    shares, _ = build_shares(pool, clock)
+    placement = Placement(pool, shares, clock)
     began = time.perf_counter()
     for _ in range(ITEMS):
         placement.choose(NEED)
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -10,11 +10,16 @@
 from quetzalcourse.coordination.batches.batch_writer import BatchWriter
 from quetzalcourse.coordination.batches.batches import Batches
 from quetzalcourse.coordination.batches.directory import BatchDirectory
+from quetzalcourse.coordination.batches.home_list import HomeList
+from quetzalcourse.coordination.batches.home_news import HomeNews
 from quetzalcourse.coordination.batches.homes import BatchHomes
+from quetzalcourse.coordination.batches.owner_watch import OwnerWatch
 from quetzalcourse.coordination.batches.placement import Placement
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
+from quetzalcourse.coordination.batches.sharing import SlotShares
+from quetzalcourse.coordination.versions.load_news import LoadNews
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.runner import ItemRunner
@@ -45,6 +50,8 @@
     reader: ResultReader
     runner: BatchRunner
     keeper: BatchKeeper
+    watch: OwnerWatch
+    load_news: LoadNews
     batches: Batches
 
     def start(self, lifecycle: Lifecycle) -> None:
@@ -52,6 +59,7 @@
         lifecycle.run('results', self.reader.run)
         lifecycle.run('items', self.runner.run)
         lifecycle.run('batches', self.keeper.run)
+        lifecycle.run('owners', self.watch.run)
 
 
 def build_batch_parts(
@@ -69,21 +77,38 @@
     reader = ResultReader(rows, directory, clock)
     writer = BatchWriter(rows, clock, counters)
     writer.on_committed(reader.on_committed)
+    members = feeds.presence
+    shares = SlotShares(members, pool, clock)
     runner = BatchRunner(
         calls.items,
         ItemScoring(calls.scorer, pool, routes, clock, counters),
         writer,
-        Placement(pool, clock),
+        Placement(pool, shares, clock),
         pool,
         routes,
         clock,
         counters,
     )
-    members = feeds.presence
-    keeper = BatchKeeper(rows, directory, runner, members, store_clock, clock)
-    homes = BatchHomes(calls.peers, members, feeds.operators)
+    members.on_urgency(lambda: bool(runner.batches))
+    runner.on_begin(members.announce)
+    homes = HomeList(directory, routes, members)
+    _connect_homes(runner, HomeNews(shares, pool, homes, calls.peers, clock))
+    offers = BatchHomes(calls.peers, members, feeds.operators)
     batches = Batches(
-        rows, directory, reader, runner, homes, members, store_clock, clock
+        rows, directory, reader, runner, offers, members, store_clock, clock
+    )
+    offers.on_offer(batches.take_offer)
+    return BatchParts(
+        reader,
+        runner,
+        BatchKeeper(rows, directory, runner, members, store_clock, clock),
+        OwnerWatch(directory, members, feeds.store, feeds.members, clock),
+        LoadNews(homes, pool, calls.peers),
+        batches,
     )
-    homes.on_offer(batches.take_offer)
-    return BatchParts(reader, runner, keeper, batches)
+
+
+def _connect_homes(runner: BatchRunner, news: HomeNews) -> None:
+    runner.on_begin(news.on_begin)
+    runner.on_placed(news.tell)
+    news.on_news(runner.on_slots)
--- /dev/null
+++ b/quetzalcourse/coordination/batches/home_list.py
@@ -0,0 +1,48 @@
+"""Which daemons run batches, or may begin to run one at any moment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.batches.homes import find_home
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.batches.directory import BatchDirectory
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.ports import MemberView
+    from quetzalcourse.state.members import Member
+
+
+class HomeList:
+    """Finds the daemons that have to know of the upstreams' slots at once.
+
+    Told to all daemons, such news would grow with their square.
+    """
+
+    def __init__(
+        self,
+        directory: BatchDirectory,
+        routes: RouteTable,
+        members: MemberView,
+    ) -> None:
+        """Keep the parts."""
+        self._directory = directory
+        self._routes = routes
+        self._members = members
+
+    def list_others(self) -> list[Member]:
+        """List the homes of every model, and the owners of open batches."""
+        live = self._members.list_live()
+        owners = {
+            view.owner.vm
+            for view in self._directory.batches.values()
+            if view.open and view.owner is not None
+        }
+        found = {member.vm: member for member in live if member.vm in owners}
+        for data_centre in sorted({member.data_centre for member in live}):
+            near = [one for one in live if one.data_centre == data_centre]
+            for model in self._routes.models:
+                home = find_home(model, near[0], near)
+                found[home.vm] = home
+        found.pop(self._members.own.vm, None)
+        return list(found.values())
--- /dev/null
+++ b/quetzalcourse/coordination/batches/home_news.py
@@ -0,0 +1,151 @@
+"""What the daemons that run batches tell each other of their slots."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quetzalcourse.coordination.batches.sharing import Waiting, Want
+from quetzalcourse.state.members import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from quetzalcourse.coordination.batches.home_list import HomeList
+    from quetzalcourse.coordination.batches.sharing import SlotShares
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.ports import Peers
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Member
+
+# Slots become free every few milliseconds; what changed meanwhile is told
+# together, well before a slot that another home waits for is noticed there.
+NEWS_GAP = timedelta(milliseconds=40)
+# A message that was lost is made up for by then.
+WHOLE_GAP = timedelta(seconds=1)
+
+
+class WantTold(msgspec.Struct, frozen=True):
+    """Items of one kind that wait at the sender.
+
+    :param seconds: until the most urgent one has to begin, below 0 if it is
+        late; clocks of daemons differ, so no time of day is told.
+    """
+
+    want: Want
+    seconds: float
+
+
+class SlotsTold(msgspec.Struct, frozen=True):
+    """What the sender took of the upstreams, and what waits there.
+
+    :param taken: its running items at each upstream.
+    :param whole: whether upstreams that are not named have none.
+    """
+
+    taken: dict[str, int]
+    wants: list[WantTold]
+    whole: bool
+
+
+class HomeNews:
+    """Tells the other homes, and hears from them.
+
+    A batch that begins is told to every daemon that may be a home, since
+    the other homes are not known before their own first batch.
+    """
+
+    def __init__(
+        self,
+        shares: SlotShares,
+        pool: Pool,
+        homes: HomeList,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        """Listen to the other homes."""
+        self._shares = shares
+        self._pool = pool
+        self._homes = homes
+        self._peers = peers
+        self._clock = clock
+        self._told: dict[str, int] = {}
+        self._told_waiting: frozenset[Waiting] = frozenset()
+        self._told_at = timedelta(0)
+        self._whole_at = timedelta(0)
+        self._beginning = False
+        self._listeners: list[Callable[[], None]] = []
+        peers.subscribe(Topic.slots_told, self.on_told)
+
+    def on_news(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever another home has told something."""
+        self._listeners.append(listener)
+
+    def on_begin(self) -> None:
+        """Learn that a batch begins here."""
+        self._beginning = True
+        self._shares.on_begin()
+
+    def on_told(self, sender: Member, content: bytes) -> None:
+        """Take what another home tells."""
+        told = msgspec.msgpack.decode(content, type=SlotsTold)
+        now = self._clock.elapsed()
+        waiting = [
+            Waiting(one.want, now + timedelta(seconds=one.seconds))
+            for one in told.wants
+        ]
+        self._shares.on_news(sender, told.taken, waiting, whole=told.whole)
+        for listener in self._listeners:
+            listener()
+
+    def tell(self, unplaced: Collection[Waiting]) -> None:
+        """Tell what changed since the last time, if anything did.
+
+        :param unplaced: what waits for a slot here.
+        """
+        now = self._clock.elapsed()
+        if now - self._told_at < NEWS_GAP and not self._beginning:
+            return
+        taken = self._pool.count_running()
+        waiting = frozenset(unplaced)
+        same = taken == self._told and waiting == self._told_waiting
+        idle = not taken and not waiting
+        if same and (idle or now - self._whole_at < WHOLE_GAP):
+            return
+        known = self._shares.list_others()
+        whole = self._beginning or now - self._whole_at >= WHOLE_GAP
+        told = SlotsTold(
+            taken if whole else self._find_changes(taken),
+            [_tell_waiting(one, now) for one in waiting],
+            whole,
+        )
+        content = msgspec.msgpack.encode(told)
+        for receiver in self._list_receivers(known):
+            self._peers.send(receiver, Topic.slots_told, content)
+        self._beginning = False
+        self._told = taken
+        self._told_waiting = waiting
+        self._told_at = now
+        if whole:
+            self._whole_at = now
+
+    def _find_changes(self, taken: dict[str, int]) -> dict[str, int]:
+        names = taken.keys() | self._told.keys()
+        return {
+            name: taken.get(name, 0)
+            for name in names
+            if taken.get(name, 0) != self._told.get(name, 0)
+        }
+
+    def _list_receivers(self, known: list[Member]) -> list[Member]:
+        if not self._beginning:
+            return known
+        by_vm = {one.vm: one for one in (*self._homes.list_others(), *known)}
+        return list(by_vm.values())
+
+
+def _tell_waiting(waiting: Waiting, now: timedelta) -> WantTold:
+    seconds = (waiting.latest_start - now).total_seconds()
+    return WantTold(waiting.want, round(seconds, 3))
--- a/quetzalcourse/coordination/batches/homes.py
+++ b/quetzalcourse/coordination/batches/homes.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from quetzalcourse.coordination.batches.takers import list_strong
 from quetzalcourse.coordination.slots.ownership import find_owner
 from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.log import get_log
@@ -34,13 +35,11 @@
 # A sound home answers within 50 ms, most of which is the store's; behind a
 # slow store both write, and the store lets one of them win.
 OFFER_TIME = timedelta(milliseconds=150)
-# Items that a home runs at most: three open steps of 64 items, which is what
-# a trainer that has fallen behind keeps open. Larger ones are run where they
-# come in, so that no daemon reads the streams of a whole deployment.
-MOST_ITEMS = 200
-# A weaker machine than this share of the strongest is no home: the streams
-# of a whole model would leave nothing of it for callers.
-STRONG_SHARE = 0.75
+# Items that a home holds at most: four open steps of 160 items. A trainer
+# that has fallen behind keeps two open, and the older one must go first,
+# which only a daemon that runs both can see to. Larger ones are run where
+# they come in, so that no daemon reads the streams of a whole deployment.
+MOST_ITEMS = 640
 # Larger batches are run where they come in; a message holds 4 MB.
 MOST_BYTES = 1_000_000
 log = get_log('homes')
@@ -91,9 +90,7 @@
     :param members: live daemons.
     """
     near = [one for one in members if one.data_centre == own.data_centre]
-    strongest = max((one.cores for one in near), default=0)
-    strong = [one for one in near if one.cores >= strongest * STRONG_SHARE]
-    return find_owner(model, strong) or own
+    return find_owner(model, list_strong(near)) or own
 
 
 class BatchHomes:
--- a/quetzalcourse/coordination/batches/lengths.py
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -104,10 +104,10 @@
 
         Items of which nothing is known keep the order of their batch.
         """
-        return sorted(waiting, key=self._find_latest_start)
+        return sorted(waiting, key=lambda one: self.find_latest_start(*one))
 
-    def _find_latest_start(self, one: tuple[BatchRun, ItemRun]) -> timedelta:
-        batch, run = one
+    def find_latest_start(self, batch: BatchRun, run: ItemRun) -> timedelta:
+        """Tell when an item has to begin, or go on, to be whole in time."""
         model = batch.head.model
         estimate = run.item.length_estimate
         return batch.due - self.predict(model, estimate, len(run.texts))
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -14,10 +14,12 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.batches.moves import choose_target
+from quetzalcourse.coordination.batches.sharing import Want
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from quetzalcourse.coordination.batches.sharing import SlotShares
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.state.clock import Clock
 
@@ -39,25 +41,29 @@
 
     :param oldest: oldest weight version that may make its tokens.
     :param avoided: upstream that it has just left.
+    :param latest_start: time since boot at which it has to begin to be whole
+        in time.
     """
 
     service: str
     model: str
     oldest: int
     avoided: str = ''
+    latest_start: timedelta = timedelta(0)
 
     @property
-    def place(self) -> tuple[str, str, int]:
+    def want(self) -> Want:
         """What decides whether any slot is free for it."""
-        return self.service, self.model, self.oldest
+        return Want(self.service, self.model, self.oldest)
 
 
 class Placement:
     """Chooses upstreams for items."""
 
-    def __init__(self, pool: Pool, clock: Clock) -> None:
+    def __init__(self, pool: Pool, shares: SlotShares, clock: Clock) -> None:
         """Keep the pool that is chosen from."""
         self._pool = pool
+        self._shares = shares
         self._clock = clock
         self._best: dict[str, tuple[timedelta, float]] = {}
 
@@ -72,6 +78,7 @@
             upstream
             for upstream in usable
             if upstream.count_load(now) < upstream.member.slots
+            and self._shares.may_take(upstream, need.latest_start)
         ]
         if not fit:
             return None
@@ -84,9 +91,7 @@
         return [
             upstream
             for upstream in self._pool.sample_service(need.service)
-            if upstream.is_open(now)
-            and upstream.find_version(need.model) >= need.oldest
-            and not _is_busy(upstream, need.model, now)
+            if upstream.fits(need.model, need.oldest, now)
         ]
 
     def may_gain(self, upstream: Upstream) -> bool:
@@ -108,7 +113,12 @@
         :param left: events that it is expected to have still before it.
         """
         now = self._clock.elapsed()
-        return choose_target(upstream, self.list_fit(need), left, now)
+        free = [
+            one
+            for one in self.list_fit(need)
+            if self._shares.may_take(one, need.latest_start)
+        ]
+        return choose_target(upstream, free, left, now)
 
     def _find_best_pace(self, service: str) -> float:
         now = self._clock.elapsed()
@@ -151,8 +161,3 @@
 
 def _share(upstream: Upstream, now: timedelta) -> float:
     return upstream.count_load(now) / upstream.member.slots
-
-
-def _is_busy(upstream: Upstream, model: str, now: timedelta) -> bool:
-    nothing = upstream.closed_until
-    return upstream.busy.get(model, nothing) > now
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -10,24 +10,28 @@
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.lengths import Lengths
 from quetzalcourse.coordination.batches.placement import Need
+from quetzalcourse.coordination.batches.sharing import Waiting
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import ResultState
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.batch_writer import BatchWriter
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
+    from quetzalcourse.coordination.batches.sharing import Want
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.state.batches import ItemResult
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
+    WaitingListener = Callable[[Collection[Waiting]], None]
+
 TICK = timedelta(milliseconds=50)
 # Half of the items are done before they are saved once. What an owner that
 # dies has not saved is made again, 30 ms an event, and its step waits; a
@@ -86,8 +90,24 @@
         self._writer = writer
         self._wake = asyncio.Event()
         self._tasks = Tasks('batches')
+        self._begin_listeners: list[Callable[[], None]] = []
+        self._placed_listeners: list[WaitingListener] = []
+        self._short = False
         scoring.on_end(self._wake.set)
 
+    def on_begin(self, listener: Callable[[], None]) -> None:
+        """Call a listener with each batch that is begun."""
+        self._begin_listeners.append(listener)
+
+    def on_placed(self, listener: WaitingListener) -> None:
+        """Call a listener with what found no slot, after each placement."""
+        self._placed_listeners.append(listener)
+
+    def on_slots(self) -> None:
+        """Learn that slots of upstreams may have become free."""
+        if self._short:
+            self._wake.set()
+
     @property
     def manifest_version(self) -> int:
         """Version of the routing manifest by which items are sent."""
@@ -101,6 +121,8 @@
         self.batches[batch.head.id] = batch
         batch.committer = self._tasks.begin(self._commit(batch))
         self._wake.set()
+        for listener in self._begin_listeners:
+            listener()
 
     def drop(self, batch_id: str, reason: str) -> BatchRun | None:
         """Stop running a batch.
@@ -161,13 +183,16 @@
         waiting: Sequence[tuple[BatchRun, ItemRun]],
     ) -> None:
         # Where one found no slot, the next one with the same need finds none.
-        full: set[tuple[str, str, int]] = set()
+        full: dict[Want, Waiting] = {}
         for batch, run in self._lengths.order(waiting):
             need = self._find_need(batch, run)
             if need is None:
                 self._on_missing_route(batch, run)
-            elif need.place not in full and not self._begin(batch, run, need):
-                full.add(need.place)
+            elif need.want not in full and not self._begin(batch, run, need):
+                full[need.want] = Waiting(need.want, need.latest_start)
+        self._short = bool(full)
+        for listener in self._placed_listeners:
+            listener(full.values())
 
     def _on_missing_route(self, batch: BatchRun, run: ItemRun) -> None:
         # A route that is not known yet is not one that was dropped: the
@@ -210,6 +235,7 @@
             batch.head.model,
             batch.head.min_version,
             run.avoided,
+            self._lengths.find_latest_start(batch, run),
         )
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -10,13 +10,17 @@
 import msgspec
 from result import Err
 
+from quetzalcourse.coordination.feeds.beats import (
+    find_gap,
+    find_longest_silence,
+)
 from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.members import Member
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from quetzalcourse.coordination.feeds.calendar import SharedCalendar
     from quetzalcourse.coordination.feeds.follower import TableFollower
@@ -27,18 +31,11 @@
     UsageCounts = dict[str, dict[str, int]]
 
 TABLE = 'members'
-# Work of a daemon that dies stands still until it has been silent for two
-# beats, so beats are as close as their writes allow.
-BEAT = timedelta(seconds=0.5)
-# All beats together stay under a tenth of what the store bears, however
-# many daemons there are: 350 of them beat every 4.4 seconds.
-BEATS_PER_SECOND = 80
 # Counts of usage that only this daemon has are lost with it, so they are
 # told soon, yet not with each request.
 CHANGE_GAP = timedelta(milliseconds=250)
-# A silence of two beats and the time that a slow write takes.
-SILENT_BEATS = 2
-SLOW_WRITE = timedelta(seconds=0.4)
+# Names in one line of the log; each daemon also tells its own at its start.
+MOST_NAMED = 10
 log = get_log('members')
 
 
@@ -49,6 +46,7 @@
     :param calendar_offset: seconds that the VM's calendar is ahead of the
         store's clock.
     :param cores: processor time that the VM has.
+    :param gap: seconds within which the next beat follows.
     """
 
     vm: str
@@ -60,11 +58,12 @@
     usage: dict[str, dict[str, int]] = {}
     calendar_offset: float | None = None
     cores: float = 1
+    gap: float = 0
 
 
-def name_row(member: Member) -> str:
+def name_row(one: Member | PresenceRecord) -> str:
     """Name the row of a daemon; the next run on its VM writes it too."""
-    return f'{TABLE}/{member.data_centre}/{member.vm}'
+    return f'{TABLE}/{one.data_centre}/{one.vm}'
 
 
 class Presence:
@@ -101,6 +100,10 @@
         self._versions: dict[str, int] = {}
         self._listeners: list[Callable[[], None]] = []
         self._beat = 0
+        self._is_urgent: Callable[[], bool] = _never
+        self._promised = timedelta(0)
+        self._watched: dict[str, timedelta] = {}
+        self._watch_gap = timedelta(0)
         self._soon = asyncio.Event()
         self._soon.set()
         follower.on_rows(self.on_rows)
@@ -109,9 +112,34 @@
         """Call a listener whenever a daemon came, left or began anew."""
         self._listeners.append(listener)
 
+    def on_urgency(self, ask: Callable[[], bool]) -> None:
+        """Ask before each beat whether work stands still if this one dies."""
+        self._is_urgent = ask
+
+    def watch(self, vms: Collection[str], gap: timedelta) -> None:
+        """Judge some VMs by rows that are read directly from now on.
+
+        :param gap: time between two reads of such a row.
+        """
+        now = self._clock.elapsed()
+        self._watch_gap = gap
+        self._watched = {vm: self._watched.get(vm, now) for vm in vms}
+
+    def is_watching(self, vm: str) -> bool:
+        """Tell whether a VM is judged by rows that are read directly."""
+        return vm in self._watched
+
+    def on_unread(self, vm: str) -> None:
+        """Learn that the row of a watched VM could not be read."""
+        self._watched.update({vm: self._clock.elapsed()})
+
+    def find_row(self, vm: str) -> str:
+        """Name the row of a VM that is known."""
+        return name_row(self.records[vm])
+
     def on_rows(self, rows: list[Row]) -> None:
         """Take rows that changed."""
-        changed = False
+        changed: list[PresenceRecord] = []
         for row in rows:
             record = _read(row)
             if record is None:
@@ -122,14 +150,9 @@
             self._versions[record.vm] = row.version
             self._take_offset(record)
             if known is None or _differ(known, record):
-                changed = True
-                log.info(
-                    'Daemon is seen.',
-                    member=record.vm,
-                    incarnation=record.incarnation,
-                    leaving=record.leaving,
-                )
+                changed.append(record)
         if changed:
+            _log_changes(changed)
             self._tell()
 
     def list_live(self, data_centre: str = '') -> list[Member]:
@@ -184,7 +207,7 @@
     async def run(self) -> None:
         """Write beats until the task is cancelled."""
         while True:
-            await wait_event(self._soon, self._find_beat())
+            await wait_event(self._soon, self._promised)
             await self._clock.sleep(CHANGE_GAP)
             await self._write()
 
@@ -194,6 +217,9 @@
             return
         self._beat += 1
         self._soon.clear()
+        # A beat that leaves urgent work behind still keeps the promise of
+        # the one before it.
+        self._promised = find_gap(len(self.records), urgent=self._is_urgent())
         record = PresenceRecord(
             self.own.vm,
             self.own.incarnation,
@@ -204,6 +230,7 @@
             self._usage(),
             self._find_offset(),
             self.own.cores,
+            self._promised.total_seconds(),
         )
         # The condition keeps out beats of the run before whose answers were
         # lost: applied late, they would show that run as the living one.
@@ -250,20 +277,41 @@
         # While the store is away nobody is heard, which says nothing of
         # the others; they have their time again once it is back.
         heard = self._heard.get(vm, timedelta(0))
+        read_gap = self._follower.pause
+        watched_since = self._watched.get(vm)
+        if watched_since is not None:
+            heard = max(heard, watched_since)
+            read_gap = self._watch_gap
+        longest = find_longest_silence(self._find_gap(vm), read_gap)
         silent = self._clock.elapsed() - heard
-        longest = self._find_beat() * SILENT_BEATS + SLOW_WRITE
         return silent < longest or self._follower.steady_for < longest
 
-    def _find_beat(self) -> timedelta:
-        return max(
-            BEAT, timedelta(seconds=len(self.records) / BEATS_PER_SECOND)
-        )
+    def _find_gap(self, vm: str) -> timedelta:
+        record = self.records.get(vm)
+        if record is None or not record.gap:
+            return find_gap(len(self.records), urgent=False)
+        return timedelta(seconds=record.gap)
 
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
 
 
+def _log_changes(changed: list[PresenceRecord]) -> None:
+    """Write one line, since a deployment starts hundreds of daemons at once."""
+    log.info(
+        'Daemons are seen.',
+        count=len(changed),
+        incarnations=[one.incarnation for one in changed[:MOST_NAMED]],
+        leaving=[one.vm for one in changed if one.leaving][:MOST_NAMED],
+    )
+
+
+def _never() -> bool:
+    """Tell that nothing stands still without this daemon."""
+    return False
+
+
 def _read(row: Row) -> PresenceRecord | None:
     if row.removed:
         return None
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -55,6 +55,8 @@
     :param mean_pace: running mean of the time between two events.
     :param versions: weight versions seen in answers, newer than registered.
     :param busy: models that it refuses for now, and until when.
+    :param taken: running items of other daemons, as they told themselves.
+    :param taken_until: until when that says more than the upstream's word.
     """
 
     member: PoolMember
@@ -68,6 +70,8 @@
     mean_pace: float = 0
     versions: dict[str, int] = field(default_factory=dict)
     busy: dict[str, timedelta] = field(default_factory=dict)
+    taken: int = 0
+    taken_until: timedelta = NOTHING
 
     @property
     def name(self) -> str:
@@ -87,7 +91,13 @@
         return self.member.name, self.member.started
 
     def count_load(self, now: timedelta) -> int:
-        """Count the requests that it has, as far as is known."""
+        """Count the requests that it has, as far as is known.
+
+        What an upstream says is as old as its last answer here; daemons that
+        run batches tell each other at once.
+        """
+        if now < self.taken_until:
+            return self.running + self.taken
         if now - self.others_at > REPORT_LIFE:
             return self.running
         return self.running + self.others
@@ -97,6 +107,15 @@
         registered = self.member.versions.get(model, 0)
         return max(registered, self.versions.get(model, 0))
 
+    def fits(self, model: str, oldest: int, now: timedelta) -> bool:
+        """Tell whether it takes items of a model.
+
+        :param oldest: oldest weight version that may make their tokens.
+        """
+        if not self.is_open(now) or self.find_version(model) < oldest:
+            return False
+        return self.busy.get(model, NOTHING) <= now
+
     def is_open(self, now: timedelta) -> bool:
         """Tell whether it may be given work."""
         return not self.member.leaving and now >= self.closed_until
@@ -152,6 +171,14 @@
         """List the upstreams of a service."""
         return list(self._services.get(service, {}).values())
 
+    def count_running(self) -> dict[str, int]:
+        """Count this daemon's requests at each upstream that has any."""
+        return {
+            upstream.name: upstream.running
+            for upstream in self._upstreams.values()
+            if upstream.running
+        }
+
     def sample_service(self, service: str) -> list[Upstream]:
         """List upstreams of a service, no more than are worth weighing."""
         upstreams = self.list_service(service)
@@ -255,10 +282,22 @@
         """Learn that an upstream refuses a model, or all work, for now."""
         upstream.busy[model] = self._clock.elapsed() + BUSY_REST
 
+    def on_loading(
+        self,
+        upstream: Upstream,
+        model: str,
+        duration: timedelta,
+    ) -> None:
+        """Learn that an upstream refuses a model while it loads weights."""
+        until = self._clock.elapsed() + duration
+        upstream.busy[model] = max(upstream.busy.get(model, NOTHING), until)
+
     def on_version(self, upstream: Upstream, model: str, version: int) -> None:
         """Learn the weight version that an answer was made with."""
-        if version > upstream.versions.get(model, 0):
+        if version > upstream.find_version(model):
             upstream.versions[model] = version
+            # What it refused while it loaded it takes now.
+            upstream.busy.pop(model, None)
 
     def on_pace(self, upstream: Upstream, seconds: float) -> None:
         """Learn the time between two events of a stream."""
--- a/quetzalcourse/coordination/forwarding/route_table.py
+++ b/quetzalcourse/coordination/forwarding/route_table.py
@@ -41,6 +41,14 @@
         """Version in force, 0 before the first."""
         return self.manifest.version if self.manifest else 0
 
+    @property
+    def models(self) -> list[str]:
+        """Models of all services, sorted."""
+        if self.manifest is None:
+            return []
+        services = self.manifest.services.values()
+        return sorted({model for one in services for model in one.models})
+
     def on_manifest(self, listener: Listener) -> None:
         """Call a listener with each manifest that comes into force."""
         self._listeners.append(listener)
--- /dev/null
+++ b/quetzalcourse/coordination/versions/load_news.py
@@ -0,0 +1,78 @@
+"""Tells the daemons that run batches which upstreams load weights.
+
+The load that this answers: a version is named, and within the same moment
+its step is submitted. Half of the upstreams begin to load it and refuse the
+step's items for a second; a home that did not know sent dozens of items
+there, each of which lost a connection and its place, and learned of the
+loaded weights only with the upstream's next entry in the store, a second
+after they could be used.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quetzalcourse.coordination.versions.load_plan import Load
+from quetzalcourse.state.members import Topic
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.batches.home_list import HomeList
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.ports import Peers
+    from quetzalcourse.state.members import Member
+
+
+class LoadsTold(msgspec.Struct, frozen=True):
+    """Loads of weights that begin, or that ended well.
+
+    :param seconds: how long they are expected to take, 0 for ended ones.
+    """
+
+    loads: list[Load]
+    seconds: float
+
+
+class LoadNews:
+    """Passes on loads from the daemon that orders them."""
+
+    def __init__(self, homes: HomeList, pool: Pool, peers: Peers) -> None:
+        """Listen to the daemon that gives orders."""
+        self._homes = homes
+        self._pool = pool
+        self._peers = peers
+        peers.subscribe(Topic.loads_told, self.on_told)
+
+    def on_begun(self, loads: list[Load], duration: timedelta) -> None:
+        """Tell of loads that begin here.
+
+        :param duration: how long they are expected to take.
+        """
+        self._tell(LoadsTold(loads, duration.total_seconds()))
+
+    def on_done(self, load: Load) -> None:
+        """Tell that an upstream holds a version."""
+        self._tell(LoadsTold([load], 0))
+
+    def on_told(self, _: Member, content: bytes) -> None:
+        """Take the word of the daemon that gives orders."""
+        self._adopt(msgspec.msgpack.decode(content, type=LoadsTold))
+
+    def _tell(self, told: LoadsTold) -> None:
+        self._adopt(told)
+        content = msgspec.msgpack.encode(told)
+        for member in self._homes.list_others():
+            self._peers.send(member, Topic.loads_told, content)
+
+    def _adopt(self, told: LoadsTold) -> None:
+        for load in told.loads:
+            upstream = self._pool.find(load.upstream)
+            if upstream is None:
+                continue
+            if told.seconds:
+                expected = timedelta(seconds=told.seconds)
+                self._pool.on_loading(upstream, load.model, expected)
+            else:
+                self._pool.on_version(upstream, load.model, load.version)
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -87,6 +87,19 @@
         """Ask an upstream about itself, ``None`` if it does not say."""
 
 
+class LoadListener(Protocol):
+    """Wants to know of loads of weights."""
+
+    def on_begun(self, loads: list[Load], duration: timedelta) -> None:
+        """Learn of loads that begin now.
+
+        :param duration: how long they are expected to take.
+        """
+
+    def on_done(self, load: Load) -> None:
+        """Learn that an upstream holds a version."""
+
+
 class LoadOrders:
     """Brings named versions onto the upstreams while it holds the lease.
 
@@ -118,6 +131,11 @@
         self._sequences: dict[tuple[str, int], int] = {}
         self._planned = 0
         self._wake = asyncio.Event()
+        self._listeners: list[LoadListener] = []
+
+    def on_loads(self, listener: LoadListener) -> None:
+        """Tell a listener of loads that begin and that end well."""
+        self._listeners.append(listener)
 
     def on_named(self, model: str, version: int) -> None:
         """Learn the newest named version of a model."""
@@ -162,7 +180,11 @@
             and self._rests.get(upstream.name, now) <= now
         ]
         self._planned += len(views)
-        for load in plan_loads(views, named):
+        loads = plan_loads(views, named)
+        if loads:
+            for listener in self._listeners:
+                listener.on_begun(loads, LOAD_TIME + POLL)
+        for load in loads:
             self._begin(load, service)
 
     def _begin(self, load: Load, service: Service) -> None:
@@ -183,7 +205,10 @@
         finally:
             self._models.pop(load.upstream, None)
             self._wake.set()
-        if not done:
+        if done:
+            for listener in self._listeners:
+                listener.on_done(load)
+        else:
             self._rests[load.upstream] = self._clock.elapsed() + FAILED_REST
 
     async def _try_load(
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -200,6 +200,8 @@
             self.counters,
         )
 
+        self.duties.orders.on_loads(self.batches.load_news)
+
     async def _build_servers(self) -> None:
         forwards = Forwards(
             Forwarder(self.pool, self.clock),
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -54,3 +54,5 @@
     store_told = 'store_told'
     batch_offered = 'batch_offered'
     batch_told = 'batch_told'
+    slots_told = 'slots_told'
+    loads_told = 'loads_told'
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/home_list_tests.py
@@ -0,0 +1,61 @@
+"""Which daemons are told at once what happens to upstreams' slots."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from quetzalcourse.coordination.batches.home_list import HomeList
+from quetzalcourse.coordination.batches.homes import find_home
+from quetzalcourse.state.members import Member
+from quetzalcourse.tests.peers import FakeMembers
+
+DAEMONS = 200
+DATA_CENTRES = 5
+MODELS = ['verse', 'drill']
+
+
+def build_members() -> list[Member]:
+    """Build the daemons of a large deployment."""
+    return [
+        Member(
+            f'vm-{number}',
+            f'vm-{number}-a',
+            f'hall-{number % DATA_CENTRES}',
+            f'vm-{number}:1',
+        )
+        for number in range(DAEMONS)
+    ]
+
+
+def build_list(members: list[Member], *owners: Member) -> HomeList:
+    """Build the list of a daemon that sees some open batches."""
+    batches: Any = {
+        one.vm: SimpleNamespace(open=True, owner=SimpleNamespace(vm=one.vm))
+        for one in owners
+    }
+    directory: Any = SimpleNamespace(batches=batches)
+    routes: Any = SimpleNamespace(models=MODELS)
+    return HomeList(directory, routes, FakeMembers(members[0], members))
+
+
+def test_every_home_is_told_and_nobody_else() -> None:
+    # Told to all of two hundred daemons, each load of weights would be
+    # thousands of messages a minute.
+    members = build_members()
+    told = {one.vm for one in build_list(members).list_others()}
+    homes = {
+        find_home(model, own, members).vm
+        for model in MODELS
+        for own in members[:DATA_CENTRES]
+    }
+    assert told == homes - {members[0].vm}
+
+
+def test_owner_that_is_no_home_is_told() -> None:
+    # A batch was taken over, or its home had no room; whoever runs it sends
+    # its items like a home.
+    members = build_members()
+    ordinary = build_list(members).list_others()
+    owner = next(one for one in members[1:] if one not in ordinary)
+    assert owner in build_list(members, owner).list_others()
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -16,6 +16,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import LoadReport, PoolMember
 from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.homes import build_shares
 
 SLOTS = 12
 NEED = Need('engines', 'verse', 1)
@@ -28,7 +29,8 @@
         """Begin with empty engines at version 1."""
         self.clock = FakeClock()
         self.pool = Pool('hall-a', self.clock, Counters())
-        self.placement = Placement(self.pool, self.clock)
+        shares, _ = build_shares(self.pool, self.clock)
+        self.placement = Placement(self.pool, shares, self.clock)
         for number in range(count):
             self.pool.replace(
                 PoolMember(
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -21,6 +21,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.homes import build_shares
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -101,11 +102,12 @@
         self.items = HeldItems()
         none: Any = None
         writer: Any = NoWriter()
+        shares, _ = build_shares(self.pool, clock)
         self.runner = BatchRunner(
             self.items,
             ItemScoring(none, self.pool, routes, clock, counters),
             writer,
-            Placement(self.pool, clock),
+            Placement(self.pool, shares, clock),
             self.pool,
             routes,
             clock,
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/sharing_tests.py
@@ -0,0 +1,251 @@
+"""Homes that share the slots of upstreams, replayed under bursts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from datetime import timedelta
+
+from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.batches.sharing import (
+    CLAIM_LIFE,
+    NEWS_LIFE,
+    SETTLING,
+    Waiting,
+)
+from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.homes import HOMES, build_shares
+from quetzalcourse.tests.peers import FakeNetwork
+
+UPSTREAMS = 24
+SLOTS = 6
+# Items of one step; two steps have twice as many as there are slots.
+ITEMS = 150
+TICK = timedelta(milliseconds=50)
+MODELS = ('verse', 'drill')
+MESSAGE = timedelta(milliseconds=2)
+LATE = timedelta(seconds=4)
+
+
+class Home:
+    """One home, with its own view of the upstreams."""
+
+    def __init__(self, world: World, number: int) -> None:
+        """Begin with items that wait, and nothing known of other homes."""
+        self.pool = Pool('hall-a', world.clock, Counters())
+        for name in world.names:
+            self.pool.replace(
+                PoolMember(
+                    name,
+                    'engines',
+                    f'{name}:1',
+                    'hall-a',
+                    SLOTS,
+                    versions=dict.fromkeys(MODELS, 1),
+                )
+            )
+        self.shares, self.news = build_shares(
+            self.pool, world.clock, number, len(MODELS), world.network
+        )
+        self.placement = Placement(self.pool, self.shares, world.clock)
+        self.need = Need(
+            'engines', MODELS[number], 1, latest_start=world.clock.elapsed()
+        )
+        self.waiting = 0
+        self.running: list[Upstream] = []
+
+    def begin(self, items: int) -> None:
+        """Begin a batch."""
+        self.waiting += items
+        self.news.on_begin()
+
+    def place(self) -> None:
+        """Place as many items as find a slot, and tell the other homes."""
+        while self.waiting:
+            upstream = self.placement.choose(self.need)
+            if upstream is None:
+                break
+            self.waiting -= 1
+            self.pool.on_start(upstream)
+            self.running.append(upstream)
+        short = [Waiting(self.need.want, self.need.latest_start)]
+        self.news.tell(short if self.waiting else [])
+
+    def finish(self, count: int) -> None:
+        """End some items, spread over the upstreams."""
+        spread = max(len(self.running) // count, 1) if count else 1
+        ended = set(range(0, spread * count, spread))
+        for index, upstream in enumerate(self.running):
+            if index in ended:
+                self.pool.on_end(upstream)
+        self.running = [
+            upstream
+            for index, upstream in enumerate(self.running)
+            if index not in ended
+        ]
+
+
+class World:
+    """Two homes before the same upstreams."""
+
+    def __init__(self) -> None:
+        """Begin with homes that had a batch lately."""
+        self.clock = FakeClock()
+        self.network = FakeNetwork()
+        self.names = [f'e-{number}' for number in range(UPSTREAMS)]
+        self.homes = [Home(self, number) for number in range(len(MODELS))]
+
+    async def meet(self) -> None:
+        """Let the homes learn of each other by a batch each."""
+        for home in self.homes:
+            home.begin(1)
+            home.place()
+            await self.pass_time(TICK)
+            home.finish(1)
+            home.place()
+        await self.pass_time(TICK)
+
+    async def pass_time(self, duration: timedelta) -> None:
+        """Let messages arrive and time pass."""
+        await settle()
+        await self.clock.advance(duration)
+
+    async def play(self, ticks: int, *, finished: int = 0) -> int:
+        """Let both homes place their items for some ticks.
+
+        :param finished: items of each home that end in each tick.
+        :returns: most items that an upstream had beyond its slots.
+        """
+        most = 0
+        for _ in range(ticks):
+            for home in self.homes:
+                home.finish(finished)
+                home.place()
+            most = max(most, self.count_overfull())
+            await self.pass_time(TICK)
+        return most
+
+    def count_taken(self) -> Counter[str]:
+        """Count the items at each upstream."""
+        return Counter(
+            upstream.name for home in self.homes for upstream in home.running
+        )
+
+    def count_overfull(self) -> int:
+        """Count the items that wait inside upstreams."""
+        taken = self.count_taken().values()
+        return sum(max(count - SLOTS, 0) for count in taken)
+
+
+async def test_steps_that_begin_together_fill_no_upstream_twice() -> None:
+    # Two trainers submit within the same milliseconds. Items that their
+    # homes send to the same slots wait inside the upstreams for seconds, and
+    # a trainer waits for the longest of them.
+    world = World()
+    await world.meet()
+    for home in world.homes:
+        home.begin(ITEMS)
+    assert await world.play(4) == 0
+    assert sum(world.count_taken().values()) == UPSTREAMS * SLOTS
+
+
+async def test_both_steps_go_on_while_slots_become_free() -> None:
+    """Neither home takes what becomes free at the other's upstreams."""
+    world = World()
+    await world.meet()
+    for home in world.homes:
+        home.begin(ITEMS)
+    assert await world.play(12, finished=10) <= SLOTS
+    left = [home.waiting for home in world.homes]
+    assert max(left) - min(left) < ITEMS / 4
+
+
+async def test_later_step_gets_its_share() -> None:
+    # One trainer has all slots when the other submits. Slots that become
+    # free would go on to the first one's waiting items.
+    world = World()
+    await world.meet()
+    first, second = world.homes
+    first.begin(2 * ITEMS)
+    await world.play(3)
+    second.begin(ITEMS)
+    await world.play(8, finished=10)
+    # Of the eighty items of the first one that ended meanwhile.
+    assert ITEMS - second.waiting > 20
+
+
+async def test_late_step_goes_first_everywhere() -> None:
+    # A trainer is seconds late, and its older step waits at a home of its
+    # own, as after a takeover. A newer step that had half of the slots would
+    # keep it late to the end of the day.
+    world = World()
+    await world.meet()
+    newer, older = world.homes
+    newer.begin(2 * ITEMS)
+    await world.play(3)
+    older.need = replace(
+        older.need, latest_start=older.need.latest_start - LATE
+    )
+    older.begin(ITEMS)
+    await world.play(8, finished=12)
+    # Of the items of the newer step that ended meanwhile, but for the ones
+    # whose slots were taken again before the older step was known.
+    assert ITEMS - older.waiting > 6 * 12
+
+
+async def test_single_step_takes_every_slot() -> None:
+    """Upstreams are kept for a home only while it has items."""
+    world = World()
+    await world.meet()
+    world.homes[0].begin(ITEMS)
+    await world.play(3)
+    assert len(world.homes[0].running) == UPSTREAMS * SLOTS
+
+
+async def test_slots_of_a_home_that_died_are_free() -> None:
+    # The other home dies with all its items. Slots kept for it would stand
+    # idle while steps wait.
+    world = World()
+    await world.meet()
+    first, second = world.homes
+    second.begin(2 * ITEMS)
+    second.place()
+    await world.pass_time(TICK)
+    second.running.clear()
+    first.begin(ITEMS)
+    first.place()
+    world.network.leave(HOMES[1])
+    await world.pass_time(NEWS_LIFE + TICK)
+    first.place()
+    assert len(first.running) == UPSTREAMS * SLOTS
+
+
+async def test_slot_that_its_home_leaves_alone_is_taken() -> None:
+    # An upstream failed at the home that goes first there, so that it rests
+    # at that one. Kept for it all the same it would serve nobody.
+    world = World()
+    await world.meet()
+    first, second = world.homes
+    for upstream in second.pool.list_service('engines'):
+        second.pool.on_failure(upstream, 'reset')
+    second.begin(ITEMS)
+    first.begin(2 * ITEMS)
+    await world.play(3 + CLAIM_LIFE // TICK)
+    assert len(first.running) == UPSTREAMS * SLOTS
+
+
+async def test_foreign_slots_wait_for_news_only_at_the_start() -> None:
+    """The wait is a few milliseconds, and none at the own upstreams."""
+    world = World()
+    await world.meet()
+    home = world.homes[0]
+    home.begin(UPSTREAMS * SLOTS)
+    home.place()
+    own = len(home.running)
+    assert own > 0
+    await world.pass_time(SETTLING + MESSAGE)
+    home.place()
+    assert len(home.running) == UPSTREAMS * SLOTS
--- /dev/null
+++ b/quetzalcourse/tests/coordination/versions/load_news_tests.py
@@ -0,0 +1,94 @@
+"""What the daemons that run batches know of loads of weights."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.versions.load_news import LoadNews
+from quetzalcourse.coordination.versions.load_plan import Load
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.homes import HOMES, FixedHomes, build_shares
+from quetzalcourse.tests.peers import FakeNetwork
+
+UPSTREAMS = 8
+LOADING = 4
+SLOTS = 6
+LOAD_TIME = timedelta(seconds=1)
+HOLDER, HOME = HOMES[:2]
+NEWEST = Need('engines', 'verse', 2)
+EARLIER = Need('engines', 'verse', 1)
+
+
+class World:
+    """The daemon that orders loads, and one that runs batches."""
+
+    def __init__(self) -> None:
+        """Begin with upstreams that hold the first version."""
+        self.clock = FakeClock()
+        self.network = FakeNetwork()
+        self.pool = Pool('hall-a', self.clock, Counters())
+        for number in range(UPSTREAMS):
+            self.pool.replace(
+                PoolMember(
+                    f'e-{number}',
+                    'engines',
+                    f'e-{number}:1',
+                    'hall-a',
+                    SLOTS,
+                    versions={'verse': 1, 'drill': 1},
+                )
+            )
+        shares, _ = build_shares(self.pool, self.clock)
+        self.placement = Placement(self.pool, shares, self.clock)
+        self.loads = [
+            Load(f'e-{number}', 'verse', 2) for number in range(LOADING)
+        ]
+        elsewhere = Pool('hall-a', self.clock, Counters())
+        none = FixedHomes()
+        LoadNews(none, self.pool, self.network.join(HOME))  # type: ignore
+        homes = FixedHomes(HOME)
+        peers = self.network.join(HOLDER)
+        self.holder = LoadNews(homes, elsewhere, peers)  # type: ignore
+
+    def list_fit(self, need: Need) -> set[str]:
+        """Name the upstreams where an item may run."""
+        return {upstream.name for upstream in self.placement.list_fit(need)}
+
+
+async def test_items_avoid_upstreams_that_load() -> None:
+    # A version is named in the moment in which its step is submitted, and
+    # half of the upstreams begin to load it. Each item that is sent there is
+    # refused, and the longest of the step begins seconds late.
+    world = World()
+    world.holder.on_begun(world.loads, LOAD_TIME)
+    await settle()
+    loading = {load.upstream for load in world.loads}
+    assert not world.list_fit(EARLIER) & loading
+    assert len(world.list_fit(EARLIER)) == UPSTREAMS - LOADING
+    assert len(world.list_fit(Need('engines', 'drill', 1))) == UPSTREAMS
+
+
+async def test_loaded_weights_are_used_at_once() -> None:
+    # The upstream's own entry tells of its new weights up to a second after
+    # it could be used; until then its slots would stand idle.
+    world = World()
+    world.holder.on_begun(world.loads, LOAD_TIME)
+    await settle()
+    assert not world.list_fit(NEWEST)
+    world.holder.on_done(world.loads[0])
+    await settle()
+    assert world.list_fit(NEWEST) == {world.loads[0].upstream}
+
+
+async def test_load_that_is_never_told_done_is_over_some_day() -> None:
+    # The daemon that gave the order dies. Its upstreams would be taken for
+    # loading for ever.
+    world = World()
+    world.holder.on_begun(world.loads, LOAD_TIME)
+    await settle()
+    world.clock.move(LOAD_TIME)
+    assert len(world.list_fit(EARLIER)) == UPSTREAMS
--- a/quetzalcourse/tests/rollout/batch_homes_tests.py
+++ b/quetzalcourse/tests/rollout/batch_homes_tests.py
@@ -19,6 +19,7 @@
     from quetzalcourse.rollout_application import RolloutApplication
     from quetzalcourse.standins.rollout.world import RolloutWorld
 
+LARGE_STEP = 160
 ITEMS = [f'i-{number}' for number in range(12)]
 
 
@@ -96,6 +97,25 @@
     assert {result['state'] for result in results} == {'completed'}
 
 
+async def test_open_steps_of_a_late_trainer_share_their_home(
+    neighbours: RolloutWorld,
+) -> None:
+    # A trainer that is late keeps two large steps open. Run by two daemons,
+    # neither knows that the older one is due first, and both come late.
+    await await_acquaintance(neighbours)
+    for engine in neighbours.engines:
+        engine.faults.slow = 40
+    home = find_home(neighbours)
+    other = (neighbours.daemons.index(home) + 1) % 3
+    for number in range(2):
+        items = [f'i-{number}-{index}' for index in range(LARGE_STEP)]
+        reply = await neighbours.caller.submit(
+            neighbours.address(other), f'b-{number}', build_batch(items)
+        )
+        assert reply.status == 202
+    assert set(home.batches.runner.batches) == {'b-0', 'b-1'}
+
+
 async def test_submission_that_its_home_may_hold_is_not_refused(
     neighbours: RolloutWorld,
 ) -> None:
