Use an upstream with an open connection first

Cause: new connections are the largest price of a large deployment. A daemon among hundreds has a request every few seconds; each went to the least loaded upstream, where its connection had been closed meanwhile.

Change: while less than half of its slots are taken, an upstream to which a connection is kept open comes first.

--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -38,6 +38,10 @@
 # about as good as the best of thousands, whose weighing for each item would
 # take the time of the requests; ``make bench ONLY=rollouts`` measures both.
 MOST_WEIGHED = 64
+# An upstream with an open connection is used first until half of its slots
+# are taken: a daemon that has a request now and then would otherwise open a
+# connection for each. Further requests go where there is more room.
+KEPT_SHARE = 0.5
 NOTHING = timedelta(0)
 log = get_log('pool')
 
@@ -55,6 +59,7 @@
     :param mean_pace: running mean of the time between two events.
     :param versions: weight versions seen in answers, newer than registered.
     :param busy: models that it refuses for now, and until when.
+    :param kept_until: until when a connection to it is kept open.
     :param taken: running items of other daemons, as they told themselves.
     :param taken_until: until when that says more than the upstream's word.
     """
@@ -70,6 +75,7 @@
     mean_pace: float = 0
     versions: dict[str, int] = field(default_factory=dict)
     busy: dict[str, timedelta] = field(default_factory=dict)
+    kept_until: timedelta = NOTHING
     taken: int = 0
     taken_until: timedelta = NOTHING
 
@@ -221,11 +227,12 @@
         self,
         upstream: Upstream,
         now: timedelta,
-    ) -> tuple[bool, float, bool, float]:
+    ) -> tuple[bool, bool, float, bool, float]:
         share = upstream.count_load(now) / upstream.member.slots
         near = upstream.member.data_centre == self._data_centre
         doubtful = upstream.faults > 0
-        return (doubtful, share, not near, self._random.random())
+        kept = now < upstream.kept_until and share < KEPT_SHARE
+        return (doubtful, not kept, share, not near, self._random.random())
 
     def _is_far(self, upstream: Upstream, silent: Collection[str]) -> int:
         """Rank an upstream after an attempt that got no answer."""
@@ -244,6 +251,10 @@
         """Count a request that ended."""
         upstream.running -= 1
 
+    def on_kept(self, upstream: Upstream, duration: timedelta) -> None:
+        """Learn that a connection to an upstream is open and unused."""
+        upstream.kept_until = self._clock.elapsed() + duration
+
     def on_load(self, upstream: Upstream, load: LoadReport | None) -> None:
         """Learn the load that an upstream told with an answer."""
         if load is not None:
--- a/quetzalcourse/tests/coordination/forwarding/pool_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/pool_tests.py
@@ -22,6 +22,7 @@
 from quetzalcourse.state.routing import RoutingManifest, Target
 from quetzalcourse.tests.clocks import FakeClock
 
+KEPT = timedelta(seconds=3)
 MEMBER = PoolMember('s-1', 'app', '10.0.0.1:80', 'hall-a', 6)
 
 
@@ -195,3 +196,45 @@
     assert chosen is built.find('other')
     built.remove('other')
     assert built.choose('app', {'far-1'}, {'hall-b'}) is built.find('far-2')
+
+
+def test_rare_requests_share_a_connection(pool: Pool, clock: FakeClock) -> None:
+    # Hundreds of daemons have a request every second or two each. Each one
+    # that went to the least loaded upstream opened a connection there, since
+    # those to the others had been closed meanwhile.
+    used = set()
+    for _ in range(20):
+        upstream = pool.choose('app')
+        assert upstream is not None
+        pool.on_start(upstream)
+        pool.on_end(upstream)
+        pool.on_kept(upstream, KEPT)
+        used.add(upstream.name)
+        clock.move(timedelta(seconds=1.5))
+    assert len(used) == 1
+
+
+def test_burst_goes_where_there_is_room(pool: Pool) -> None:
+    """A kept connection does not draw requests to an upstream in use."""
+    kept = pool.find('s-1')
+    assert kept is not None
+    pool.on_kept(kept, KEPT)
+    for _ in range(MEMBER.slots):
+        upstream = pool.choose('app')
+        assert upstream is not None
+        pool.on_start(upstream)
+    assert kept.running == MEMBER.slots // 2
+
+
+def test_closed_connection_draws_no_request(
+    pool: Pool,
+    clock: FakeClock,
+) -> None:
+    """Once it is closed, the less loaded upstream comes first again."""
+    kept = pool.find('s-1')
+    assert kept is not None
+    pool.on_kept(kept, KEPT)
+    pool.on_start(kept)
+    assert pool.choose('app') is kept
+    clock.move(KEPT)
+    assert pool.choose('app') is pool.find('s-2')
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -227,6 +227,7 @@
         answer: aiohttp.ClientResponse,
     ) -> None:
         self._pool.on_success(upstream)
+        self._pool.on_kept(upstream, self._calls.keep_alive)
         log.info(
             'Request answered.',
             request_id=forwarding.request_id,
--- a/quetzalcourse/transport/upstream_calls.py
+++ b/quetzalcourse/transport/upstream_calls.py
@@ -6,6 +6,7 @@
 import enum
 import re
 from contextlib import asynccontextmanager
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -17,7 +18,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from datetime import timedelta
 
     Body = bytes | AsyncIterator[bytes] | None
 
@@ -72,6 +72,11 @@
                 int(told[1]) - KEEP_ALIVE_MARGIN, KEEP_ALIVE_MARGIN
             )
 
+    @property
+    def keep_alive(self) -> timedelta:
+        """How long a connection is kept when it is not used."""
+        return timedelta(seconds=self._keepalive_timeout or 0)
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """Take a kept connection on which nothing has arrived since."""
         while True:
@@ -103,6 +108,11 @@
             max_field_size=LARGEST_HEADER,
         )
 
+    @property
+    def keep_alive(self) -> timedelta:
+        """How long a connection is kept when it is not used."""
+        return self._connector.keep_alive
+
     async def close(self) -> None:
         """Close every connection."""
         await self._session.close()
