Begin long items first also where nothing was learned, and tell of results at once

A daemon that has just begun, or taken a batch over, knew no model's times and began items in the order of their batch: in the small twin the longest item of the first step, 144 events, began 1.6 s after the step. And a daemon at which a trainer waits learned of results by the feed of batches, which among 195 daemons is read every second.

Change: among items that must begin at the same time the longer estimate goes first; a daemon whose caller waits asks the batch's owner, who tells it when results stand. The store's rows stay what is shown.

--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -15,6 +15,7 @@
 from quetzalcourse.coordination.batches.homes import BatchHomes
 from quetzalcourse.coordination.batches.owner_watch import OwnerWatch
 from quetzalcourse.coordination.batches.placement import Placement
+from quetzalcourse.coordination.batches.result_news import ResultNews
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
@@ -92,6 +93,8 @@
     members.on_urgency(lambda: bool(runner.batches))
     runner.on_begin(members.announce)
     homes = HomeList(directory, routes, members)
+    news = ResultNews(directory, runner, reader, calls.peers, members, clock)
+    writer.on_committed(news.on_committed)
     _connect_homes(runner, HomeNews(shares, pool, homes, calls.peers, clock))
     offers = BatchHomes(calls.peers, members, feeds.operators)
     batches = Batches(
--- a/quetzalcourse/coordination/batches/lengths.py
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -102,9 +102,15 @@
     ) -> list[tuple[BatchRun, ItemRun]]:
         """Order items by the time that they leave until they are due.
 
-        Items of which nothing is known keep the order of their batch.
+        A home that has just begun, or has taken a batch over, knows nothing
+        of the model's times yet. Longer estimates go first there all the
+        same; items without one keep the order of their batch.
         """
-        return sorted(waiting, key=lambda one: self.find_latest_start(*one))
+        return sorted(waiting, key=self._rank)
+
+    def _rank(self, one: tuple[BatchRun, ItemRun]) -> tuple[timedelta, int]:
+        _, run = one
+        return self.find_latest_start(*one), -run.item.length_estimate
 
     def find_latest_start(self, batch: BatchRun, run: ItemRun) -> timedelta:
         """Tell when an item has to begin, or go on, to be whole in time."""
--- a/quetzalcourse/coordination/batches/owner_watch.py
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -33,7 +33,7 @@
 WATCH_GAP = timedelta(milliseconds=300)
 IDLE = timedelta(milliseconds=500)
 # Who watches follows from all live daemons, which change more slowly.
-CHOICE_LIFE = timedelta(seconds=2)
+CHOICE_LIFE = timedelta(seconds=5)
 
 
 class OwnerWatch:
--- a/quetzalcourse/coordination/batches/result_reader.py
+++ b/quetzalcourse/coordination/batches/result_reader.py
@@ -12,6 +12,8 @@
 from quetzalcourse.coordination.tasks import wait_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quetzalcourse.coordination.batches.batch_rows import BatchRows
     from quetzalcourse.coordination.batches.directory import (
         BatchDirectory,
@@ -21,6 +23,8 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.rows import StoreFault
 
+    WaitListener = Callable[[str, int], None]
+
 # Results that nobody read for so long are dropped from memory and read
 # again from the store when somebody asks.
 KEPT = timedelta(seconds=5)
@@ -57,15 +61,31 @@
         self._rows = rows
         self._clock = clock
         self._shelves: dict[str, Shelf] = {}
+        self._listeners: list[WaitListener] = []
         directory.on_change(self.on_batch)
 
     def on_batch(self, view: BatchView) -> None:
         """Wake those who wait for results of a batch."""
         shelf = self._shelves.get(view.id)
-        if shelf is None:
-            return
-        if view.ended or view.listed > len(shelf.results):
+        if shelf is not None and view.ended:
             shelf.news.set()
+        self.on_listed(view.id, view.listed)
+
+    def on_listed(self, batch: str, listed: int) -> None:
+        """Learn how many results of a batch stand.
+
+        :param listed: at least as many stand in the store.
+        """
+        shelf = self._shelves.get(batch)
+        if shelf is not None and listed > len(shelf.results):
+            shelf.news.set()
+
+    def on_wait(self, listener: WaitListener) -> None:
+        """Call a listener with each batch whose results are waited for.
+
+        It gets the batch's id and how many results are known here.
+        """
+        self._listeners.append(listener)
 
     def on_committed(
         self,
@@ -97,6 +117,8 @@
         if isinstance(answer, Err):
             return answer
         if len(shelf.results) <= position and wait > timedelta(0):
+            for listener in self._listeners:
+                listener(batch, len(shelf.results))
             await wait_event(shelf.news, wait)
             answer = await self._refresh(batch, shelf)
             if isinstance(answer, Err):
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -56,3 +56,5 @@
     batch_told = 'batch_told'
     slots_told = 'slots_told'
     loads_told = 'loads_told'
+    results_awaited = 'results_awaited'
+    results_stand = 'results_stand'
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/result_news_tests.py
@@ -0,0 +1,127 @@
+"""How soon a caller who waits for results gets to know of them."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any
+
+from result import Ok
+
+from quetzalcourse.coordination.batches.result_news import (
+    WAIT_LIFE,
+    ResultNews,
+)
+from quetzalcourse.coordination.batches.result_reader import ResultReader
+from quetzalcourse.state.batches import ItemResult, ResultState
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.homes import HOMES
+from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
+
+OWNER, READER = HOMES[:2]
+# A caller lets its read wait for as long; the feed says nothing meanwhile.
+WAIT = timedelta(seconds=20)
+RESULT = ItemResult('i', ResultState.completed, 'text', [1], '')
+
+
+class FakeRows:
+    """Results that stand in the store.
+
+    ``looks_in_vain`` reads come just before them.
+    """
+
+    def __init__(self) -> None:
+        """Begin without results."""
+        self.results: list[ItemResult] = []
+        self.looks_in_vain = 0
+
+    async def read_results(self, batch: str, known: int) -> Any:
+        """Read those behind the known ones."""
+        if self.looks_in_vain:
+            self.looks_in_vain -= 1
+            return Ok([])
+        return Ok(self.results[known:])
+
+
+class World:
+    """The owner of a batch, and another daemon at which its caller reads."""
+
+    def __init__(self) -> None:
+        """Begin with a batch without results."""
+        self.clock = FakeClock()
+        self.network = FakeNetwork()
+        self.rows = FakeRows()
+        self.run = SimpleNamespace(listed=0)
+        self.owner, _ = self._build(OWNER, {'b': self.run})
+        _, self.reader = self._build(READER, {})
+
+    async def commit(self) -> None:
+        """Let a result stand, and tell of it."""
+        self.rows.results.append(RESULT)
+        self.run.listed += 1
+        self.owner.on_committed('b', self.run.listed - 1, [RESULT])
+        await settle()
+
+    def _build(
+        self,
+        own: Any,
+        batches: dict[str, Any],
+    ) -> tuple[ResultNews, ResultReader]:
+        view = SimpleNamespace(owner=SimpleNamespace(vm=OWNER.vm))
+        directory: Any = SimpleNamespace(
+            find=lambda _: view, on_change=lambda _: None
+        )
+        rows: Any = self.rows
+        runner: Any = SimpleNamespace(batches=batches)
+        reader = ResultReader(rows, directory, self.clock)
+        news = ResultNews(
+            directory,
+            runner,
+            reader,
+            self.network.join(own),
+            FakeMembers(own, [OWNER, READER]),
+            self.clock,
+        )
+        return news, reader
+
+
+async def test_waiting_caller_knows_at_once() -> None:
+    # A trainer waits at one of hundreds of daemons for the last item of its
+    # step. The daemon learned of it a second later, by the feed, and each
+    # step of the trainer began as much later.
+    world = World()
+    reading = asyncio.ensure_future(world.reader.read('b', 0, WAIT))
+    await settle()
+    assert not reading.done()
+    await world.commit()
+    assert (await reading).unwrap() == [RESULT]
+
+
+async def test_result_that_came_before_the_question_is_told() -> None:
+    # The result is committed after the daemon has looked into the store and
+    # before its question arrives. The caller would wait for the next one.
+    world = World()
+    world.rows.looks_in_vain = 1
+    world.rows.results.append(RESULT)
+    world.run.listed = 1
+    reading = asyncio.ensure_future(world.reader.read('b', 0, WAIT))
+    await settle()
+    assert reading.done()
+    assert reading.result().unwrap() == [RESULT]
+
+
+async def test_owner_forgets_who_waits_no_more() -> None:
+    """A caller that gave up costs no message with each later commit."""
+    world = World()
+    reading = asyncio.ensure_future(world.reader.read('b', 0, WAIT))
+    await settle()
+    reading.cancel()
+    world.clock.move(WAIT_LIFE * 2)
+    other = asyncio.ensure_future(world.reader.read('b', 0, WAIT))
+    await settle()
+    other.cancel()
+    before = len(world.network.sent)
+    await world.commit()
+    await world.commit()
+    assert len(world.network.sent) - before == 1
