--- /dev/null
+++ b/bench/suites/homes.py
@@ -0,0 +1,73 @@
+"""Daemons that run batches together, each against doing without a part."""
+
+from __future__ import annotations
+
+from bench.figure import Figure, at_most
+from quetzalcourse.coordination.batches.owner_watch import WATCHERS
+from quetzalcourse.tests.coordination.batches.owner_watch_tests import (
+    LARGE,
+    MOST_RATIO,
+    SMALL,
+    WatchWorld,
+)
+from quetzalcourse.tests.coordination.batches.sharing_tests import (
+    ITEMS,
+    SLOTS,
+    UPSTREAMS,
+    World,
+)
+from quetzalcourse.tests.homes import HOMES
+
+FIGURES = ('items_in_upstream_queues', 'owner_end_noticed_ratio')
+TICKS = 4
+
+
+async def measure_queues() -> Figure:
+    """Count the items that wait inside upstreams after two steps began."""
+    return Figure(
+        'items_in_upstream_queues',
+        await _play_bursts(cut=False),
+        'items',
+        at_most(0),
+        baseline=await _play_bursts(cut=True),
+        detail=f'two steps of {ITEMS} items on {UPSTREAMS * SLOTS} slots;'
+        ' baseline: homes that hear nothing of each other',
+    )
+
+
+async def _play_bursts(*, cut: bool) -> int:
+    world = World()
+    if cut:
+        first, second = HOMES[:2]
+        world.network.cut(first, second)
+        world.network.cut(second, first)
+    await world.meet()
+    for home in world.homes:
+        home.begin(ITEMS)
+    return await world.play(TICKS)
+
+
+async def measure_watch() -> Figure:
+    """Compare the time until an owner's end is believed with a small size."""
+    return Figure(
+        'owner_end_noticed_ratio',
+        await _compare_sizes(rank=0),
+        'ratio',
+        at_most(MOST_RATIO),
+        baseline=await _compare_sizes(rank=WATCHERS),
+        detail=f'{LARGE} daemons against {SMALL}; baseline: one that does not'
+        ' watch the owner',
+    )
+
+
+async def _compare_sizes(rank: int) -> float:
+    took = []
+    for count in (LARGE, SMALL):
+        world = WatchWorld(count)
+        took.append(await world.measure(world.takers[rank]))
+    return took[0] / took[1]
+
+
+async def measure() -> list[Figure]:
+    """Measure all of them."""
+    return [await measure_queues(), await measure_watch()]
