Ask another daemon where one can't pass a call on to the store

Cause: while the store turns some daemons away, each of these reaches it by way of another one, whose word may be a second old.

Change: up to three daemons are asked, since one that does not help has done nothing; its word is forgotten.

Ruled out: asking several at once (a write could be made twice).

--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -65,8 +65,8 @@
         self._words[sender.vm] = (sender, self._clock.elapsed())
         self._word.set()
 
-    def on_silence(self, helper: Member) -> None:
-        """Learn that a daemon did not answer."""
+    def on_miss(self, helper: Member) -> None:
+        """Learn that a daemon did not answer, or can't help any more."""
         self._words.pop(helper.vm, None)
 
     def find(self) -> Member | None:
--- a/quetzalcourse/coordination/feeds/store_relay.py
+++ b/quetzalcourse/coordination/feeds/store_relay.py
@@ -43,6 +43,11 @@
 # turned away, with three tables followed and a few writes each, are some
 # ten calls for each of the rest.
 MOST_HELPED = 64
+# Daemons that are asked to make a call, one after another: in the moment in
+# which the store turns a third of them away, the word of each is a second
+# old, and one in three can't help any more.
+MOST_HELPERS = 3
+NOT_HELPED = 'not helped'
 log = get_log('relay')
 
 
@@ -149,7 +154,7 @@
         if able and asked.call.tables <= self._tables:
             self._tasks.begin(self._help(sender, asked))
             return
-        fault = StoreFault(FaultKind.not_applied, 'not helped', '')
+        fault = StoreFault(FaultKind.not_applied, NOT_HELPED, '')
         self._tell(sender, calls.tell_fault(asked.number, fault))
 
     def on_told(self, sender: Member, content: bytes) -> None:
@@ -175,11 +180,16 @@
             answer = await direct()
             if not _asks_for_help(answer):
                 return answer
-        helper = await self._helpers.seek()
-        if helper is None:
-            return answer if answer is not None else await direct()
-        told = await self._ask(helper, call, wait + ANSWER_TIME)
-        return told.map(read)
+        for _ in range(MOST_HELPERS):
+            helper = await self._helpers.seek()
+            if helper is None:
+                break
+            told = await self._ask(helper, call, wait + ANSWER_TIME)
+            answer = told.map(read)
+            if not _is_turned_down(told):
+                return answer
+            self._helpers.on_miss(helper)
+        return answer if answer is not None else await direct()
 
     async def _ask(
         self,
@@ -198,7 +208,7 @@
             async with asyncio.timeout(patience.total_seconds()):
                 told = await waiting
         except TimeoutError:
-            self._helpers.on_silence(helper)
+            self._helpers.on_miss(helper)
             answer: Answered = Err(
                 StoreFault(FaultKind.unanswered, 'relay', helper.address)
             )
@@ -303,6 +313,11 @@
     return fault.kind is FaultKind.not_applied and not fault.history_lost
 
 
+def _is_turned_down(answer: Answered) -> bool:
+    """Tell whether a daemon made no call, so that another may be asked."""
+    return isinstance(answer, Err) and answer.err_value.step == NOT_HELPED
+
+
 def _tell(
     number: int,
     answer: Result[Found, StoreFault],
