Look less often where there is nothing to look at

Change: lapsed entries are looked at while there are any; loads are planned at the holder of the lease, which is woken when it takes it; batches are looked at closely by the daemons that watch an owner, twice a second by the rest, and at once when an owner lets go of one.

Ruled out: fewer beats or reads (they are bounded in all already).

--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -16,7 +16,7 @@
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
 from quetzalcourse.coordination.batches.takers import rank_takers
 from quetzalcourse.coordination.slots.ownership import rank_members
-from quetzalcourse.coordination.tasks import Tasks
+from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import MILLISECOND, Ownership
 
@@ -71,12 +71,16 @@
         self._taking: dict[str, asyncio.Task[None]] = {}
         self._shown: dict[str, tuple[int, timedelta]] = {}
         self._removed_at = timedelta(0)
+        self._wake = asyncio.Event()
         self._tasks = Tasks('takeover')
         directory.on_change(self.on_batch)
 
     def on_batch(self, view: BatchView) -> None:
         """Let go of a batch that ended or has another owner."""
         self._note_owner(view)
+        if view.open and view.owner is not None and not view.owner.incarnation:
+            # Its owner stops; nobody need be silent first.
+            self._wake.set()
         run = self._runner.batches.get(view.id)
         if run is None:
             return
@@ -88,10 +92,20 @@
     async def run(self) -> None:
         """Look for batches without an owner, until cancelled."""
         while True:
+            self._wake.clear()
             if not self._presence.own.leaving:
                 self._review()
-            known = self._directory.batches
-            await self._clock.sleep(TICK if known else IDLE)
+            await wait_event(self._wake, self._find_pause())
+
+    def _find_pause(self) -> timedelta:
+        """Tell how soon batches are looked at again.
+
+        Those that take over first look closely; all the others wait for
+        them anyway, and hundreds of daemons would be busy with looking.
+        """
+        if self._presence.watching or self._orphaned:
+            return TICK
+        return IDLE
 
     async def hand_over(self) -> None:
         """Let go of every batch, so that others begin with it at once."""
--- a/quetzalcourse/coordination/batches/owner_watch.py
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -31,7 +31,8 @@
 WATCHERS = 3
 # An owner's row changes each half second.
 WATCH_GAP = timedelta(milliseconds=300)
-IDLE = timedelta(milliseconds=500)
+# As often as the rows of batches are read in a large deployment.
+IDLE = timedelta(seconds=1)
 # Who watches follows from all live daemons, which change more slowly.
 CHOICE_LIFE = timedelta(seconds=5)
 
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -125,6 +125,11 @@
         self._watch_gap = gap
         self._watched = {vm: self._watched.get(vm, now) for vm in vms}
 
+    @property
+    def watching(self) -> bool:
+        """Whether any VM is judged by rows that are read directly."""
+        return bool(self._watched)
+
     def is_watching(self, vm: str) -> bool:
         """Tell whether a VM is judged by rows that are read directly."""
         return vm in self._watched
--- a/quetzalcourse/coordination/forwarding/registrations.py
+++ b/quetzalcourse/coordination/forwarding/registrations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,7 @@
         self._read = read
         self._clock = clock
         self._lapsed: set[str] = set()
+        self._lapsing = asyncio.Event()
         follower.on_rows(self.on_rows)
 
     def on_rows(self, rows: list[Row]) -> None:
@@ -61,11 +63,13 @@
     async def run(self) -> None:
         """Give up lapsed entries once their time is over."""
         while True:
+            await self._lapsing.wait()
             await self._clock.sleep(TICK)
-            if self._lapsed and self._follower.steady_for > RETURN_TIME:
+            if self._follower.steady_for > RETURN_TIME:
                 for name in self._lapsed:
                     self._pool.remove(name)
                 self._lapsed.clear()
+                self._lapsing.clear()
 
     def _on_entry(self, name: str, content: bytes) -> None:
         answer = self._read(name, content)
@@ -82,3 +86,4 @@
             return
         log.info('Entry lapsed while the store was away.', upstream=name)
         self._lapsed.add(name)
+        self._lapsing.set()
--- a/quetzalcourse/coordination/leases/lease_keeper.py
+++ b/quetzalcourse/coordination/leases/lease_keeper.py
@@ -11,6 +11,8 @@
 from quetzalcourse.state.lease import LeaseState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import MemberView
     from quetzalcourse.state.clock import Clock
@@ -74,6 +76,11 @@
         self._data_centre = data_centre
         self._state = LeaseState.nobody
         self._retired = False
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_held(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever this daemon has taken the lease."""
+        self._listeners.append(listener)
 
     async def run(self) -> None:
         """Pursue the lease until the task is cancelled."""
@@ -115,9 +122,9 @@
         self._counters.set('lease_token', status.token, lease=status.lease)
         if status.state is not self._state:
             self._state = status.state
-            self._log_change()
+            self._on_change()
 
-    def _log_change(self) -> None:
+    def _on_change(self) -> None:
         status = self.lease.describe()
         line = log.bind(lease=status.lease, token=status.token)
         if status.state is LeaseState.nobody:
@@ -127,5 +134,7 @@
             )
         elif status.state is LeaseState.held:
             line.info('Lease is held here.')
+            for listener in self._listeners:
+                listener()
         else:
             line.info('Lease is held elsewhere.', holder=status.holder)
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -24,6 +24,8 @@
 # Named versions and ended loads wake at once; this is for upstreams that
 # come and go, and for a lease that was just taken.
 TICK = timedelta(milliseconds=250)
+# Hundreds of daemons never hold the lease; whoever takes it is woken.
+IDLE = timedelta(seconds=2)
 # Each load that ends asks for a new plan of all upstreams; a pause that grows
 # with them keeps plans from taking the time of everything else.
 PLAN_GAP_EACH = timedelta(microseconds=100)
@@ -144,6 +146,10 @@
             log.info('Version is named.', model=model, version=version)
             self._wake.set()
 
+    def on_lease(self) -> None:
+        """Learn that this daemon has just taken the lease."""
+        self._wake.set()
+
     async def run(self) -> None:
         """Give orders until the task is cancelled."""
         while True:
@@ -151,7 +157,7 @@
             if self._lease.may_send:
                 self._plan()
             await self._clock.sleep(PLAN_GAP_EACH * self._planned)
-            await wait_event(self._wake, TICK)
+            await wait_event(self._wake, TICK if self._lease.held else IDLE)
 
     def _plan(self) -> None:
         self._planned = 0
--- a/quetzalcourse/duty_parts.py
+++ b/quetzalcourse/duty_parts.py
@@ -88,18 +88,21 @@
         store.table, calendar, LEASE_KEY, incarnation, TERMS, FENCE_KEY
     )
     lease.is_predecessor = partial(_is_predecessor, incarnation)
+    keeper = LeaseKeeper(lease, presence, calendar, counters)
+    orders = LoadOrders(
+        deployment.open_control(),
+        lease,
+        pool,
+        routes,
+        calendar,
+        counters,
+        settings.vm,
+    )
+    keeper.on_held(orders.on_lease)
     return DutyParts(
         lease,
-        LeaseKeeper(lease, presence, calendar, counters),
-        LoadOrders(
-            deployment.open_control(),
-            lease,
-            pool,
-            routes,
-            calendar,
-            counters,
-            settings.vm,
-        ),
+        keeper,
+        orders,
         WindowReporter(
             presence,
             store.table,
