--- a/quetzalcourse/coordination/batches/homes.py
+++ b/quetzalcourse/coordination/batches/homes.py
@@ -35,10 +35,11 @@
 # A sound home answers within 50 ms, most of which is the store's; behind a
 # slow store both write, and the store lets one of them win.
 OFFER_TIME = timedelta(milliseconds=150)
-# Items that a home holds at most: four open steps of 160 items. A trainer
-# that has fallen behind keeps two open, and the older one must go first,
-# which only a daemon that runs both can see to. Larger ones are run where
-# they come in, so that no daemon reads the streams of a whole deployment.
+# Items that a home holds at most. A trainer that has fallen behind keeps two
+# steps open, and the older one must go first, which a daemon that runs both
+# sees to best; items that wait for a slot cost some kilobytes each. Larger
+# steps are run where they come in, so that no daemon reads the streams of a
+# whole deployment.
 MOST_ITEMS = 640
 # Larger batches are run where they come in; a message holds 4 MB.
 MOST_BYTES = 1_000_000
--- a/quetzalcourse/coordination/batches/paces.py
+++ b/quetzalcourse/coordination/batches/paces.py
@@ -14,9 +14,9 @@
 # An upstream of this pace against the median is one that turned slow; the
 # pace of sound ones differs by less than half, as their load does.
 SLOW_PACE = 1.8
-# Upstreams of one kind differ by a third (31 and 42 ms an event), and what a
-# long item loses there is lost to its step; so the slower ones are filled
-# after the others. Below this the difference is that of their load.
+# Machines of one kind may differ by a third, and what a long item loses at a
+# slower one is lost to its step; so the slower ones are filled after the
+# others. Below this the difference is that of their load.
 SLOWER_PACE = 1.12
 # A load of weights stops every stream of an upstream for most of a second,
 # which says nothing of its pace: counted in, it made all items leave an
--- a/quetzalcourse/coordination/batches/sharing.py
+++ b/quetzalcourse/coordination/batches/sharing.py
@@ -223,6 +223,7 @@
         if self._homes.keys() != self._firsts_of:
             self._firsts_of = set(self._homes)
             self._firsts.clear()
+            self._claims.clear()
         if name not in self._firsts:
             own = self._members.own
             homes = [own, *(home.member for home in self._homes.values())]
