--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,7 +23,7 @@
     from types import ModuleType
 
 
-LONGEST_SECONDS = 600.0
+MAX_SECONDS = 600.0
 LARGEST_SHARE = 0.5
 KILOBYTE = 1024
 RESULTS = Path(__file__).with_name('results.json')
@@ -85,7 +85,7 @@
             'bench_seconds',
             time.monotonic() - began,
             's',
-            at_most(LONGEST_SECONDS),
+            at_most(MAX_SECONDS),
         ),
         Figure(
             'bench_memory_share',
--- a/bench/suites/fleet.py
+++ b/bench/suites/fleet.py
@@ -37,7 +37,7 @@
 MINUTE = timedelta(minutes=1)
 UPPER = 0.8
 LOWER = 0.5
-LEAST_UTILISATION = 1.0
+MIN_UTILISATION = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/suites/homes.py
+++ b/bench/suites/homes.py
@@ -6,7 +6,7 @@
 from quetzalcourse.coordination.batches.owner_watch import WATCHERS
 from quetzalcourse.tests.coordination.batches.owner_watch_tests import (
     LARGE,
-    MOST_RATIO,
+    MAX_RATIO,
     SMALL,
     WatchWorld,
 )
@@ -16,7 +16,7 @@
     UPSTREAMS,
     World,
 )
-from quetzalcourse.tests.homes import HOMES
+from quetzalcourse.tests.coordinators import HOMES
 
 FIGURES = ('items_in_upstream_queues', 'owner_end_noticed_ratio')
 TICKS = 4
@@ -31,7 +31,7 @@
         at_most(0),
         baseline=await _play_bursts(cut=True),
         detail=f'two steps of {ITEMS} items on {UPSTREAMS * SLOTS} slots;'
-        ' baseline: homes that hear nothing of each other',
+        ' baseline: coordinators that hear nothing of each other',
     )
 
 
@@ -42,8 +42,8 @@
         world.network.cut(first, second)
         world.network.cut(second, first)
     await world.meet()
-    for home in world.homes:
-        home.begin(ITEMS)
+    for coordinator in world.coordinators:
+        coordinator.begin(ITEMS)
     return await world.play(TICKS)
 
 
@@ -53,7 +53,7 @@
         'owner_end_noticed_ratio',
         await _compare_sizes(rank=0),
         'ratio',
-        at_most(MOST_RATIO),
+        at_most(MAX_RATIO),
         baseline=await _compare_sizes(rank=WATCHERS),
         detail=f'{LARGE} daemons against {SMALL}; baseline: one that does not'
         ' watch the owner',
--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -7,9 +7,12 @@
 from datetime import timedelta
 
 from bench.figure import Figure, at_least, at_most
-from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.batches.placement import (
+    PlacementRequest,
+    Placement,
+)
 from quetzalcourse.coordination.forwarding.pool import (
-    PACE_READINGS,
+    MIN_LATENCY_READINGS,
     Pool,
     Upstream,
 )
@@ -22,7 +25,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.homes import build_shares
+from quetzalcourse.tests.coordinators import build_shares
 from quetzalcourse.tests.coordination.batches.lengths_tests import (
     BURST_SLOTS,
     build_burst,
@@ -51,12 +54,12 @@
 DESIGN_UPSTREAMS = 890
 SLOTS = 8
 SOUND_PACE = 0.04
-SLOW_PACE = 0.16
+SLOW_FACTOR = 0.16
 # Four batches of the larger kind; all slots would hold 184 items.
 ITEMS = 120
 MODELS = 4
 VERSIONS = 12
-NEED = Need('engines', 'verse', 1)
+NEED = PlacementRequest('engines', 'verse', 1)
 TICK = timedelta(milliseconds=100)
 BURSTS = 20
 LoadPlan = Callable[[Sequence[LoadView], Mapping[str, int]], list[Load]]
@@ -97,9 +100,9 @@
         )
         upstream = pool.find(name)
         assert upstream is not None
-        pace = SOUND_PACE if number else SLOW_PACE
-        for _ in range(PACE_READINGS * 5):
-            pool.on_pace(upstream, pace)
+        token_latency = SOUND_PACE if number else SLOW_FACTOR
+        for _ in range(MIN_LATENCY_READINGS * 5):
+            pool.on_token_latency(upstream, token_latency)
     return pool
 
 
@@ -107,8 +110,8 @@
     """Count the items that a slow upstream gets while others have room."""
     clock = FakeClock()
     pool = build_pool(clock)
-    shares, _ = build_shares(pool, clock)
-    placement = Placement(pool, shares, clock)
+    allocator, _ = build_shares(pool, clock)
+    placement = Placement(pool, allocator, clock)
     for _ in range(ITEMS):
         upstream = placement.choose(NEED)
         if upstream is not None:
@@ -161,8 +164,8 @@
 def _find_rate(kind: type[Pool]) -> float:
     clock = FakeClock()
     pool = build_pool(clock, DESIGN_UPSTREAMS, kind)
-    shares, _ = build_shares(pool, clock)
-    placement = Placement(pool, shares, clock)
+    allocator, _ = build_shares(pool, clock)
+    placement = Placement(pool, allocator, clock)
     began = time.perf_counter()
     for _ in range(ITEMS):
         placement.choose(NEED)
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -10,17 +10,21 @@
 from quetzalcourse.coordination.batches.batch_writer import BatchWriter
 from quetzalcourse.coordination.batches.batches import Batches
 from quetzalcourse.coordination.batches.directory import BatchDirectory
-from quetzalcourse.coordination.batches.home_list import HomeList
-from quetzalcourse.coordination.batches.home_news import HomeNews
-from quetzalcourse.coordination.batches.homes import BatchHomes
+from quetzalcourse.coordination.batches.coordinator_list import CoordinatorList
+from quetzalcourse.coordination.batches.slot_usage_updates import (
+    SlotUsageUpdates,
+)
+from quetzalcourse.coordination.batches.coordinators import BatchCoordinators
 from quetzalcourse.coordination.batches.owner_watch import OwnerWatch
 from quetzalcourse.coordination.batches.placement import Placement
-from quetzalcourse.coordination.batches.result_news import ResultNews
+from quetzalcourse.coordination.batches.result_notifications import (
+    ResultNotifications,
+)
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
-from quetzalcourse.coordination.batches.sharing import SlotShares
-from quetzalcourse.coordination.versions.load_news import LoadNews
+from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
+from quetzalcourse.coordination.versions.load_updates import LoadUpdates
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.runner import ItemRunner
@@ -52,7 +56,7 @@
     runner: BatchRunner
     keeper: BatchKeeper
     watch: OwnerWatch
-    load_news: LoadNews
+    load_updates: LoadUpdates
     batches: Batches
 
     def start(self, lifecycle: Lifecycle) -> None:
@@ -79,12 +83,12 @@
     writer = BatchWriter(rows, clock, counters)
     writer.on_committed(reader.on_committed)
     members = feeds.presence
-    shares = SlotShares(members, pool, clock)
+    allocator = SlotAllocator(members, pool, clock)
     runner = BatchRunner(
         calls.items,
         ItemScoring(calls.scorer, pool, routes, clock, counters),
         writer,
-        Placement(pool, shares, clock),
+        Placement(pool, allocator, clock),
         pool,
         routes,
         clock,
@@ -92,11 +96,16 @@
     )
     members.on_urgency(lambda: bool(runner.batches))
     runner.on_begin(members.announce)
-    homes = HomeList(directory, routes, members)
-    news = ResultNews(directory, runner, reader, calls.peers, members, clock)
-    writer.on_committed(news.on_committed)
-    _connect_homes(runner, HomeNews(shares, pool, homes, calls.peers, clock))
-    offers = BatchHomes(calls.peers, members, feeds.operators)
+    coordinators = CoordinatorList(directory, routes, members)
+    notifications = ResultNotifications(
+        directory, runner, reader, calls.peers, members, clock
+    )
+    writer.on_committed(notifications.on_committed)
+    _connect_coordinators(
+        runner,
+        SlotUsageUpdates(allocator, pool, coordinators, calls.peers, clock),
+    )
+    offers = BatchCoordinators(calls.peers, members, feeds.operators)
     batches = Batches(
         rows, directory, reader, runner, offers, members, store_clock, clock
     )
@@ -106,12 +115,14 @@
         runner,
         BatchKeeper(rows, directory, runner, members, store_clock, clock),
         OwnerWatch(directory, members, feeds.store, feeds.members, clock),
-        LoadNews(homes, pool, calls.peers),
+        LoadUpdates(coordinators, pool, calls.peers),
         batches,
     )
 
 
-def _connect_homes(runner: BatchRunner, news: HomeNews) -> None:
-    runner.on_begin(news.on_begin)
-    runner.on_placed(news.tell)
-    news.on_news(runner.on_slots)
+def _connect_coordinators(
+    runner: BatchRunner, notifications: SlotUsageUpdates
+) -> None:
+    runner.on_begin(notifications.on_begin)
+    runner.on_placed(notifications.tell)
+    notifications.on_news(runner.on_slots)
--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -14,7 +14,7 @@
     name_row,
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
-from quetzalcourse.coordination.batches.takers import rank_takers
+from quetzalcourse.coordination.batches.failover import rank_successors
 from quetzalcourse.coordination.slots.ownership import rank_members
 from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.log import get_log
@@ -169,7 +169,7 @@
         if view.owner is not None and view.owner.incarnation == own.incarnation:
             return timedelta(0)
         before = view.owner.incarnation if view.owner is not None else ''
-        ranked = rank_takers(view.id, before, self._presence.list_live())
+        ranked = rank_successors(view.id, before, self._presence.list_live())
         return RANK_WAIT * ranked.index(own) if own in ranked else RANK_WAIT * 9
 
     def _begin(self, view: BatchView) -> None:
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -55,7 +55,7 @@
 CHUNK_BYTES = 48_000
 TRANSACTION_BYTES = 500_000
 # A transaction takes 100 rows.
-MOST_PARTIALS = 90
+MAX_PARTIALS = 90
 POSITION_DIGITS = 8
 PIECE_DIGITS = 3
 # Results of one commit; what is left over goes into the next.
@@ -154,7 +154,7 @@
             continue
         size += len(content)
         packed.append((rank, content))
-    return packed[:MOST_PARTIALS]
+    return packed[:MAX_PARTIALS]
 
 
 def join_items(chunks: Sequence[bytes]) -> list[BatchItem]:
--- a/quetzalcourse/coordination/batches/batch_writer.py
+++ b/quetzalcourse/coordination/batches/batch_writer.py
@@ -23,7 +23,7 @@
 
 COMMIT_RETRY = timedelta(milliseconds=150)
 # Results that finish this close together share one write of the store.
-COMMIT_GAP = timedelta(milliseconds=20)
+COMMIT_INTERVAL = timedelta(milliseconds=20)
 log = get_log('batches')
 
 
@@ -56,7 +56,7 @@
         """
         while not batch.done:
             await batch.wake.wait()
-            await self._clock.sleep(COMMIT_GAP)
+            await self._clock.sleep(COMMIT_INTERVAL)
             batch.wake.clear()
             results = batch.take_finished()
             if results and not await self._write(batch, results):
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -15,7 +15,10 @@
     split_items,
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
-from quetzalcourse.coordination.batches.homes import MOST_ITEMS, OfferOutcome
+from quetzalcourse.coordination.batches.coordinators import (
+    MAX_ITEMS,
+    OfferOutcome,
+)
 from quetzalcourse.exceptions import QuetzalcourseError, RefusedError
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import (
@@ -35,7 +38,9 @@
         BatchDirectory,
         BatchView,
     )
-    from quetzalcourse.coordination.batches.homes import BatchHomes
+    from quetzalcourse.coordination.batches.coordinators import (
+        BatchCoordinators,
+    )
     from quetzalcourse.coordination.batches.result_reader import ResultReader
     from quetzalcourse.coordination.batches.runner import BatchRunner
     from quetzalcourse.coordination.feeds.ports import StoreClock
@@ -65,7 +70,7 @@
         directory: BatchDirectory,
         reader: ResultReader,
         runner: BatchRunner,
-        homes: BatchHomes,
+        coordinators: BatchCoordinators,
         members: MemberView,
         store_clock: StoreClock,
         clock: Clock,
@@ -75,7 +80,7 @@
         self._directory = directory
         self._reader = reader
         self._runner = runner
-        self._homes = homes
+        self._coordinators = coordinators
         self._members = members
         self._store_clock = store_clock
         self._clock = clock
@@ -101,7 +106,7 @@
             _build_head(batch_id, client_account, route, submission, now),
             manifest_version=self._runner.manifest_version,
         )
-        outcome = await self._homes.offer(head, submission.items)
+        outcome = await self._coordinators.offer(head, submission.items)
         if outcome is not OfferOutcome.accepted:
             unsure = outcome is OfferOutcome.unknown
             await self._accept(head, submission.items, unsure=unsure)
@@ -119,7 +124,7 @@
         )
         able = (
             not self._members.own.leaving
-            and running + len(items) <= MOST_ITEMS
+            and running + len(items) <= MAX_ITEMS
             and self._runner.manifest_version >= head.manifest_version
         )
         if not able:
--- a/quetzalcourse/coordination/batches/home_list.py
+++ b/quetzalcourse/coordination/batches/coordinator_list.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.homes import find_home
+from quetzalcourse.coordination.batches.coordinators import find_coordinator
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.directory import BatchDirectory
@@ -13,7 +13,7 @@
     from quetzalcourse.state.members import Member
 
 
-class HomeList:
+class CoordinatorList:
     """Finds the daemons that have to know of the upstreams' slots at once.
 
     Told to all daemons, such news would grow with their square.
@@ -31,7 +31,7 @@
         self._members = members
 
     def list_others(self) -> list[Member]:
-        """List the homes of every model, and the owners of open batches."""
+        """List the coordinators of all models, and owners of open batches."""
         live = self._members.list_live()
         owners = {
             view.owner.vm
@@ -42,7 +42,7 @@
         for data_centre in sorted({member.data_centre for member in live}):
             near = [one for one in live if one.data_centre == data_centre]
             for model in self._routes.models:
-                home = find_home(model, near[0], near)
-                found[home.vm] = home
+                coordinator = find_coordinator(model, near[0], near)
+                found[coordinator.vm] = coordinator
         found.pop(self._members.own.vm, None)
         return list(found.values())
--- a/quetzalcourse/coordination/batches/homes.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from quetzalcourse.coordination.batches.takers import list_strong
+from quetzalcourse.coordination.batches.failover import list_strong
 from quetzalcourse.coordination.slots.ownership import find_owner
 from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.log import get_log
@@ -32,18 +32,18 @@
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.members import Member
 
-# A sound home answers within 50 ms, most of which is the store's; behind a
-# slow store both write, and the store lets one of them win.
+# A sound coordinator answers within 50 ms, most of which is the store's;
+# behind a slow store both write, and the store lets one of them win.
 OFFER_TIME = timedelta(milliseconds=150)
-# Items that a home holds at most. A trainer that has fallen behind keeps two
-# steps open, and the older one must go first, which a daemon that runs both
-# sees to best; items that wait for a slot cost some kilobytes each. Larger
-# steps are run where they come in, so that no daemon reads the streams of a
-# whole deployment.
-MOST_ITEMS = 640
+# Items that a coordinator holds at most. A trainer that has fallen behind
+# keeps two steps open, and the older one must go first, which a daemon that
+# runs both sees to best; items that wait for a slot cost some kilobytes each.
+# Larger steps are run where they come in, so that no daemon reads the streams
+# of a whole deployment.
+MAX_ITEMS = 640
 # Larger batches are run where they come in; a message holds 4 MB.
-MOST_BYTES = 1_000_000
-log = get_log('homes')
+MAX_BYTES = 1_000_000
+log = get_log('coordinators')
 
 
 class OfferOutcome(enum.StrEnum):
@@ -54,7 +54,7 @@
     unknown = 'unknown'
 
 
-class BatchTaker(Protocol):
+class BatchAcceptor(Protocol):
     """Takes a batch that is offered."""
 
     async def __call__(
@@ -76,30 +76,32 @@
     items: list[BatchItem]
 
 
-class OfferTold(msgspec.Struct, frozen=True):
+class OfferReply(msgspec.Struct, frozen=True):
     """Whether an offered batch stands."""
 
     number: int
     accepted: bool
 
 
-def find_home(model: str, own: Member, members: Sequence[Member]) -> Member:
+def find_coordinator(
+    model: str, own: Member, members: Sequence[Member]
+) -> Member:
     """Find the daemon that runs the batches of a model.
 
     :param own: daemon that asks; only its data centre counts, so that a cut
-        between data centres separates no submission from its home.
+        between data centres separates no submission from its coordinator.
     :param members: live daemons.
     """
     near = [one for one in members if one.data_centre == own.data_centre]
     return find_owner(model, list_strong(near)) or own
 
 
-class BatchHomes:
-    """Offers batches to their homes, and takes those that are offered.
+class BatchCoordinators:
+    """Offers batches to their coordinators, and takes those that are offered.
 
     While the store does not answer, nothing is offered and nothing taken: a
-    home that tries in vain could not say whether the batch stands, and its
-    caller could not be refused truly.
+    coordinator that tries in vain could not say whether the batch stands, and
+    its caller could not be refused truly.
 
     :param follower: table by which the store's answers here are judged.
     """
@@ -114,14 +116,14 @@
         self._peers = peers
         self._members = members
         self._follower = follower
-        self._take: BatchTaker | None = None
+        self._take: BatchAcceptor | None = None
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[bool]] = {}
-        self._tasks = Tasks('homes')
+        self._tasks = Tasks('coordinators')
         peers.subscribe(Topic.batch_offered, self.on_offered)
-        peers.subscribe(Topic.batch_told, self.on_told)
+        peers.subscribe(Topic.batch_told, self.on_message)
 
-    def on_offer(self, take: BatchTaker) -> None:
+    def on_offer(self, take: BatchAcceptor) -> None:
         """Call a taker with each batch that is offered here."""
         self._take = take
 
@@ -130,23 +132,25 @@
         head: BatchHead,
         items: Sequence[BatchItem],
     ) -> OfferOutcome:
-        """Offer a batch to its home.
+        """Offer a batch to its coordinator.
 
-        :returns: ``declined`` also if this daemon is the home.
+        :returns: ``declined`` also if this daemon is the coordinator.
         """
         own = self._members.own
-        home = find_home(head.model, own, self._members.list_live())
-        if home.vm == own.vm or self._follower.faulty:
+        coordinator = find_coordinator(
+            head.model, own, self._members.list_live()
+        )
+        if coordinator.vm == own.vm or self._follower.faulty:
             return OfferOutcome.declined
         offered = BatchOffered(next(self._numbers), head, list(items))
         content = msgspec.msgpack.encode(offered)
-        if len(content) > MOST_BYTES:
+        if len(content) > MAX_BYTES:
             return OfferOutcome.declined
-        outcome = await self._send(home, offered.number, content)
+        outcome = await self._send(coordinator, offered.number, content)
         log.info(
-            'Batch is offered to its home.',
+            'Batch is offered to its coordinator.',
             batch=head.id,
-            home=home.vm,
+            coordinator=coordinator.vm,
             outcome=outcome.value,
         )
         return outcome
@@ -156,22 +160,22 @@
         offered = msgspec.msgpack.decode(content, type=BatchOffered)
         self._tasks.begin(self._accept(sender, offered))
 
-    def on_told(self, sender: Member, content: bytes) -> None:
+    def on_message(self, sender: Member, content: bytes) -> None:
         """Take the answer to an offer."""
-        told = msgspec.msgpack.decode(content, type=OfferTold)
+        told = msgspec.msgpack.decode(content, type=OfferReply)
         waiting = self._waiting.get(told.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(told.accepted)
 
     async def _send(
         self,
-        home: Member,
+        coordinator: Member,
         number: int,
         content: bytes,
     ) -> OfferOutcome:
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[number] = waiting
-        self._peers.send(home, Topic.batch_offered, content)
+        self._peers.send(coordinator, Topic.batch_offered, content)
         try:
             async with asyncio.timeout(OFFER_TIME.total_seconds()):
                 accepted = await waiting
@@ -188,5 +192,5 @@
         if outcome is OfferOutcome.unknown:
             # Silence is the answer that promises nothing.
             return
-        told = OfferTold(offered.number, outcome is OfferOutcome.accepted)
+        told = OfferReply(offered.number, outcome is OfferOutcome.accepted)
         self._peers.send(sender, Topic.batch_told, msgspec.msgpack.encode(told))
--- a/quetzalcourse/coordination/batches/takers.py
+++ b/quetzalcourse/coordination/batches/failover.py
@@ -24,7 +24,7 @@
     return [one for one in members if one.cores >= strongest * STRONG_SHARE]
 
 
-def rank_takers(
+def rank_successors(
     batch: str,
     owner: str,
     members: Sequence[Member],
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -16,8 +16,8 @@
     from quetzalcourse.state.batches import BatchItem, StreamEvent
 
 FIRST_RETRY = timedelta(milliseconds=50)
-LONGEST_RETRY = timedelta(milliseconds=800)
-MOST_DOUBLINGS = 4
+MAX_RETRY = timedelta(milliseconds=800)
+MAX_DOUBLINGS = 4
 
 
 class ItemState(enum.StrEnum):
@@ -136,8 +136,8 @@
 
     def postpone(self, now: timedelta) -> None:
         """Wait before the next attempt, longer with each miss."""
-        doublings = min(self.misses, MOST_DOUBLINGS)
-        wait = min(FIRST_RETRY * 2**doublings, LONGEST_RETRY)
+        doublings = min(self.misses, MAX_DOUBLINGS)
+        wait = min(FIRST_RETRY * 2**doublings, MAX_RETRY)
         self.misses += 1
         self.retry_at = now + wait
 
--- a/quetzalcourse/coordination/batches/lengths.py
+++ b/quetzalcourse/coordination/batches/lengths.py
@@ -102,9 +102,9 @@
     ) -> list[tuple[BatchRun, ItemRun]]:
         """Order items by the time that they leave until they are due.
 
-        A home that has just begun, or has taken a batch over, knows nothing
-        of the model's times yet. Longer estimates go first there all the
-        same; items without one keep the order of their batch.
+        A coordinator that has just begun, or has taken a batch over, knows
+        nothing of the model's times yet. Longer estimates go first there all
+        the same; items without one keep the order of their batch.
         """
         return sorted(waiting, key=self._rank)
 
--- a/quetzalcourse/coordination/batches/moves.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -1,15 +1,15 @@
 """Which running items go on at a faster upstream, and where.
 
-The load that this answers: an upstream turns several times slower while
-items run there, or a long item runs at one that is always a third slower
-than the rest; its step waits for that item alone while slots elsewhere are
-free. A move costs a connection and the reading of the prompt and the text,
-so it has to gain more than that. It takes the slot first: items that left
-their upstream for a slot that another one got would go back to where they
-were, over and over, and stand still meanwhile. And it counts on the usual
-pace only: of many upstreams that are alike, one always looks faster than the
-rest for a moment, and items that followed it went from one to the next dozens
-of times, a connection each.
+The load that this answers: an upstream turns several times slower while items
+run there, or a long item runs at one that is always a third slower than the
+rest; its step waits for that item alone while slots elsewhere are free. A move
+costs a connection and the reading of the prompt and the text, so it has to
+gain more than that. It takes the slot first: items that left their upstream
+for a slot that another one got would go back to where they were, over and
+over, and stand still meanwhile. And it counts on the usual token_latency only:
+of many upstreams that are alike, one always looks faster than the rest for a
+moment, and items that followed it went from one to the next dozens of times, a
+connection each.
 """
 
 from __future__ import annotations
@@ -17,7 +17,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.paces import find_median_pace
+from quetzalcourse.coordination.batches.token_latencies import (
+    find_median_latency,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,10 +28,10 @@
 
 # Shortest time that a move has to gain; the move itself takes some 50 ms and
 # up to 150 ms where the other upstream reads prompts at that moment.
-LEAST_GAIN = timedelta(milliseconds=500)
+MIN_GAIN = timedelta(milliseconds=500)
 # Events that an item is taken to have still before it, at the least: what is
 # expected of it may be short by a factor.
-LEAST_EVENTS = 12
+MIN_EVENTS = 12
 # Slots that a move leaves free, so that it takes none from items that wait.
 SPARE_SLOTS = 1
 
@@ -47,26 +49,26 @@
     :param left: events that it is expected to have still before it.
     :returns: ``None`` if it should stay.
     """
-    if not here.pace:
+    if not here.token_latency:
         return None
     weighed = list(others)
-    usual = find_median_pace(weighed)
+    usual = find_median_latency(weighed)
     free = [
         one
         for one in weighed
         if one.name != here.name
-        and one.pace
+        and one.token_latency
         and not one.faults
         and one.count_load(now) + SPARE_SLOTS < one.member.slots
     ]
     best = min(
         free,
-        key=lambda one: (max(one.pace, usual), one.count_load(now)),
+        key=lambda one: (max(one.token_latency, usual), one.count_load(now)),
         default=None,
     )
     if best is None:
         return None
-    events = max(left, LEAST_EVENTS)
-    expected = max(best.pace, usual)
-    gain = timedelta(seconds=(here.pace - expected) * events)
-    return best if gain >= LEAST_GAIN else None
+    events = max(left, MIN_EVENTS)
+    expected = max(best.token_latency, usual)
+    gain = timedelta(seconds=(here.token_latency - expected) * events)
+    return best if gain >= MIN_GAIN else None
--- a/quetzalcourse/coordination/batches/owner_watch.py
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -15,7 +15,7 @@
 
 from result import Err
 
-from quetzalcourse.coordination.batches.takers import rank_takers
+from quetzalcourse.coordination.batches.failover import rank_successors
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.directory import (
@@ -94,7 +94,7 @@
         if version == view.owner_version and now - chosen_at < CHOICE_LIFE:
             return chosen
         owner = view.owner.incarnation if view.owner is not None else ''
-        ranked = rank_takers(view.id, owner, self._presence.list_live())
+        ranked = rank_successors(view.id, owner, self._presence.list_live())
         chosen = self._presence.own in ranked[:WATCHERS]
         self._choices[view.id] = (view.owner_version, now, chosen)
         return chosen
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -13,25 +13,25 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.moves import choose_target
-from quetzalcourse.coordination.batches.paces import (
-    find_median_pace,
-    rank_pace,
+from quetzalcourse.coordination.batches.migration import choose_target
+from quetzalcourse.coordination.batches.token_latencies import (
+    find_median_latency,
+    rank_latency,
 )
-from quetzalcourse.coordination.batches.sharing import Want
+from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.batches.sharing import SlotShares
+    from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.state.clock import Clock
 
-# Running items are reviewed twenty times a second each; the usual pace
+# Running items are reviewed twenty times a second each; the usual latency
 # changes more slowly.
-USUAL_LIFE = timedelta(milliseconds=250)
+MEDIAN_TTL = timedelta(milliseconds=250)
 
 
 @dataclass(frozen=True, slots=True)
-class Need:
+class PlacementRequest:
     """What an item needs of its upstream.
 
     :param oldest: oldest weight version that may make its tokens.
@@ -47,40 +47,42 @@
     latest_start: timedelta = timedelta(0)
 
     @property
-    def want(self) -> Want:
+    def key(self) -> PlacementKey:
         """What decides whether any slot is free for it."""
-        return Want(self.service, self.model, self.oldest)
+        return PlacementKey(self.service, self.model, self.oldest)
 
 
 class Placement:
     """Chooses upstreams for items."""
 
-    def __init__(self, pool: Pool, shares: SlotShares, clock: Clock) -> None:
+    def __init__(
+        self, pool: Pool, allocator: SlotAllocator, clock: Clock
+    ) -> None:
         """Keep the pool that is chosen from."""
         self._pool = pool
-        self._shares = shares
+        self._allocator = allocator
         self._clock = clock
         self._usual: dict[str, tuple[timedelta, float]] = {}
 
-    def choose(self, need: Need) -> Upstream | None:
+    def choose(self, need: PlacementRequest) -> Upstream | None:
         """Choose the upstream for an item.
 
         :returns: ``None`` if no slot is free where it may run.
         """
         now = self._clock.elapsed()
-        usable = self.list_fit(need)
+        usable = self.list_eligible(need)
         fit = [
             upstream
             for upstream in usable
             if upstream.count_load(now) < upstream.member.slots
-            and self._shares.may_take(upstream, need.latest_start)
+            and self._allocator.is_available(upstream, need.latest_start)
         ]
         if not fit:
             return None
-        median = find_median_pace(usable)
+        median = find_median_latency(usable)
         return min(fit, key=lambda one: self._rank(one, need, now, median))
 
-    def list_fit(self, need: Need) -> list[Upstream]:
+    def list_eligible(self, need: PlacementRequest) -> list[Upstream]:
         """List the upstreams that may run an item now."""
         now = self._clock.elapsed()
         return [
@@ -94,11 +96,13 @@
 
         It spares most items the weighing of all upstreams.
         """
-        return upstream.pace > self._find_usual_pace(upstream.member.service)
+        return upstream.token_latency > self._find_usual_latency(
+            upstream.member.service
+        )
 
     def choose_target(
         self,
-        need: Need,
+        need: PlacementRequest,
         upstream: Upstream,
         left: int,
     ) -> Upstream | None:
@@ -110,30 +114,30 @@
         now = self._clock.elapsed()
         free = [
             one
-            for one in self.list_fit(need)
-            if self._shares.may_take(one, need.latest_start)
+            for one in self.list_eligible(need)
+            if self._allocator.is_available(one, need.latest_start)
         ]
         return choose_target(upstream, free, left, now)
 
-    def _find_usual_pace(self, service: str) -> float:
+    def _find_usual_latency(self, service: str) -> float:
         now = self._clock.elapsed()
         found_at, usual = self._usual.get(service, (None, 0.0))
-        if found_at is None or now - found_at >= USUAL_LIFE:
-            usual = find_median_pace(self._pool.sample_service(service))
+        if found_at is None or now - found_at >= MEDIAN_TTL:
+            usual = find_median_latency(self._pool.sample_service(service))
             self._usual[service] = (now, usual)
         return usual
 
     def _rank(
         self,
         upstream: Upstream,
-        need: Need,
+        need: PlacementRequest,
         now: timedelta,
         median: float,
     ) -> tuple[bool, bool, int, float, int]:
         return (
             upstream.name == need.avoided,
             upstream.faults > 0,
-            rank_pace(upstream, median),
+            rank_latency(upstream, median),
             _share(upstream, now),
             -upstream.find_version(need.model),
         )
--- a/quetzalcourse/coordination/batches/result_news.py
+++ b/quetzalcourse/coordination/batches/result_notifications.py
@@ -31,7 +31,7 @@
 WAIT_LIFE = timedelta(seconds=1.2)
 
 
-class ResultsAwaited(msgspec.Struct, frozen=True):
+class ResultsSubscription(msgspec.Struct, frozen=True):
     """A caller waits for results at the sender.
 
     :param known: how many it has.
@@ -62,8 +62,8 @@
     until: timedelta
 
 
-class ResultNews:
-    """Asks the owners of batches for news, and gives it to those who ask."""
+class ResultNotifications:
+    """Subscribes to the results of batches, and notifies subscribers."""
 
     def __init__(
         self,
@@ -97,14 +97,14 @@
         vm = view.owner.vm
         if vm == self._members.own.vm:
             return
-        content = msgspec.msgpack.encode(ResultsAwaited(batch, known))
+        content = msgspec.msgpack.encode(ResultsSubscription(batch, known))
         for member in self._members.list_live():
             if member.vm == vm:
                 self._peers.send(member, Topic.results_awaited, content)
 
     def on_awaited(self, sender: Member, content: bytes) -> None:
         """Note a daemon at which a caller waits, or answer it at once."""
-        awaited = msgspec.msgpack.decode(content, type=ResultsAwaited)
+        awaited = msgspec.msgpack.decode(content, type=ResultsSubscription)
         self._forget_old()
         run = self._runner.batches.get(awaited.batch)
         if run is None:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -9,8 +9,8 @@
 
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.lengths import Lengths
-from quetzalcourse.coordination.batches.placement import Need
-from quetzalcourse.coordination.batches.sharing import Waiting
+from quetzalcourse.coordination.batches.placement import PlacementRequest
+from quetzalcourse.coordination.batches.slot_allocation import Waiting
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks, wait_event
 from quetzalcourse.log import get_log
@@ -23,7 +23,7 @@
     from quetzalcourse.coordination.batches.batch_writer import BatchWriter
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
-    from quetzalcourse.coordination.batches.sharing import Want
+    from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
     from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.state.batches import ItemResult
@@ -36,7 +36,7 @@
 # Half of the items are done before they are saved once. What an owner that
 # dies has not saved is made again, 30 ms an event, and its step waits; a
 # save is one write of the store, of the hundreds that it bears.
-SAVE_GAP = timedelta(milliseconds=350)
+SAVE_INTERVAL = timedelta(milliseconds=350)
 # Without a batch there is nothing to look after; the next one wakes.
 IDLE = timedelta(seconds=1)
 log = get_log('batches')
@@ -183,13 +183,13 @@
         waiting: Sequence[tuple[BatchRun, ItemRun]],
     ) -> None:
         # Where one found no slot, the next one with the same need finds none.
-        full: dict[Want, Waiting] = {}
+        full: dict[PlacementKey, Waiting] = {}
         for batch, run in self._lengths.order(waiting):
             need = self._find_need(batch, run)
             if need is None:
                 self._on_missing_route(batch, run)
-            elif need.want not in full and not self._begin(batch, run, need):
-                full[need.want] = Waiting(need.want, need.latest_start)
+            elif need.key not in full and not self._begin(batch, run, need):
+                full[need.key] = Waiting(need.key, need.latest_start)
         self._any_unplaced = bool(full)
         for listener in self._placed_listeners:
             listener(full.values())
@@ -203,14 +203,16 @@
     def _save(self, batch: BatchRun, now: timedelta) -> None:
         # An owner that dies takes the texts with it; of those that take
         # long, the next one goes on from what was saved.
-        if now - batch.saved_at < SAVE_GAP:
+        if now - batch.saved_at < SAVE_INTERVAL:
             return
-        partials = batch.save_long(now - SAVE_GAP)
+        partials = batch.save_long(now - SAVE_INTERVAL)
         if partials:
             batch.saved_at = now
             self._tasks.begin(self._writer.save(batch, partials))
 
-    def _begin(self, batch: BatchRun, run: ItemRun, need: Need) -> bool:
+    def _begin(
+        self, batch: BatchRun, run: ItemRun, need: PlacementRequest
+    ) -> bool:
         upstream = self._placement.choose(need)
         if upstream is None:
             return False
@@ -226,11 +228,13 @@
         run.began = self._clock.elapsed()
         run.task = self._tasks.begin(self._attempt(batch, run, upstream))
 
-    def _find_need(self, batch: BatchRun, run: ItemRun) -> Need | None:
+    def _find_need(
+        self, batch: BatchRun, run: ItemRun
+    ) -> PlacementRequest | None:
         route = self._routes.find(batch.head.route)
         if route is None:
             return None
-        return Need(
+        return PlacementRequest(
             choose_service(route, run.item.id),
             batch.head.model,
             batch.head.min_version,
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -16,10 +16,12 @@
 from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.coordination.batches.item_run import (
-    MOST_DOUBLINGS,
+    MAX_DOUBLINGS,
     ItemState,
 )
-from quetzalcourse.coordination.forwarding.patience import Patience
+from quetzalcourse.coordination.forwarding.attempt_timeouts import (
+    AttemptTimeouts,
+)
 from quetzalcourse.coordination.forwarding.route_table import choose_service
 from quetzalcourse.coordination.tasks import Tasks
 from quetzalcourse.exceptions import RefusedError
@@ -44,7 +46,7 @@
 # Until answers have shown how long calls take, one is as long on its way as
 # a human's may be; one that is lost is made again elsewhere, with twice the
 # time each time.
-DEFAULT_PATIENCE = timedelta(milliseconds=500)
+DEFAULT_TIMEOUT = timedelta(milliseconds=500)
 log = get_log('scoring')
 
 
@@ -78,11 +80,11 @@
         self,
         call: ScoringCall,
         upstream: Upstream,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ScoringOutcome:
         """Make a call once.
 
-        :param patience: when it is given up.
+        :param timeout: when it is given up.
         """
 
 
@@ -104,7 +106,7 @@
         self._clock = clock
         self._counters = counters
         self._on_end: Callable[[], None] = lambda: None
-        self._patience = Patience()
+        self._timeouts = AttemptTimeouts()
         self._tasks = Tasks('scoring')
 
     def on_end(self, listener: Callable[[], None]) -> None:
@@ -145,10 +147,10 @@
         call = run.item.scoring
         assert call is not None  # noqa: S101
         began = self._clock.elapsed()
-        wait = find_wait(route, run.misses, self._patience)
-        patience = min(wait, batch.given_up - began)
+        wait = find_wait(route, run.misses, self._timeouts)
+        timeout = min(wait, batch.given_up - began)
         try:
-            outcome = await self._scorer.score(call, upstream, patience)
+            outcome = await self._scorer.score(call, upstream, timeout)
         finally:
             self._release(run, upstream)
         took = self._clock.elapsed() - began
@@ -179,9 +181,9 @@
             'scoring_call', took.total_seconds(), state=outcome.state.value
         )
         if outcome.state in {ScoringState.scored, ScoringState.failed}:
-            self._patience.on_answer(route.name, took)
+            self._timeouts.on_answer(route.name, took)
         elif outcome.state is ScoringState.late:
-            self._patience.on_vain(route.name, took)
+            self._timeouts.on_timeout(route.name, took)
 
     def _release(self, run: ItemRun, upstream: Upstream) -> None:
         self._pool.on_end(upstream)
@@ -240,7 +242,7 @@
         fit,
         key=lambda one: (
             one.name == avoided,
-            one.closed_until if one.closed_until > now else timedelta(0),
+            one.ejected_until if one.ejected_until > now else timedelta(0),
             one.faults > 0,
             one.count_load(now) / one.member.slots,
         ),
@@ -251,18 +253,18 @@
 def has_room(upstream: Upstream, now: timedelta) -> bool:
     """Tell whether an upstream takes a scoring call beside humans."""
     most = max(int(upstream.member.slots * SCORING_SHARE), 1)
-    refusing = upstream.busy.get('', timedelta(0)) > now
+    refusing = upstream.unavailable_until.get('', timedelta(0)) > now
     return upstream.count_load(now) < most and not refusing
 
 
-def find_wait(route: Route, misses: int, patience: Patience) -> timedelta:
+def find_wait(route: Route, misses: int, timeout: AttemptTimeouts) -> timedelta:
     """Tell how long a call may take.
 
     :param misses: calls before it that brought no score.
     """
-    longest = route.target_latency or DEFAULT_PATIENCE
-    first = patience.find_wait(route.name, longest)
+    longest = route.target_latency or DEFAULT_TIMEOUT
+    first = timeout.find_wait(route.name, longest)
     # A text that waits for minutes has hundreds of misses behind it; so many
     # doublings of a duration are none any more, and would end its calls.
-    doublings = min(misses, MOST_DOUBLINGS)
+    doublings = min(misses, MAX_DOUBLINGS)
     return min(first * 2**doublings, max(route.timeout, longest))
--- /dev/null
+++ b/quetzalcourse/coordination/batches/slot_allocation.py
@@ -0,0 +1,258 @@
+"""How the daemons that run batches share the slots of upstreams.
+
+The load that this answers: two trainers submit their steps within the same few
+milliseconds, each to another coordinator, and together they have twice as many
+items as there are slots. Coordinators that each take what looks free fill
+every upstream twice: half of the items wait in queues inside the upstreams,
+where nothing can overtake them, the longest ones of a step among them. So
+coordinators tell each other what they took and how urgent their waiting items
+are, and a free slot is for the most urgent one. Each upstream has a
+coordinator that goes first among those that are about as urgent, so that two
+of them that begin together need not wait for each other's word.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.slots.ownership import find_owner
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.ports import MemberView
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Member
+
+# A coordinator tells of its slots at least once a second while it has any; one
+# that was silent for longer is gone or cut off, and what it took is free.
+UPDATE_TTL = timedelta(seconds=1.5)
+# Trainers submit every few seconds. A coordinator without a batch for longer
+# has no upstreams kept for it any more.
+COORDINATOR_TTL = timedelta(seconds=15)
+# An item goes before those of the coordinator that an upstream is kept for if
+# it must begin this much sooner. Less would pass slots to and fro between
+# coordinators that are alike, each time idle until the other one has heard of
+# it.
+FIRST_MARGIN = timedelta(seconds=1)
+# Between coordinators that begin at the same moment: the time for their news to
+# pass each other, data centres of a region being a few milliseconds apart.
+SETTLING = timedelta(milliseconds=15)
+# What the coordinator that goes first has not taken by then it can't take, as
+# of an upstream that failed there.
+RESERVATION_TTL = timedelta(milliseconds=200)
+# Slots are looked for at least this often while items wait.
+RESERVATION_INTERVAL = timedelta(milliseconds=120)
+log = get_log('coordinators')
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementKey:
+    """What decides whether any slot is free for an item.
+
+    :param oldest: oldest weight version that may make its tokens.
+    """
+
+    service: str
+    model: str
+    oldest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Items of one kind that wait for a slot.
+
+    :param latest_start: time since boot at which the most urgent one of
+        them has to begin to be whole in time.
+    """
+
+    key: PlacementKey
+    latest_start: timedelta
+
+
+@dataclass(slots=True)
+class SlotReservation:
+    """Free slot that is kept for the coordinator that goes first.
+
+    :param taken: items that this coordinator has there.
+    :param since: since when it has had as many while a slot was free.
+    :param seen: when that was last found so.
+    """
+
+    taken: int
+    since: timedelta
+    seen: timedelta
+
+
+@dataclass(slots=True)
+class OtherCoordinator:
+    """Another daemon that runs batches, as it told last.
+
+    :param taken: its running items at each upstream.
+    """
+
+    member: Member
+    heard: timedelta
+    taken: dict[str, int] = field(default_factory=dict)
+    waiting: tuple[Waiting, ...] = ()
+
+
+class SlotAllocator:
+    """Knows what the other coordinators took, and which slots are this one's.
+
+    :param members: this daemon and the live ones.
+    """
+
+    def __init__(self, members: MemberView, pool: Pool, clock: Clock) -> None:
+        """Begin as the only coordinator."""
+        self._members = members
+        self._pool = pool
+        self._clock = clock
+        self._coordinators: dict[str, OtherCoordinator] = {}
+        self._firsts: dict[str, str] = {}
+        self._firsts_of: set[str] = set()
+        self._settled_at = timedelta(0)
+        self._reservations: dict[str, SlotReservation] = {}
+
+    def list_others(self) -> list[Member]:
+        """List the other daemons that ran batches lately."""
+        self._forget_old()
+        return [
+            coordinator.member for coordinator in self._coordinators.values()
+        ]
+
+    def on_begin(self) -> None:
+        """Learn that a batch begins here."""
+        self._settled_at = self._clock.elapsed() + SETTLING
+
+    def on_news(
+        self,
+        sender: Member,
+        taken: Mapping[str, int],
+        waiting: Collection[Waiting],
+        *,
+        whole: bool,
+    ) -> None:
+        """Take what another coordinator tells.
+
+        :param taken: its running items at the upstreams, all or changed ones.
+        """
+        now = self._clock.elapsed()
+        coordinator = self._coordinators.get(sender.vm)
+        if (
+            coordinator is None
+            or coordinator.member.incarnation != sender.incarnation
+        ):
+            coordinator = OtherCoordinator(sender, now)
+            self._coordinators[sender.vm] = coordinator
+            log.info('Another coordinator shares upstreams.', peer=sender.vm)
+        coordinator.heard = now
+        coordinator.waiting = tuple(waiting)
+        before = set(coordinator.taken)
+        if whole:
+            coordinator.taken = {}
+        coordinator.taken |= taken
+        self._forget_old()
+        for name in before | coordinator.taken.keys():
+            self._count(name, now)
+
+    def is_available(self, upstream: Upstream, latest_start: timedelta) -> bool:
+        """Tell whether a free slot of an upstream may be taken here.
+
+        :param latest_start: when the item has to begin to be whole in time.
+        """
+        if not self._coordinators:
+            return True
+        now = self._clock.elapsed()
+        first = self._find_first(upstream.name)
+        if first == self._members.own.vm:
+            mine = latest_start
+        elif now < self._settled_at:
+            return False
+        else:
+            mine = latest_start + FIRST_MARGIN
+        return not any(
+            self._goes_before(vm, coordinator, upstream, mine, first, now)
+            for vm, coordinator in self._coordinators.items()
+        )
+
+    def _goes_before(
+        self,
+        vm: str,
+        coordinator: OtherCoordinator,
+        upstream: Upstream,
+        mine: timedelta,
+        first: str,
+        now: timedelta,
+    ) -> bool:
+        """Tell whether another coordinator's items go first."""
+        if now - coordinator.heard > UPDATE_TTL:
+            return False
+        margin = timedelta(0) if vm == first else FIRST_MARGIN
+        wanted = any(
+            one.latest_start + margin < mine and _fits(upstream, one.key, now)
+            for one in coordinator.waiting
+        )
+        return wanted and not self._is_left(upstream.name, coordinator, now)
+
+    def _is_left(
+        self, name: str, coordinator: OtherCoordinator, now: timedelta
+    ) -> bool:
+        """Tell whether the first coordinator left a free slot alone."""
+        taken = coordinator.taken.get(name, 0)
+        reservation = self._reservations.get(name)
+        if (
+            reservation is None
+            or reservation.taken != taken
+            or now - reservation.seen > RESERVATION_INTERVAL
+        ):
+            reservation = SlotReservation(taken, now, now)
+            self._reservations[name] = reservation
+        reservation.seen = now
+        return now - reservation.since >= RESERVATION_TTL
+
+    def _count(self, name: str, now: timedelta) -> None:
+        upstream = self._pool.find(name)
+        if upstream is None:
+            return
+        upstream.taken = sum(
+            coordinator.taken.get(name, 0)
+            for coordinator in self._coordinators.values()
+            if now - coordinator.heard <= UPDATE_TTL
+        )
+        upstream.taken_until = now + UPDATE_TTL
+
+    def _find_first(self, name: str) -> str:
+        """Find the VM of the coordinator that goes first at an upstream."""
+        if self._coordinators.keys() != self._firsts_of:
+            self._firsts_of = set(self._coordinators)
+            self._firsts.clear()
+            self._reservations.clear()
+        if name not in self._firsts:
+            own = self._members.own
+            coordinators = [
+                own,
+                *(
+                    coordinator.member
+                    for coordinator in self._coordinators.values()
+                ),
+            ]
+            first = find_owner(name, coordinators)
+            self._firsts[name] = first.vm if first is not None else own.vm
+        return self._firsts[name]
+
+    def _forget_old(self) -> None:
+        oldest = self._clock.elapsed() - COORDINATOR_TTL
+        for vm, coordinator in list(self._coordinators.items()):
+            if coordinator.heard < oldest:
+                self._coordinators.pop(vm)
+
+
+def _fits(upstream: Upstream, key: PlacementKey, now: timedelta) -> bool:
+    if upstream.member.service != key.service:
+        return False
+    return upstream.fits(key.model, key.oldest, now)
--- a/quetzalcourse/coordination/batches/home_news.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -7,38 +7,44 @@
 
 import msgspec
 
-from quetzalcourse.coordination.batches.sharing import Waiting, Want
+from quetzalcourse.coordination.batches.slot_allocation import (
+    Waiting,
+    PlacementKey,
+)
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from quetzalcourse.coordination.batches.home_list import HomeList
-    from quetzalcourse.coordination.batches.sharing import SlotShares
+    from quetzalcourse.coordination.batches.coordinator_list import (
+        CoordinatorList,
+    )
+    from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
 # Slots become free every few milliseconds; what changed meanwhile is told
-# together, well before a slot that another home waits for is noticed there.
-NEWS_GAP = timedelta(milliseconds=40)
+# together, well before a slot that another coordinator waits for is noticed
+# there.
+UPDATE_INTERVAL = timedelta(milliseconds=40)
 # A message that was lost is made up for by then.
-WHOLE_GAP = timedelta(seconds=1)
+FULL_UPDATE_INTERVAL = timedelta(seconds=1)
 
 
-class WantTold(msgspec.Struct, frozen=True):
+class WaitingUpdate(msgspec.Struct, frozen=True):
     """Items of one kind that wait at the sender.
 
     :param seconds: until the most urgent one has to begin, below 0 if it is
         late; clocks of daemons differ, so no time of day is told.
     """
 
-    want: Want
+    key: PlacementKey
     seconds: float
 
 
-class SlotsTold(msgspec.Struct, frozen=True):
+class SlotUsageUpdate(msgspec.Struct, frozen=True):
     """What the sender took of the upstreams, and what waits there.
 
     :param taken: its running items at each upstream.
@@ -46,29 +52,29 @@
     """
 
     taken: dict[str, int]
-    wants: list[WantTold]
+    wants: list[WaitingUpdate]
     whole: bool
 
 
-class HomeNews:
-    """Tells the other homes, and hears from them.
+class SlotUsageUpdates:
+    """Tells the other coordinators, and hears from them.
 
-    A batch that begins is told to every daemon that may be a home, since
-    the other homes are not known before their own first batch.
+    A batch that begins is told to every daemon that may be a coordinator, since
+    the other coordinators are not known before their own first batch.
     """
 
     def __init__(
         self,
-        shares: SlotShares,
+        allocator: SlotAllocator,
         pool: Pool,
-        homes: HomeList,
+        coordinators: CoordinatorList,
         peers: Peers,
         clock: Clock,
     ) -> None:
-        """Listen to the other homes."""
-        self._shares = shares
+        """Listen to the other coordinators."""
+        self._allocator = allocator
         self._pool = pool
-        self._homes = homes
+        self._coordinators = coordinators
         self._peers = peers
         self._clock = clock
         self._told: dict[str, int] = {}
@@ -77,26 +83,26 @@
         self._whole_at = timedelta(0)
         self._beginning = False
         self._listeners: list[Callable[[], None]] = []
-        peers.subscribe(Topic.slots_told, self.on_told)
+        peers.subscribe(Topic.slots_told, self.on_message)
 
     def on_news(self, listener: Callable[[], None]) -> None:
-        """Call a listener whenever another home has told something."""
+        """Call a listener whenever another coordinator has told something."""
         self._listeners.append(listener)
 
     def on_begin(self) -> None:
         """Learn that a batch begins here."""
         self._beginning = True
-        self._shares.on_begin()
+        self._allocator.on_begin()
 
-    def on_told(self, sender: Member, content: bytes) -> None:
-        """Take what another home tells."""
-        told = msgspec.msgpack.decode(content, type=SlotsTold)
+    def on_message(self, sender: Member, content: bytes) -> None:
+        """Take what another coordinator tells."""
+        told = msgspec.msgpack.decode(content, type=SlotUsageUpdate)
         now = self._clock.elapsed()
         waiting = [
-            Waiting(one.want, now + timedelta(seconds=one.seconds))
+            Waiting(one.key, now + timedelta(seconds=one.seconds))
             for one in told.wants
         ]
-        self._shares.on_news(sender, told.taken, waiting, whole=told.whole)
+        self._allocator.on_news(sender, told.taken, waiting, whole=told.whole)
         for listener in self._listeners:
             listener()
 
@@ -110,8 +116,8 @@
         waiting = frozenset(unplaced)
         if not self._is_due(taken, waiting, now):
             return
-        whole = self._beginning or now - self._whole_at >= WHOLE_GAP
-        told = SlotsTold(
+        whole = self._beginning or now - self._whole_at >= FULL_UPDATE_INTERVAL
+        told = SlotUsageUpdate(
             taken if whole else self._find_changes(taken),
             [_tell_waiting(one, now) for one in waiting],
             whole,
@@ -134,12 +140,12 @@
     ) -> bool:
         if self._beginning:
             return True
-        if now - self._told_at < NEWS_GAP:
+        if now - self._told_at < UPDATE_INTERVAL:
             return False
         if taken != self._told or waiting != self._told_waiting:
             return True
         idle = not taken and not waiting
-        return not idle and now - self._whole_at >= WHOLE_GAP
+        return not idle and now - self._whole_at >= FULL_UPDATE_INTERVAL
 
     def _find_changes(self, taken: dict[str, int]) -> dict[str, int]:
         names = taken.keys() | self._told.keys()
@@ -150,13 +156,15 @@
         }
 
     def _list_receivers(self) -> list[Member]:
-        known = self._shares.list_others()
+        known = self._allocator.list_others()
         if not self._beginning:
             return known
-        by_vm = {one.vm: one for one in (*self._homes.list_others(), *known)}
+        by_vm = {
+            one.vm: one for one in (*self._coordinators.list_others(), *known)
+        }
         return list(by_vm.values())
 
 
-def _tell_waiting(waiting: Waiting, now: timedelta) -> WantTold:
+def _tell_waiting(waiting: Waiting, now: timedelta) -> WaitingUpdate:
     seconds = (waiting.latest_start - now).total_seconds()
-    return WantTold(waiting.want, round(seconds, 3))
+    return WaitingUpdate(waiting.key, round(seconds, 3))
--- a/quetzalcourse/coordination/batches/paces.py
+++ b/quetzalcourse/coordination/batches/token_latencies.py
@@ -11,23 +11,24 @@
 
     from quetzalcourse.coordination.forwarding.pool import Upstream
 
-# An upstream of this pace against the median is one that turned slow; the
-# pace of sound ones differs by less than half, as their load does.
-SLOW_PACE = 1.8
+# An upstream of this latency against the median is one that turned slow;
+# the latency of sound ones differs by less than half, as their load
+# does.
+SLOW_FACTOR = 1.8
 # Machines of one kind may differ by a third, and what a long item loses at a
 # slower one is lost to its step; so the slower ones are filled after the
 # others. Below this the difference is that of their load.
-SLOWER_PACE = 1.12
+SLOWER_FACTOR = 1.12
 # A load of weights stops every stream of an upstream for most of a second,
-# which says nothing of its pace: counted in, it made all items leave an
-# upstream just when it was as fast as ever again. A second gap of a stream
+# which says nothing of its latency: counted in, it made all items leave
+# an upstream just when it was as fast as ever again. A second gap of a stream
 # counts.
 PAUSE = timedelta(milliseconds=400)
 
 
 @dataclass(slots=True)
-class PaceReader:
-    """Reads the pace of an upstream off one stream.
+class TokenLatencyReader:
+    """Reads the token latency of an upstream off one stream.
 
     :param last_at: when the last events came, ``None`` before the first;
         the time to those is that of the prompt and the queue.
@@ -41,7 +42,7 @@
         """Read the time between two events.
 
         :param events: how many came now.
-        :returns: seconds, ``None`` if this says nothing of the pace.
+        :returns: seconds, ``None`` if this says nothing of the token_latency.
         """
         if not events:
             return None
@@ -56,15 +57,17 @@
         return gap.total_seconds() / events
 
 
-def find_median_pace(upstreams: Iterable[Upstream]) -> float:
+def find_median_latency(upstreams: Iterable[Upstream]) -> float:
     """Find the median time between events, 0 if none is known."""
-    paces = sorted(one.pace for one in upstreams if one.pace)
-    return paces[(len(paces) - 1) // 2] if paces else 0
+    latencies = sorted(
+        one.token_latency for one in upstreams if one.token_latency
+    )
+    return latencies[(len(latencies) - 1) // 2] if latencies else 0
 
 
-def rank_pace(upstream: Upstream, median: float) -> int:
-    """Rank an upstream by its pace: 0 as usual, 1 slower, 2 far slower."""
+def rank_latency(upstream: Upstream, median: float) -> int:
+    """Rank an upstream by its latency: 0 usual, 1 slower, 2 far slower."""
     if not median:
         return 0
-    bounds = (SLOWER_PACE, SLOW_PACE)
-    return sum(upstream.pace > median * bound for bound in bounds)
+    bounds = (SLOWER_FACTOR, SLOW_FACTOR)
+    return sum(upstream.token_latency > median * bound for bound in bounds)
--- a/quetzalcourse/coordination/feeds/beats.py
+++ b/quetzalcourse/coordination/feeds/beats.py
@@ -17,9 +17,9 @@
 BEAT = timedelta(seconds=0.5)
 # Beats of daemons without batches stay under a tenth of what the store
 # bears, however many there are: 350 of them beat every 4.4 seconds.
-BEATS_PER_SECOND = 80
+HEARTBEATS_PER_SECOND = 80
 # A silence of two beats and the time that a slow write takes.
-SILENT_BEATS = 2
+MAX_MISSED_HEARTBEATS = 2
 SLOW_WRITE = timedelta(seconds=0.4)
 
 
@@ -31,7 +31,7 @@
     """
     if urgent:
         return BEAT
-    return max(BEAT, timedelta(seconds=daemons / BEATS_PER_SECOND))
+    return max(BEAT, timedelta(seconds=daemons / HEARTBEATS_PER_SECOND))
 
 
 def find_longest_silence(gap: timedelta, read_gap: timedelta) -> timedelta:
@@ -41,4 +41,4 @@
     :param read_gap: time between two reads of its row; a beat may stand in
         the store for as long without being seen.
     """
-    return max(gap * SILENT_BEATS, gap + read_gap) + SLOW_WRITE
+    return max(gap * MAX_MISSED_HEARTBEATS, gap + read_gap) + SLOW_WRITE
--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -23,7 +23,7 @@
 # seconds in which a new manifest has to be in force.
 WAIT = timedelta(seconds=1)
 # A sound store answers each wait in time; this much later it does not.
-LONGEST_SILENCE = timedelta(seconds=1.3)
+MAX_SILENCE = timedelta(seconds=1.3)
 RETRY = timedelta(milliseconds=150)
 # Three answers in a row that fail; single ones do on any day.
 LASTING_FAULT = timedelta(milliseconds=500)
@@ -78,7 +78,7 @@
     @property
     def silent(self) -> bool:
         """Whether the store has not answered for longer than it ever waits."""
-        return self.silence > LONGEST_SILENCE
+        return self.silence > MAX_SILENCE
 
     @property
     def cut(self) -> bool:
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -35,7 +35,7 @@
 # told soon, yet not with each request.
 CHANGE_GAP = timedelta(milliseconds=250)
 # Names in one line of the log; each daemon also tells its own at its start.
-MOST_NAMED = 10
+MAX_NAMED = 10
 log = get_log('members')
 
 
@@ -307,8 +307,8 @@
     log.info(
         'Daemons are seen.',
         count=len(changed),
-        incarnations=[one.incarnation for one in changed[:MOST_NAMED]],
-        leaving=[one.vm for one in changed if one.leaving][:MOST_NAMED],
+        incarnations=[one.incarnation for one in changed[:MAX_NAMED]],
+        leaving=[one.vm for one in changed if one.leaving][:MAX_NAMED],
     )
 
 
--- a/quetzalcourse/coordination/feeds/reach.py
+++ b/quetzalcourse/coordination/feeds/reach.py
@@ -24,7 +24,7 @@
 # four times a second; whoever has heard nothing of either by then is cut.
 CUT_AFTER = timedelta(seconds=1.9)
 # Word of another daemon counts for four questions.
-WORD_LIFE = timedelta(seconds=1)
+REACHABILITY_TTL = timedelta(seconds=1)
 LONG_AGO = timedelta(days=-1)
 log = get_log('reach')
 
@@ -83,9 +83,9 @@
         if not self._follower.cut:
             return ''
         now = self._clock.elapsed()
-        if now - self._hearing_at < WORD_LIFE:
+        if now - self._hearing_at < REACHABILITY_TTL:
             return 'others reach the store'
-        alone = now - self._outside_at >= WORD_LIFE
+        alone = now - self._outside_at >= REACHABILITY_TTL
         if self._follower.silence > CUT_AFTER and alone and self._has_outside():
             return 'data centre is cut off'
         return ''
--- a/quetzalcourse/coordination/feeds/relay.py
+++ b/quetzalcourse/coordination/feeds/relay.py
@@ -37,7 +37,7 @@
 log = get_log('relay')
 
 
-class RowsAsked(msgspec.Struct, frozen=True):
+class RowsRequest(msgspec.Struct, frozen=True):
     """Question for the rows of a table.
 
     :param newest: version of the newest row that the sender knows.
@@ -47,7 +47,7 @@
     newest: int
 
 
-class RowTold(msgspec.Struct, frozen=True):
+class RowUpdate(msgspec.Struct, frozen=True):
     """A row on its way between daemons."""
 
     key: str
@@ -56,7 +56,7 @@
     removed: bool = False
 
 
-class RowsTold(msgspec.Struct, frozen=True):
+class RowsUpdate(msgspec.Struct, frozen=True):
     """Rows of a table that are newer than those asked about.
 
     :param newest: newest version that the sender knows.
@@ -67,7 +67,7 @@
 
     table: str
     newest: int
-    rows: list[RowTold]
+    rows: list[RowUpdate]
     keys: list[str]
     hears_store: bool
 
@@ -99,8 +99,8 @@
         self._clock = clock
         self._counters = counters
         self._random = random.Random()
-        peers.subscribe(Topic.rows_asked, self.on_asked)
-        peers.subscribe(Topic.rows_told, self.on_told)
+        peers.subscribe(Topic.rows_asked, self.on_request)
+        peers.subscribe(Topic.rows_told, self.on_message)
 
     async def run(self) -> None:
         """Ask while the store does not answer, until cancelled."""
@@ -111,16 +111,16 @@
             self._helpers.asked.clear()
             await wait_event(self._helpers.asked, TICK)
 
-    def on_asked(self, sender: Member, content: bytes) -> None:
+    def on_request(self, sender: Member, content: bytes) -> None:
         """Answer a daemon with what it does not know.
 
         It learns from an answer without rows that this one is in reach.
         """
-        asked = msgspec.msgpack.decode(content, type=RowsAsked)
+        asked = msgspec.msgpack.decode(content, type=RowsRequest)
         follower = self._followers.get(asked.table)
         if follower is None:
             return
-        told = RowsTold(
+        told = RowsUpdate(
             asked.table,
             follower.newest,
             [],
@@ -132,9 +132,9 @@
             told.keys.extend(follower.rows)
         self._peers.send(sender, Topic.rows_told, msgspec.msgpack.encode(told))
 
-    def on_told(self, sender: Member, content: bytes) -> None:
+    def on_message(self, sender: Member, content: bytes) -> None:
         """Take rows that another daemon knows."""
-        told = msgspec.msgpack.decode(content, type=RowsTold)
+        told = msgspec.msgpack.decode(content, type=RowsUpdate)
         self._reach.on_word(sender, hears_store=told.hears_store)
         self._helpers.on_word(sender, hears_store=told.hears_store)
         follower = self._followers.get(told.table)
@@ -164,16 +164,16 @@
             for member in self._members.list_live()
             if member.vm != own.vm
         ]
-        asked = RowsAsked(follower.table, follower.newest)
+        asked = RowsRequest(follower.table, follower.newest)
         content = msgspec.msgpack.encode(asked)
         count = min(ASKED, len(others))
         for member in self._random.sample(others, count):
             self._peers.send(member, Topic.rows_asked, content)
 
 
-def _list_newer(follower: TableFollower, version: int) -> list[RowTold]:
+def _list_newer(follower: TableFollower, version: int) -> list[RowUpdate]:
     return [
-        RowTold(row.key, row.content, row.version)
+        RowUpdate(row.key, row.content, row.version)
         for row in follower.rows.values()
         if row.version > version
     ]
--- a/quetzalcourse/coordination/feeds/store_calls.py
+++ b/quetzalcourse/coordination/feeds/store_calls.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.feeds.relay import RowTold
+from quetzalcourse.coordination.feeds.relay import RowUpdate
 from quetzalcourse.state.rows import (
     Changes,
     Commit,
@@ -109,7 +109,7 @@
 )
 
 
-class StoreAsked(msgspec.Struct, frozen=True):
+class StoreRequest(msgspec.Struct, frozen=True):
     """A call that another daemon is to make.
 
     :param number: which call of the sender it is.
@@ -119,7 +119,7 @@
     call: StoreCall
 
 
-class StoreTold(msgspec.Struct, frozen=True, omit_defaults=True):
+class StoreReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """What the store answered.
 
     :param number: call that is answered.
@@ -133,7 +133,7 @@
     step: str = ''
     peer: str = ''
     history_lost: bool = False
-    rows: list[RowTold] = []
+    rows: list[RowUpdate] = []
     parts: list[str] = []
     version: int = 0
     applied: bool = False
@@ -172,16 +172,17 @@
     )
 
 
-def tell_rows(rows: list[Row] | tuple[Row, ...]) -> list[RowTold]:
+def tell_rows(rows: list[Row] | tuple[Row, ...]) -> list[RowUpdate]:
     """Write rows for another daemon."""
     return [
-        RowTold(row.key, row.content, row.version, row.removed) for row in rows
+        RowUpdate(row.key, row.content, row.version, row.removed)
+        for row in rows
     ]
 
 
-def tell_fault(number: int, fault: StoreFault) -> StoreTold:
+def tell_fault(number: int, fault: StoreFault) -> StoreReply:
     """Write a failure for another daemon."""
-    return StoreTold(
+    return StoreReply(
         number,
         fault.kind.value,
         fault.step,
@@ -190,21 +191,21 @@
     )
 
 
-def read_commit(told: StoreTold) -> Commit:
+def read_commit(told: StoreReply) -> Commit:
     """Read what became of a transaction."""
     return Commit(told.applied, tuple(told.read_rows()), told.version)
 
 
-def read_changes(told: StoreTold) -> Changes:
+def read_changes(told: StoreReply) -> Changes:
     """Read changes of a table."""
     return Changes(tuple(told.read_rows()), told.version)
 
 
-def read_row(told: StoreTold) -> Row | None:
+def read_row(told: StoreReply) -> Row | None:
     """Read the one row, ``None`` if there is none."""
     return next(iter(told.read_rows()), None)
 
 
-def read_answer(told: StoreTold) -> Result[StoreTold, StoreFault]:
+def read_answer(told: StoreReply) -> Result[StoreReply, StoreFault]:
     """Tell an answer from a failure."""
     return Err(told.read_fault()) if told.fault else Ok(told)
--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -22,7 +22,7 @@
 
 # Others are asked four times a second; word older than four questions may
 # be of a daemon that is turned away itself by now.
-WORD_LIFE = timedelta(seconds=1)
+REACHABILITY_TTL = timedelta(seconds=1)
 # How long a call waits for the first word of another daemon; data centres
 # are a few milliseconds apart. A call that found nobody by then is refused,
 # so the wait is a small share of the 400 ms in which a caller is answered.
@@ -71,7 +71,7 @@
 
     def find(self) -> Member | None:
         """Find a daemon that the store answers, at random among them."""
-        oldest = self._clock.elapsed() - WORD_LIFE
+        oldest = self._clock.elapsed() - REACHABILITY_TTL
         fresh = [
             member for member, said in self._words.values() if said >= oldest
         ]
--- a/quetzalcourse/coordination/feeds/store_relay.py
+++ b/quetzalcourse/coordination/feeds/store_relay.py
@@ -32,7 +32,7 @@
     from quetzalcourse.state.members import Member
     from quetzalcourse.state.rows import Changes, Commit, Row, Transaction
 
-    Answered = Result[calls.StoreTold, StoreFault]
+    Answered = Result[calls.StoreReply, StoreFault]
 
 Found = TypeVar('Found')
 
@@ -42,11 +42,11 @@
 # Calls that one daemon makes for others at a time. A third of the daemons
 # turned away, with three tables followed and a few writes each, are some
 # ten calls for each of the rest.
-MOST_HELPED = 64
+MAX_HELPED = 64
 # Daemons that are asked to make a call, one after another: in the moment in
 # which the store turns a third of them away, the word of each is a second
 # old, and one in three can't help any more.
-MOST_HELPERS = 3
+MAX_HELPERS = 3
 NOT_HELPED = 'not helped'
 log = get_log('relay')
 
@@ -74,11 +74,11 @@
         self._tables = frozenset(tables)
         self._counters = counters
         self._numbers = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[calls.StoreTold]] = {}
+        self._waiting: dict[int, asyncio.Future[calls.StoreReply]] = {}
         self._helped = 0
         self._tasks = Tasks('store relay')
-        peers.subscribe(Topic.store_asked, self.on_asked)
-        peers.subscribe(Topic.store_told, self.on_told)
+        peers.subscribe(Topic.store_asked, self.on_request)
+        peers.subscribe(Topic.store_told, self.on_message)
 
     async def read(self, key: str) -> Result[Row | None, StoreFault]:
         """Read one row."""
@@ -98,7 +98,7 @@
         return await self._call(
             lambda: self._table.scan(prefix, after, limit),
             calls.ScanCall(prefix, after, limit),
-            calls.StoreTold.read_rows,
+            calls.StoreReply.read_rows,
         )
 
     async def transact(
@@ -147,19 +147,19 @@
             wait,
         )
 
-    def on_asked(self, sender: Member, content: bytes) -> None:
+    def on_request(self, sender: Member, content: bytes) -> None:
         """Make a call for another daemon."""
-        asked = msgspec.msgpack.decode(content, type=calls.StoreAsked)
-        able = self._helped < MOST_HELPED and not self._helpers.needed
+        asked = msgspec.msgpack.decode(content, type=calls.StoreRequest)
+        able = self._helped < MAX_HELPED and not self._helpers.needed
         if able and asked.call.tables <= self._tables:
             self._tasks.begin(self._help(sender, asked))
             return
         fault = StoreFault(FaultKind.not_applied, NOT_HELPED, '')
         self._tell(sender, calls.tell_fault(asked.number, fault))
 
-    def on_told(self, sender: Member, content: bytes) -> None:
+    def on_message(self, sender: Member, content: bytes) -> None:
         """Take the answer to a call."""
-        told = msgspec.msgpack.decode(content, type=calls.StoreTold)
+        told = msgspec.msgpack.decode(content, type=calls.StoreReply)
         waiting = self._waiting.get(told.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(told)
@@ -168,7 +168,7 @@
         self,
         direct: Callable[[], Awaitable[Result[Found, StoreFault]]],
         call: calls.StoreCall,
-        read: Callable[[calls.StoreTold], Found],
+        read: Callable[[calls.StoreReply], Found],
         wait: timedelta = timedelta(0),
     ) -> Result[Found, StoreFault]:
         """Make a call directly, or by way of another daemon.
@@ -180,7 +180,7 @@
             answer = await direct()
             if not _asks_for_help(answer):
                 return answer
-        for _ in range(MOST_HELPERS):
+        for _ in range(MAX_HELPERS):
             helper = await self._helpers.seek()
             if helper is None:
                 break
@@ -200,7 +200,7 @@
         number = next(self._numbers)
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[number] = waiting
-        asked = calls.StoreAsked(number, call)
+        asked = calls.StoreRequest(number, call)
         self._peers.send(
             helper, Topic.store_asked, msgspec.msgpack.encode(asked)
         )
@@ -230,7 +230,7 @@
             )
         return answer
 
-    async def _help(self, sender: Member, asked: calls.StoreAsked) -> None:
+    async def _help(self, sender: Member, asked: calls.StoreRequest) -> None:
         self._helped += 1
         try:
             told = await self._make(asked.number, asked.call)
@@ -242,13 +242,13 @@
         self,
         number: int,
         call: calls.StoreCall,
-    ) -> calls.StoreTold:
+    ) -> calls.StoreReply:
         if isinstance(call, calls.TransactCall):
             answer = await self._table.transact(calls.read_transaction(call))
             return _tell(
                 number,
                 answer,
-                lambda commit: calls.StoreTold(
+                lambda commit: calls.StoreReply(
                     number,
                     rows=calls.tell_rows(commit.conflicts),
                     version=commit.version,
@@ -259,13 +259,13 @@
             return _tell(
                 number,
                 await self._feed.list_parts(call.table),
-                lambda parts: calls.StoreTold(number, parts=parts),
+                lambda parts: calls.StoreReply(number, parts=parts),
             )
         if isinstance(call, (calls.FollowCall, calls.ReadPartCall)):
             return _tell(
                 number,
                 await self._make_feed_call(call),
-                lambda changes: calls.StoreTold(
+                lambda changes: calls.StoreReply(
                     number,
                     rows=calls.tell_rows(changes.rows),
                     version=changes.version,
@@ -274,7 +274,7 @@
         return _tell(
             number,
             await self._make_read(call),
-            lambda rows: calls.StoreTold(number, rows=calls.tell_rows(rows)),
+            lambda rows: calls.StoreReply(number, rows=calls.tell_rows(rows)),
         )
 
     async def _make_feed_call(
@@ -295,7 +295,7 @@
         answer = await self._table.read(call.key)
         return answer.map(lambda row: [] if row is None else [row])
 
-    def _tell(self, receiver: Member, told: calls.StoreTold) -> None:
+    def _tell(self, receiver: Member, told: calls.StoreReply) -> None:
         self._peers.send(
             receiver, Topic.store_told, msgspec.msgpack.encode(told)
         )
@@ -321,8 +321,8 @@
 def _tell(
     number: int,
     answer: Result[Found, StoreFault],
-    write: Callable[[Found], calls.StoreTold],
-) -> calls.StoreTold:
+    write: Callable[[Found], calls.StoreReply],
+) -> calls.StoreReply:
     if isinstance(answer, Err):
         return calls.tell_fault(number, answer.err_value)
     return write(answer.ok_value)
--- a/quetzalcourse/coordination/forwarding/patience.py
+++ b/quetzalcourse/coordination/forwarding/attempt_timeouts.py
@@ -19,12 +19,12 @@
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4
 # Answers before their mean says anything.
-LEAST_ANSWERS = 8
+MIN_ANSWERS = 8
 # Timers and scheduling of a small VM are off by some ten milliseconds; a
 # wait below this would give up on answers that are on their way.
-LEAST_WAIT = timedelta(milliseconds=100)
+MIN_WAIT = timedelta(milliseconds=100)
 # A wait in vain counts as an answer that took twice as long.
-VAIN_FACTOR = 2
+TIMEOUT_BACKOFF_FACTOR = 2
 
 
 @dataclass(slots=True)
@@ -47,7 +47,7 @@
         self.answers += 1
 
 
-class Patience:
+class AttemptTimeouts:
     """Learns from answers how long to wait for the next one."""
 
     def __init__(self) -> None:
@@ -58,9 +58,11 @@
         """Learn how long an answer took."""
         self._find(route).observe(took.total_seconds())
 
-    def on_vain(self, route: str, waited: timedelta) -> None:
+    def on_timeout(self, route: str, waited: timedelta) -> None:
         """Learn that no answer came in a time."""
-        self._find(route).observe(waited.total_seconds() * VAIN_FACTOR)
+        self._find(route).observe(
+            waited.total_seconds() * TIMEOUT_BACKOFF_FACTOR
+        )
 
     def find_wait(self, route: str, longest: timedelta) -> timedelta:
         """Tell how long to wait.
@@ -68,10 +70,10 @@
         :param longest: wait while nothing is known, and in any case.
         """
         known = self._routes.get(route)
-        if known is None or known.answers < LEAST_ANSWERS:
+        if known is None or known.answers < MIN_ANSWERS:
             return longest
         usual = timedelta(seconds=known.mean + known.deviation * DEVIATIONS)
-        return min(max(usual, LEAST_WAIT), longest)
+        return min(max(usual, MIN_WAIT), longest)
 
     def _find(self, route: str) -> AnswerTime:
         return self._routes.setdefault(route, AnswerTime())
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -6,7 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.forwarding.patience import Patience
+from quetzalcourse.coordination.forwarding.attempt_timeouts import (
+    AttemptTimeouts,
+)
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.routing import RouteKind
@@ -24,9 +26,9 @@
 # leaves time for another. Half of it would leave the second attempt less
 # than the first had.
 FIRST_SHARE = 0.4
-LEAST_PATIENCE = timedelta(milliseconds=250)
+MIN_TIMEOUT = timedelta(milliseconds=250)
 # Work that can't be done in less is refused instead of started.
-LEAST_TIME = timedelta(milliseconds=5)
+MIN_TIME_LEFT = timedelta(milliseconds=5)
 
 
 @dataclass(slots=True)
@@ -69,7 +71,7 @@
     def __init__(self, pool: Pool, clock: Clock) -> None:
         """Keep the pool that attempts choose from."""
         self._pool = pool
-        self._patience = Patience()
+        self._timeouts = AttemptTimeouts()
         self._clock = clock
 
     def measure_left(self, forwarding: Forwarding) -> timedelta:
@@ -81,7 +83,7 @@
 
         :raises RefusedError: if none can be tried, or there is no time.
         """
-        if self.measure_left(forwarding) < LEAST_TIME:
+        if self.measure_left(forwarding) < MIN_TIME_LEFT:
             raise RefusedError(self.refuse_late(forwarding))
         upstream = self._pool.choose(
             forwarding.service, forwarding.tried, forwarding.silent
@@ -97,21 +99,21 @@
         forwarding.tried.add(upstream.name)
         return upstream
 
-    def find_patience(self, forwarding: Forwarding) -> timedelta:
+    def find_timeout(self, forwarding: Forwarding) -> timedelta:
         """Tell how long to wait for the head of an attempt's answer."""
         left = self.measure_left(forwarding)
         if not self.may_repeat(forwarding, not_run=False):
             forwarding.waits_for = timedelta(0)
             return left
-        longest = min(left, max(left * FIRST_SHARE, LEAST_PATIENCE))
-        wait = self._patience.find_wait(forwarding.route.name, longest)
+        longest = min(left, max(left * FIRST_SHARE, MIN_TIMEOUT))
+        wait = self._timeouts.find_wait(forwarding.route.name, longest)
         forwarding.waits_for = wait
         return wait
 
     def on_answer(self, forwarding: Forwarding) -> None:
         """Learn that the attempt's answer begins to come."""
         took = self._clock.elapsed() - forwarding.attempt_began
-        self._patience.on_answer(forwarding.route.name, took)
+        self._timeouts.on_answer(forwarding.route.name, took)
 
     def on_silence(self, forwarding: Forwarding, upstream: Upstream) -> None:
         """Learn that an upstream could not be reached, or did not answer."""
@@ -120,7 +122,9 @@
     def on_late(self, forwarding: Forwarding) -> None:
         """Learn that the attempt's answer did not come in time."""
         if forwarding.waits_for:
-            self._patience.on_vain(forwarding.route.name, forwarding.waits_for)
+            self._timeouts.on_timeout(
+                forwarding.route.name, forwarding.waits_for
+            )
 
     def may_repeat(self, forwarding: Forwarding, *, not_run: bool) -> bool:
         """Tell whether another upstream may be tried.
@@ -131,13 +135,13 @@
             return False
         if forwarding.attempts >= forwarding.route.max_attempts:
             return False
-        if self.measure_left(forwarding) < LEAST_TIME:
+        if self.measure_left(forwarding) < MIN_TIME_LEFT:
             return False
         return not_run or forwarding.repeatable
 
     def refuse(self, forwarding: Forwarding) -> Refusal:
         """Say why a request ends without an upstream's answer."""
-        if self.measure_left(forwarding) < LEAST_TIME:
+        if self.measure_left(forwarding) < MIN_TIME_LEFT:
             return self.refuse_late(forwarding)
         if forwarding.may_have_run:
             return Refusal(
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -18,33 +18,34 @@
 
 # After a failed attempt an upstream rests, twice as long each time; a
 # crashed one costs its callers little more than the first attempt then.
-FIRST_REST = timedelta(milliseconds=500)
-LONGEST_REST = timedelta(seconds=4)
+FAILURE_BACKOFF = timedelta(milliseconds=500)
+MAX_FAILURE_BACKOFF = timedelta(seconds=4)
 # Others' requests as an upstream told them; older word says nothing, since
 # most requests are over by then.
-REPORT_LIFE = timedelta(seconds=1.5)
-# Share of a new reading in the running mean of an upstream's pace. The six or
-# more streams of an upstream in use give thirty readings within a fifth of a
-# second; over fewer, one prompt that is read between looks like a slow pace.
-PACE_WEIGHT = 0.03
-# Readings before a pace says anything: the first ones of a batch vary with
-# how its prompts are read between the tokens of others.
-PACE_READINGS = 12
+REPORT_TTL = timedelta(seconds=1.5)
+# Share of a new reading in the running mean of an upstream's latency.
+# The six or more streams of an upstream in use give thirty readings within a
+# fifth of a second; over fewer, one prompt that is read between looks like a
+# slow latency.
+LATENCY_WEIGHT = 0.03
+# Readings before a latency says anything: the first ones of a batch vary
+# with how its prompts are read between the tokens of others.
+MIN_LATENCY_READINGS = 12
 # One answer that was late may be a long request; this many in a row are an
 # upstream that fell silent.
-LATES_TO_REST = 2
+MAX_CONSECUTIVE_TIMEOUTS = 2
 # How much longer a refusing upstream is left alone for one model, which is
 # about a third of a load of weights.
-BUSY_REST = timedelta(milliseconds=300)
+LOADING_BACKOFF = timedelta(milliseconds=300)
 # Upstreams among which one is chosen. The best of 64 drawn at random is
 # about as good as the best of thousands, whose weighing for each item would
 # take the time of the requests; ``make bench ONLY=rollouts`` measures both.
-MOST_WEIGHED = 64
+MAX_CANDIDATES = 64
 # An upstream with an open connection is used first until half of its slots
 # are taken: a daemon that has a request now and then would otherwise open a
 # connection for each. Further requests go where there is more room.
 KEPT_SHARE = 0.5
-NOTHING = timedelta(0)
+ZERO = timedelta(0)
 log = get_log('pool')
 
 
@@ -55,12 +56,12 @@
     :param running: requests that this daemon has there.
     :param others: requests of other daemons when it told its load.
     :param faults: failed attempts since the last good one.
-    :param closed_until: time since boot until which it rests.
-    :param lates: answers in a row that did not come in time.
-    :param paces: readings of its pace.
-    :param mean_pace: running mean of the time between two events.
+    :param ejected_until: time since boot until which it is ejected.
+    :param consecutive_timeouts: answers in a row that did not come in time.
+    :param latencies: readings of its token latency.
+    :param mean_token_latency: running mean of the time between two events.
     :param versions: weight versions seen in answers, newer than registered.
-    :param busy: models that it refuses for now, and until when.
+    :param unavailable_until: models that it refuses for now, and until when.
     :param kept_until: until when a connection to it is kept open.
     :param taken: running items of other daemons, as they told themselves.
     :param taken_until: until when that says more than the upstream's word.
@@ -69,17 +70,17 @@
     member: PoolMember
     running: int = 0
     others: int = 0
-    others_at: timedelta = NOTHING
+    others_at: timedelta = ZERO
     faults: int = 0
-    closed_until: timedelta = NOTHING
-    lates: int = 0
-    paces: int = 0
-    mean_pace: float = 0
+    ejected_until: timedelta = ZERO
+    consecutive_timeouts: int = 0
+    latencies: int = 0
+    mean_token_latency: float = 0
     versions: dict[str, int] = field(default_factory=dict)
-    busy: dict[str, timedelta] = field(default_factory=dict)
-    kept_until: timedelta = NOTHING
+    unavailable_until: dict[str, timedelta] = field(default_factory=dict)
+    kept_until: timedelta = ZERO
     taken: int = 0
-    taken_until: timedelta = NOTHING
+    taken_until: timedelta = ZERO
 
     @property
     def name(self) -> str:
@@ -87,11 +88,11 @@
         return self.member.name
 
     @property
-    def pace(self) -> float:
+    def token_latency(self) -> float:
         """Mean time in seconds between two events, 0 if unknown."""
-        if self.paces < PACE_READINGS:
+        if self.latencies < MIN_LATENCY_READINGS:
             return 0
-        return self.mean_pace
+        return self.mean_token_latency
 
     @property
     def run(self) -> tuple[str, int]:
@@ -106,7 +107,7 @@
         """
         if now < self.taken_until:
             return self.running + self.taken
-        if now - self.others_at > REPORT_LIFE:
+        if now - self.others_at > REPORT_TTL:
             return self.running
         return self.running + self.others
 
@@ -122,11 +123,11 @@
         """
         if not self.is_open(now) or self.find_version(model) < oldest:
             return False
-        return self.busy.get(model, NOTHING) <= now
+        return self.unavailable_until.get(model, ZERO) <= now
 
     def is_open(self, now: timedelta) -> bool:
         """Tell whether it may be given work."""
-        return not self.member.leaving and now >= self.closed_until
+        return not self.member.leaving and now >= self.ejected_until
 
 
 class Pool:
@@ -190,9 +191,9 @@
     def sample_service(self, service: str) -> list[Upstream]:
         """List upstreams of a service, no more than are worth weighing."""
         upstreams = self.list_service(service)
-        if len(upstreams) <= MOST_WEIGHED:
+        if len(upstreams) <= MAX_CANDIDATES:
             return upstreams
-        return self._random.sample(upstreams, MOST_WEIGHED)
+        return self._random.sample(upstreams, MAX_CANDIDATES)
 
     def choose(
         self,
@@ -219,7 +220,7 @@
         ]
         is_open = [upstream for upstream in fit if upstream.is_open(now)]
         if not is_open:
-            return min(fit, key=lambda one: one.closed_until, default=None)
+            return min(fit, key=lambda one: one.ejected_until, default=None)
         return min(
             is_open,
             key=lambda one: (self._is_far(one, silent), self._rank(one, now)),
@@ -268,32 +269,34 @@
         if upstream.faults:
             self._log(upstream.member, 'Upstream serves again.')
         upstream.faults = 0
-        upstream.lates = 0
-        upstream.closed_until = NOTHING
+        upstream.consecutive_timeouts = 0
+        upstream.ejected_until = ZERO
 
     def on_failure(self, upstream: Upstream, reason: str) -> None:
-        """Learn that an attempt failed, so that the upstream rests."""
-        rest = min(FIRST_REST * 2**upstream.faults, LONGEST_REST)
+        """Learn that an attempt failed, and eject the upstream."""
+        backoff = min(FAILURE_BACKOFF * 2**upstream.faults, MAX_FAILURE_BACKOFF)
         upstream.faults = min(upstream.faults + 1, 5)
-        upstream.closed_until = self._clock.elapsed() + rest
+        upstream.ejected_until = self._clock.elapsed() + backoff
         self._counters.add('upstream_failures', reason=reason)
         log.warning(
-            'Upstream rests.',
+            'Upstream ejected.',
             upstream=upstream.name,
             peer=upstream.member.address,
             reason=reason,
-            seconds=rest.total_seconds(),
+            seconds=backoff.total_seconds(),
         )
 
     def on_late(self, upstream: Upstream) -> None:
         """Learn that an answer did not come in time."""
-        upstream.lates += 1
-        if upstream.lates >= LATES_TO_REST:
+        upstream.consecutive_timeouts += 1
+        if upstream.consecutive_timeouts >= MAX_CONSECUTIVE_TIMEOUTS:
             self.on_failure(upstream, 'late')
 
     def on_busy(self, upstream: Upstream, model: str) -> None:
         """Learn that an upstream refuses a model, or all work, for now."""
-        upstream.busy[model] = self._clock.elapsed() + BUSY_REST
+        upstream.unavailable_until[model] = (
+            self._clock.elapsed() + LOADING_BACKOFF
+        )
 
     def on_loading(
         self,
@@ -303,20 +306,22 @@
     ) -> None:
         """Learn that an upstream refuses a model while it loads weights."""
         until = self._clock.elapsed() + duration
-        upstream.busy[model] = max(upstream.busy.get(model, NOTHING), until)
+        upstream.unavailable_until[model] = max(
+            upstream.unavailable_until.get(model, ZERO), until
+        )
 
     def on_version(self, upstream: Upstream, model: str, version: int) -> None:
         """Learn the weight version that an answer was made with."""
         if version > upstream.find_version(model):
             upstream.versions[model] = version
             # What it refused while it loaded it takes now.
-            upstream.busy.pop(model, None)
+            upstream.unavailable_until.pop(model, None)
 
-    def on_pace(self, upstream: Upstream, seconds: float) -> None:
+    def on_token_latency(self, upstream: Upstream, seconds: float) -> None:
         """Learn the time between two events of a stream."""
-        upstream.paces += 1
-        known = upstream.mean_pace or seconds
-        upstream.mean_pace = known + (seconds - known) * PACE_WEIGHT
+        upstream.latencies += 1
+        known = upstream.mean_token_latency or seconds
+        upstream.mean_token_latency = known + (seconds - known) * LATENCY_WEIGHT
 
     def _keep(self, upstream: Upstream) -> None:
         member = upstream.member
--- a/quetzalcourse/coordination/requests/durations.py
+++ b/quetzalcourse/coordination/requests/durations.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from quetzalcourse.state.generation import GenerationRequest
 
-FEWEST_SAMPLES = 10
+MIN_SAMPLES = 10
 SMOOTHING = 0.05
 
 
@@ -61,7 +61,7 @@
         :returns: zero as long as too few answers were seen.
         """
         pace = self._paces.get(request.model)
-        if pace is None or pace.samples < FEWEST_SAMPLES:
+        if pace is None or pace.samples < MIN_SAMPLES:
             return timedelta(0)
         left = max(request.max_tokens * pace.used_share - received, 0)
         return timedelta(seconds=pace.token_seconds * left)
--- a/quetzalcourse/coordination/routing/health.py
+++ b/quetzalcourse/coordination/routing/health.py
@@ -17,15 +17,15 @@
 
 MAX_FAILURES = 3
 FIRST_PAUSE = timedelta(seconds=1)
-LONGEST_PAUSE = timedelta(seconds=30)
+MAX_PAUSE = timedelta(seconds=30)
 MAX_DOUBLINGS = 5
 RESTORED_ALLOWANCE = 16
 LARGEST_SHARE = 0.5
 PROBE_SHARE = 0.1
 SLOW_FACTOR = 4.0
 SLOW_SECONDS = 1.0
-FEWEST_SAMPLES = 5
-FEWEST_PEERS = 3
+MIN_SAMPLES = 5
+MIN_PEERS = 3
 SMOOTHING = 0.3
 
 
@@ -176,7 +176,7 @@
 
     def _eject(self, name: str, condition: Condition) -> None:
         doublings = min(condition.ejections, MAX_DOUBLINGS)
-        pause = min(FIRST_PAUSE * 2**doublings, LONGEST_PAUSE)
+        pause = min(FIRST_PAUSE * 2**doublings, MAX_PAUSE)
         spread = self._random.uniform(0.5, 1.0)
         condition.retry_at = self._clock.elapsed() + pause * spread
         condition.ejections += 1
@@ -202,14 +202,14 @@
         return out + 1 <= len(alike) * LARGEST_SHARE
 
     def _is_slow(self, name: str, condition: Condition) -> bool:
-        if condition.samples < FEWEST_SAMPLES:
+        if condition.samples < MIN_SAMPLES:
             return False
         others = [
             other.seconds
             for peer, other in self._conditions.items()
-            if peer != name and other.samples >= FEWEST_SAMPLES
+            if peer != name and other.samples >= MIN_SAMPLES
         ]
-        if len(others) < FEWEST_PEERS:
+        if len(others) < MIN_PEERS:
             return False
         limit = max(SLOW_SECONDS, SLOW_FACTOR * median(others))
         return condition.seconds > limit
--- a/quetzalcourse/coordination/slots/account_limits.py
+++ b/quetzalcourse/coordination/slots/account_limits.py
@@ -18,7 +18,7 @@
     from quetzalcourse.state.slots import Grant, SlotRequest
 
 BURST_SECONDS = 2.0
-LEAST_SHARE = 4
+MIN_SHARE = 4
 SHARE_SLACK = 2
 
 
@@ -109,7 +109,7 @@
         if self.daemons <= 1:
             return limit
         even = math.ceil(SHARE_SLACK * limit / self.daemons)
-        return min(limit, max(even, LEAST_SHARE))
+        return min(limit, max(even, MIN_SHARE))
 
     def _take_token(
         self,
@@ -123,7 +123,7 @@
         )
         size = max(rate * BURST_SECONDS, 1.0)
         if self.daemons > 1:
-            size = max(size, float(LEAST_SHARE))
+            size = max(size, float(MIN_SHARE))
         bucket = self._buckets.setdefault(account.name, _Bucket(size, now))
         gained = (now - bucket.filled).total_seconds() * rate
         bucket.tokens = min(bucket.tokens + gained, size)
--- a/quetzalcourse/coordination/slots/demand.py
+++ b/quetzalcourse/coordination/slots/demand.py
@@ -16,7 +16,7 @@
     from quetzalcourse.state.members import Member
     from quetzalcourse.state.slots import SlotWaiter
 
-MOST_ASKED = 6
+MAX_ASKED = 6
 OWN_ASKED = 3
 ACTIVE_DETOUR = 0.25
 IDLE_DETOUR = 0.5
@@ -29,7 +29,7 @@
 def is_due(waiter: SlotWaiter, now: timedelta) -> bool:
     """Tell whether a request has waited long enough to ask once more."""
     asked = len(waiter.asked)
-    if asked >= MOST_ASKED:
+    if asked >= MAX_ASKED:
         return False
     patience = PATIENCE[waiter.key.traffic_class]
     return now - waiter.queued >= patience * asked
--- a/quetzalcourse/coordination/slots/division.py
+++ b/quetzalcourse/coordination/slots/division.py
@@ -15,8 +15,8 @@
     from quetzalcourse.state.slots import LoadKey
 
 Name = TypeVar('Name')
-LEAST_FACTOR = 0.5
-MOST_FACTOR = 2.0
+MIN_FACTOR = 0.5
+MAX_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,8 +196,8 @@
 
 def _find_factor(served: float, weight: float, scale: float) -> float:
     if served <= 0:
-        return MOST_FACTOR
-    return min(max(weight * scale / served, LEAST_FACTOR), MOST_FACTOR)
+        return MAX_FACTOR
+    return min(max(weight * scale / served, MIN_FACTOR), MAX_FACTOR)
 
 
 def _divide_daemons(seats: int, group: list[Claim]) -> dict[str, int]:
--- a/quetzalcourse/coordination/slots/slot_owner.py
+++ b/quetzalcourse/coordination/slots/slot_owner.py
@@ -25,7 +25,7 @@
 
 OBSERVATION_WEIGHT = 0.5
 LOAD_LAG = timedelta(seconds=3)
-MOST_PEAKS = 1000
+MAX_PEAKS = 1000
 ADVANCE_DIVISOR = 4
 
 
@@ -178,7 +178,7 @@
         self._drop_silent(now)
         committed = self.count_committed(now)
         self._peaks.append((now, committed))
-        del self._peaks[:-MOST_PEAKS]
+        del self._peaks[:-MAX_PEAKS]
         plan = self._plan(committed, now)
         room = _Room(
             plan.slots - committed,
--- a/quetzalcourse/coordination/steps/sample_making.py
+++ b/quetzalcourse/coordination/steps/sample_making.py
@@ -40,7 +40,7 @@
     from quetzalcourse.state.steps import Sample
 
 FIRST_WAIT = timedelta(milliseconds=250)
-LONGEST_WAIT = timedelta(seconds=10)
+MAX_WAIT = timedelta(seconds=10)
 LATE_ALLOWANCE = timedelta(seconds=120)
 UNNAMED = 'versions_not_named'
 TOO_OLD = 'too_old'
@@ -176,7 +176,7 @@
             # asked again without end, at full speed.
             self.held_up = stream.problem
             await self.parts.clock.sleep(stream.retry_after or self._wait)
-            self._wait = min(self._wait * 2, LONGEST_WAIT)
+            self._wait = min(self._wait * 2, MAX_WAIT)
             self.held_up = ''
         self._start(follower)
 
--- a/quetzalcourse/coordination/steps/scoring.py
+++ b/quetzalcourse/coordination/steps/scoring.py
@@ -31,7 +31,7 @@
 
 MAX_CALLS = 32
 FIRST_WAIT = timedelta(milliseconds=500)
-LONGEST_WAIT = timedelta(seconds=15)
+MAX_WAIT = timedelta(seconds=15)
 DIGEST_LENGTH = 16
 
 
@@ -111,7 +111,7 @@
             if sent and not self._spec.scoring_repeatable:
                 return None
             await self._clock.sleep(wait)
-            wait = min(wait * 2, LONGEST_WAIT)
+            wait = min(wait * 2, MAX_WAIT)
 
     def _name_call(self, sample: Sample, attempt: int) -> str:
         # The text is part of the name: a service that remembers calls by
--- a/quetzalcourse/coordination/usage/usage.py
+++ b/quetzalcourse/coordination/usage/usage.py
@@ -21,7 +21,7 @@
     from quetzalcourse.state.manifest import Upstream
 
 MILLISECOND = timedelta(milliseconds=1)
-MOST_WINDOWS = 200
+MAX_WINDOWS = 200
 
 
 def name_kind(upstream: Upstream) -> str:
@@ -107,7 +107,7 @@
         Only a store that is away for days brings this about; the count of
         dropped windows is shown, since their usage is lost.
         """
-        while len(self._windows) > MOST_WINDOWS:
+        while len(self._windows) > MAX_WINDOWS:
             self._windows.pop(min(self._windows))
             self.dropped += 1
 
--- a/quetzalcourse/coordination/usage/usage_reports.py
+++ b/quetzalcourse/coordination/usage/usage_reports.py
@@ -54,7 +54,7 @@
 PROGRESS_KEY = 'usage-progress'
 PAGE_SIZE = 200
 POLL_INTERVAL = timedelta(seconds=2)
-MOST_LATE_ROWS = 100
+MAX_LATE_ROWS = 100
 log = get_log('usage')
 
 
@@ -168,7 +168,7 @@
         if not await self._close(window):
             return False
         in_time = await scan_rows(self._table, f'usage/{window}/')
-        late = await scan_rows(self._table, LATE_PREFIX, MOST_LATE_ROWS)
+        late = await scan_rows(self._table, LATE_PREFIX, MAX_LATE_ROWS)
         if isinstance(in_time, Err) or isinstance(late, Err):
             return False
         conditions = [
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -36,7 +36,7 @@
 LOAD_TIMEOUT = timedelta(seconds=4)
 # An upstream whose order failed is left alone for as long, so that others
 # load in its place.
-FAILED_REST = timedelta(seconds=1)
+FAILED_ORDER_BACKOFF = timedelta(seconds=1)
 log = get_log('versions')
 
 
@@ -215,7 +215,9 @@
             for listener in self._listeners:
                 listener.on_done(load)
         else:
-            self._rests[load.upstream] = self._clock.elapsed() + FAILED_REST
+            self._rests[load.upstream] = (
+                self._clock.elapsed() + FAILED_ORDER_BACKOFF
+            )
 
     async def _try_load(
         self,
--- a/quetzalcourse/coordination/versions/load_news.py
+++ b/quetzalcourse/coordination/versions/load_updates.py
@@ -2,7 +2,7 @@
 
 The load that this answers: a version is named, and within the same moment
 its step is submitted. Half of the upstreams begin to load it and refuse the
-step's items for a second; a home that did not know sent dozens of items
+step's items for a second; a coordinator that did not know sent dozens of items
 there, each of which lost a connection and its place, and learned of the
 loaded weights only with the upstream's next entry in the store, a second
 after they could be used.
@@ -19,13 +19,15 @@
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.batches.home_list import HomeList
+    from quetzalcourse.coordination.batches.coordinator_list import (
+        CoordinatorList,
+    )
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.state.members import Member
 
 
-class LoadsTold(msgspec.Struct, frozen=True):
+class LoadsUpdate(msgspec.Struct, frozen=True):
     """Loads of weights that begin, or that ended well.
 
     :param seconds: how long they are expected to take, 0 for ended ones.
@@ -35,38 +37,40 @@
     seconds: float
 
 
-class LoadNews:
+class LoadUpdates:
     """Passes on loads from the daemon that orders them."""
 
-    def __init__(self, homes: HomeList, pool: Pool, peers: Peers) -> None:
+    def __init__(
+        self, coordinators: CoordinatorList, pool: Pool, peers: Peers
+    ) -> None:
         """Listen to the daemon that gives orders."""
-        self._homes = homes
+        self._coordinators = coordinators
         self._pool = pool
         self._peers = peers
-        peers.subscribe(Topic.loads_told, self.on_told)
+        peers.subscribe(Topic.loads_told, self.on_message)
 
     def on_begun(self, loads: list[Load], duration: timedelta) -> None:
         """Tell of loads that begin here.
 
         :param duration: how long they are expected to take.
         """
-        self._tell(LoadsTold(loads, duration.total_seconds()))
+        self._tell(LoadsUpdate(loads, duration.total_seconds()))
 
     def on_done(self, load: Load) -> None:
         """Tell that an upstream holds a version."""
-        self._tell(LoadsTold([load], 0))
+        self._tell(LoadsUpdate([load], 0))
 
-    def on_told(self, _: Member, content: bytes) -> None:
+    def on_message(self, _: Member, content: bytes) -> None:
         """Take the word of the daemon that gives orders."""
-        self._adopt(msgspec.msgpack.decode(content, type=LoadsTold))
+        self._adopt(msgspec.msgpack.decode(content, type=LoadsUpdate))
 
-    def _tell(self, told: LoadsTold) -> None:
+    def _tell(self, told: LoadsUpdate) -> None:
         self._adopt(told)
         content = msgspec.msgpack.encode(told)
-        for member in self._homes.list_others():
+        for member in self._coordinators.list_others():
             self._peers.send(member, Topic.loads_told, content)
 
-    def _adopt(self, told: LoadsTold) -> None:
+    def _adopt(self, told: LoadsUpdate) -> None:
         for load in told.loads:
             upstream = self._pool.find(load.upstream)
             if upstream is None:
--- a/quetzalcourse/library_log.py
+++ b/quetzalcourse/library_log.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-LONGEST_MESSAGE = 300
+MAX_MESSAGE = 300
 log = get_log('library')
 
 
@@ -29,7 +29,7 @@
             record.levelno,
             'Library reports.',
             library=record.name,
-            report=record.getMessage()[:LONGEST_MESSAGE],
+            report=record.getMessage()[:MAX_MESSAGE],
             error='' if error is None else type(error).__name__,
             place='' if error is None else find_place(error.__traceback__),
         )
--- a/quetzalcourse/protocol/callers.py
+++ b/quetzalcourse/protocol/callers.py
@@ -8,10 +8,10 @@
 
 MAX_TOKENS_DEFAULT = 256
 MAX_TOKENS_LIMIT = 1_000_000
-LONGEST_TIMEOUT = 86_400.0
+MAX_TIMEOUT = 86_400.0
 
 TokenLimit = Annotated[int, msgspec.Meta(gt=0, le=MAX_TOKENS_LIMIT)]
-TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=LONGEST_TIMEOUT)]
+TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT)]
 ModelName = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 STEP_LIMIT = 10**12
 SAMPLE_LIMIT = 65536
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -200,7 +200,7 @@
             self.counters,
         )
 
-        self.duties.orders.on_loads(self.batches.load_news)
+        self.duties.orders.on_loads(self.batches.load_updates)
 
     async def _build_servers(self) -> None:
         forwards = Forwards(
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -29,7 +29,7 @@
 UNAVAILABLE = 503
 OVERRUN = 504
 BEAT_SECONDS = 0.5
-MOST_EVENTS = 12
+MAX_EVENTS = 12
 EVENT_SECONDS = 0.01
 WORK_SECONDS = 0.01
 LOAD_SECONDS = 0.2
@@ -89,7 +89,7 @@
 
 def count_events(request_id: str) -> int:
     """Tell how many events a request's answer has."""
-    return 1 + xxhash.xxh32_intdigest(request_id.encode()) % MOST_EVENTS
+    return 1 + xxhash.xxh32_intdigest(request_id.encode()) % MAX_EVENTS
 
 
 def write_event(request_id: str, number: int) -> str:
--- a/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
+++ b/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
@@ -4,7 +4,7 @@
 
 from quetzalcourse.coordination.batches.batch_rows import (
     CHUNK_BYTES,
-    MOST_PARTIALS,
+    MAX_PARTIALS,
     TRANSACTION_BYTES,
     pack_partials,
 )
@@ -38,5 +38,5 @@
 
 
 def test_texts_stay_within_the_rows_of_a_transaction() -> None:
-    partials = dict.fromkeys(range(MOST_PARTIALS + 5), build_partial(1))
-    assert len(pack_partials(partials)) == MOST_PARTIALS
+    partials = dict.fromkeys(range(MAX_PARTIALS + 5), build_partial(1))
+    assert len(pack_partials(partials)) == MAX_PARTIALS
--- a/quetzalcourse/tests/coordination/batches/home_list_tests.py
+++ b/quetzalcourse/tests/coordination/batches/coordinator_list_tests.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 from typing import Any
 
-from quetzalcourse.coordination.batches.home_list import HomeList
-from quetzalcourse.coordination.batches.homes import find_home
+from quetzalcourse.coordination.batches.coordinator_list import CoordinatorList
+from quetzalcourse.coordination.batches.coordinators import find_coordinator
 from quetzalcourse.state.members import Member
 from quetzalcourse.tests.peers import FakeMembers
 
@@ -28,7 +28,7 @@
     ]
 
 
-def build_list(members: list[Member], *owners: Member) -> HomeList:
+def build_list(members: list[Member], *owners: Member) -> CoordinatorList:
     """Build the list of a daemon that sees some open batches."""
     batches: Any = {
         one.vm: SimpleNamespace(open=True, owner=SimpleNamespace(vm=one.vm))
@@ -36,7 +36,7 @@
     }
     directory: Any = SimpleNamespace(batches=batches)
     routes: Any = SimpleNamespace(models=MODELS)
-    return HomeList(directory, routes, FakeMembers(members[0], members))
+    return CoordinatorList(directory, routes, FakeMembers(members[0], members))
 
 
 def test_every_home_is_told_and_nobody_else() -> None:
@@ -44,17 +44,17 @@
     # thousands of messages a minute.
     members = build_members()
     told = {one.vm for one in build_list(members).list_others()}
-    homes = {
-        find_home(model, own, members).vm
+    coordinators = {
+        find_coordinator(model, own, members).vm
         for model in MODELS
         for own in members[:DATA_CENTRES]
     }
-    assert told == homes - {members[0].vm}
+    assert told == coordinators - {members[0].vm}
 
 
 def test_owner_that_is_no_home_is_told() -> None:
-    # A batch was taken over, or its home had no room; whoever runs it sends
-    # its items like a home.
+    # A batch was taken over, or its coordinator had no room; whoever runs it
+    # sends its items like a coordinator.
     members = build_members()
     ordinary = build_list(members).list_others()
     owner = next(one for one in members[1:] if one not in ordinary)
--- a/quetzalcourse/tests/coordination/batches/homes_tests.py
+++ b/quetzalcourse/tests/coordination/batches/coordinators_tests.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from quetzalcourse.coordination.batches.homes import find_home
+from quetzalcourse.coordination.batches.coordinators import find_coordinator
 from quetzalcourse.state.members import Member
 
 MODELS = [f'model-{number}' for number in range(60)]
@@ -29,27 +29,29 @@
     # each step would open its connections anew.
     members = build_members(4)
     for model in MODELS:
-        homes = {find_home(model, own, members).vm for own in members}
-        assert len(homes) == 1
+        coordinators = {
+            find_coordinator(model, own, members).vm for own in members
+        }
+        assert len(coordinators) == 1
 
 
 def test_models_spread_over_daemons() -> None:
     # Many models are trained. One daemon that ran them all would be full
     # while its neighbours stand idle.
     members = build_members(4)
-    homes = Counter(
-        find_home(model, members[0], members).vm for model in MODELS
+    coordinators = Counter(
+        find_coordinator(model, members[0], members).vm for model in MODELS
     )
-    assert len(homes) == 4
-    assert max(homes.values()) < len(MODELS) / 2
+    assert len(coordinators) == 4
+    assert max(coordinators.values()) < len(MODELS) / 2
 
 
 def test_home_is_on_the_own_side_of_a_cut() -> None:
-    """Daemons of other data centres are no homes."""
+    """Daemons of other data centres are no coordinators."""
     members = [*build_members(2), *build_members(6, 'hall-b')]
     for model in MODELS:
-        home = find_home(model, members[0], members)
-        assert home.data_centre == 'hall-a'
+        coordinator = find_coordinator(model, members[0], members)
+        assert coordinator.data_centre == 'hall-a'
 
 
 def test_weak_machine_is_no_home() -> None:
@@ -57,22 +59,24 @@
     # whole model on half a core would hold up the callers there.
     weak, strong = build_members(2)
     members = [replace(weak, cores=0.5), replace(strong, cores=2.0)]
-    assert {find_home(one, weak, members).vm for one in MODELS} == {strong.vm}
+    assert {find_coordinator(one, weak, members).vm for one in MODELS} == {
+        strong.vm
+    }
 
 
 def test_home_changes_only_with_its_daemon() -> None:
     # A daemon leaves. The models that others run stay where their
     # connections are.
     members = build_members(5)
-    before = {one: find_home(one, members[0], members) for one in MODELS}
+    before = {one: find_coordinator(one, members[0], members) for one in MODELS}
     rest = members[:4]
-    for model, home in before.items():
-        if home in rest:
-            assert find_home(model, members[0], rest) == home
+    for model, coordinator in before.items():
+        if coordinator in rest:
+            assert find_coordinator(model, members[0], rest) == coordinator
 
 
 def test_lone_daemon_is_its_own_home() -> None:
     """Also while it knows of nobody, not even itself."""
     own = build_members(1)[0]
-    assert find_home('verse', own, [own]) == own
-    assert find_home('verse', own, []) == own
+    assert find_coordinator('verse', own, [own]) == own
+    assert find_coordinator('verse', own, []) == own
--- a/quetzalcourse/tests/coordination/batches/lengths_tests.py
+++ b/quetzalcourse/tests/coordination/batches/lengths_tests.py
@@ -23,7 +23,7 @@
 BURST_ITEMS = 224
 BURST_SLOTS = 108
 LONG_SHARE = 0.08
-MOST_EVENTS = 130
+MAX_EVENTS = 130
 
 
 def build_run(name: str, estimates: list[int], due: int = DUE) -> BatchRun:
@@ -153,7 +153,7 @@
         events = source.lognormvariate(2.4, 0.8)
         if source.random() < LONG_SHARE:
             events *= 5
-        events = min(events, MOST_EVENTS)
+        events = min(events, MAX_EVENTS)
         error = source.lognormvariate(0, 0.5)
         estimate = max(int(events * TOKENS * error), 1)
         items.append(Item(events * PACE, estimate))
--- a/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
+++ b/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
@@ -12,7 +12,7 @@
 from quetzalcourse.coordination.batches.batch_rows import HEAD, OWNER, name_row
 from quetzalcourse.coordination.batches.directory import BatchDirectory
 from quetzalcourse.coordination.batches.owner_watch import WATCHERS, OwnerWatch
-from quetzalcourse.coordination.batches.takers import rank_takers
+from quetzalcourse.coordination.batches.failover import rank_successors
 from quetzalcourse.coordination.feeds import beats
 from quetzalcourse.coordination.feeds import presence as members
 from quetzalcourse.coordination.feeds.calendar import SharedCalendar
@@ -29,7 +29,7 @@
 SMALL = 11
 LARGE = 195
 # What a death may take longer to be noticed among many daemons.
-MOST_RATIO = 1.5
+MAX_RATIO = 1.5
 WARM_UP = timedelta(seconds=8)
 # Seconds for which the daemons that only stand by count as alive.
 STANDING_BY = 3600
@@ -112,7 +112,9 @@
         self.count = count
         self.everyone = [build_member(number) for number in range(count)]
         self.owner = self.everyone[0]
-        self.takers = rank_takers('b', self.owner.incarnation, self.everyone)
+        self.takers = rank_successors(
+            'b', self.owner.incarnation, self.everyone
+        )
         self.owner_lives = True
         self._next_beat = self.clock.elapsed()
         for one in self.everyone[1:]:
@@ -186,7 +188,7 @@
     small, large = WatchWorld(SMALL), WatchWorld(LARGE)
     few = await small.measure(small.takers[rank])
     many = await large.measure(large.takers[rank])
-    assert many <= few * MOST_RATIO
+    assert many <= few * MAX_RATIO
 
 
 async def test_reads_do_not_grow_with_the_daemons() -> None:
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -8,21 +8,26 @@
 
 import pytest
 
-from quetzalcourse.coordination.batches.paces import PaceReader
-from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.batches.token_latencies import (
+    TokenLatencyReader,
+)
+from quetzalcourse.coordination.batches.placement import (
+    PlacementRequest,
+    Placement,
+)
 from quetzalcourse.coordination.forwarding.pool import (
-    MOST_WEIGHED,
-    PACE_READINGS,
+    MAX_CANDIDATES,
+    MIN_LATENCY_READINGS,
     Pool,
     Upstream,
 )
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import LoadReport, PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.homes import build_shares
+from quetzalcourse.tests.coordinators import build_shares
 
 SLOTS = 12
-NEED = Need('engines', 'verse', 1)
+NEED = PlacementRequest('engines', 'verse', 1)
 
 
 class Bench:
@@ -32,8 +37,8 @@
         """Begin with empty engines at version 1."""
         self.clock = FakeClock()
         self.pool = Pool('hall-a', self.clock, Counters())
-        shares, _ = build_shares(self.pool, self.clock)
-        self.placement = Placement(self.pool, shares, self.clock)
+        allocator, _ = build_shares(self.pool, self.clock)
+        self.placement = Placement(self.pool, allocator, self.clock)
         for number in range(count):
             self.pool.replace(
                 PoolMember(
@@ -52,7 +57,7 @@
         assert upstream is not None
         return upstream
 
-    def place(self, count: int, need: Need = NEED) -> Counter[str]:
+    def place(self, count: int, need: PlacementRequest = NEED) -> Counter[str]:
         """Place items, and count where they went."""
         placed: Counter[str] = Counter()
         for _ in range(count):
@@ -64,9 +69,9 @@
         return placed
 
     def set_pace(self, number: int, seconds: float) -> None:
-        """Let an engine's streams have a pace."""
-        for _ in range(PACE_READINGS * 5):
-            self.pool.on_pace(self.find(number), seconds)
+        """Let an engine's streams have a token latency."""
+        for _ in range(MIN_LATENCY_READINGS * 5):
+            self.pool.on_token_latency(self.find(number), seconds)
 
 
 def test_burst_spreads_over_all_engines() -> None:
@@ -96,8 +101,8 @@
     # One engine turned four times slower. Items there would end after the
     # step is due; with all others full it is still better than none.
     bench = Bench(3)
-    for number, pace in enumerate((0.16, 0.04, 0.04)):
-        bench.set_pace(number, pace)
+    for number, token_latency in enumerate((0.16, 0.04, 0.04)):
+        bench.set_pace(number, token_latency)
     assert 'e-0' not in bench.place(2 * SLOTS)
     assert bench.place(1) == {'e-0': 1}
 
@@ -106,8 +111,8 @@
     # One engine in three is a third slower, as machines differ. Long items
     # that run there while others have slots end a second later.
     bench = Bench(3)
-    for number, pace in enumerate((0.042, 0.032, 0.033)):
-        bench.set_pace(number, pace)
+    for number, token_latency in enumerate((0.042, 0.032, 0.033)):
+        bench.set_pace(number, token_latency)
     assert bench.place(2 * SLOTS) == {'e-1': SLOTS, 'e-2': SLOTS}
     assert bench.place(1) == {'e-0': 1}
 
@@ -116,8 +121,8 @@
     # An item runs on an engine that turned slow. It moves while others have
     # room, and stays while they are full: moving costs its prompt again.
     bench = Bench(3)
-    for number, pace in enumerate((0.16, 0.04, 0.04)):
-        bench.set_pace(number, pace)
+    for number, token_latency in enumerate((0.16, 0.04, 0.04)):
+        bench.set_pace(number, token_latency)
     slow = bench.find(0)
     assert bench.placement.may_gain(slow)
     target = bench.placement.choose_target(NEED, slow, 10)
@@ -171,7 +176,7 @@
     for _ in range(100):
         for number in range(25):
             reading = max(noise.gauss(0.038, 0.01), 0.01)
-            bench.pool.on_pace(bench.find(number), reading)
+            bench.pool.on_token_latency(bench.find(number), reading)
         target = bench.placement.choose_target(NEED, here, 100)
         if target is not None:
             here = target
@@ -187,15 +192,15 @@
     slow = bench.find(0)
     readings = 0
     while bench.placement.choose_target(NEED, slow, 40) is None:
-        bench.pool.on_pace(slow, 0.13)
+        bench.pool.on_token_latency(slow, 0.13)
         readings += 1
     assert readings * 0.13 / 6 < 1
 
 
 def test_load_of_weights_is_no_slow_pace() -> None:
-    # A load stops all streams of an engine for 0.9 s. Counted as its pace,
-    # all its items would leave it just when it goes on.
-    reader = PaceReader()
+    # A load stops all streams of an engine for 0.9 s. Counted as its
+    # latency, all its items would leave it just when it goes on.
+    reader = TokenLatencyReader()
     readings = [
         reader.read(timedelta(milliseconds=at), 1)
         for at in (500, 533, 566, 1466, 1499, 2399)
@@ -212,7 +217,7 @@
     bench = Bench(3)
     for number in (1, 2):
         bench.set_pace(number, 0.04)
-    bench.pool.on_pace(bench.find(0), 0.5)
+    bench.pool.on_token_latency(bench.find(0), 0.5)
     assert bench.placement.choose_target(NEED, bench.find(0), 100) is None
 
 
@@ -220,7 +225,7 @@
     # A step must not be made with weights older than it asks for, and an
     # engine that loads refuses its model.
     bench = Bench(3)
-    new = Need('engines', 'verse', 2)
+    new = PlacementRequest('engines', 'verse', 2)
     assert bench.place(1, new) == {'nowhere': 1}
     bench.pool.on_version(bench.find(1), 'verse', 2)
     assert bench.place(1, new) == {'e-1': 1}
@@ -245,5 +250,5 @@
 def test_no_more_engines_are_weighed_than_are_worth_it() -> None:
     # The time for an item must not grow with the engines.
     bench = Bench(MANY)
-    assert len(bench.placement.list_fit(NEED)) == MOST_WEIGHED
-    assert len(Bench(6).placement.list_fit(NEED)) == 6
+    assert len(bench.placement.list_eligible(NEED)) == MAX_CANDIDATES
+    assert len(Bench(6).placement.list_eligible(NEED)) == 6
--- a/quetzalcourse/tests/coordination/batches/result_news_tests.py
+++ b/quetzalcourse/tests/coordination/batches/result_notifications_tests.py
@@ -9,14 +9,14 @@
 
 from result import Ok
 
-from quetzalcourse.coordination.batches.result_news import (
+from quetzalcourse.coordination.batches.result_notifications import (
     WAIT_LIFE,
-    ResultNews,
+    ResultNotifications,
 )
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.state.batches import ItemResult, ResultState
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.homes import HOMES
+from quetzalcourse.tests.coordinators import HOMES
 from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
 
 OWNER, READER = HOMES[:2]
@@ -67,7 +67,7 @@
         self,
         own: Any,
         batches: dict[str, Any],
-    ) -> tuple[ResultNews, ResultReader]:
+    ) -> tuple[ResultNotifications, ResultReader]:
         view = SimpleNamespace(owner=SimpleNamespace(vm=OWNER.vm))
         directory: Any = SimpleNamespace(
             find=lambda _: view, on_change=lambda _: None
@@ -75,7 +75,7 @@
         rows: Any = self.rows
         runner: Any = SimpleNamespace(batches=batches)
         reader = ResultReader(rows, directory, self.clock)
-        news = ResultNews(
+        notifications = ResultNotifications(
             directory,
             runner,
             reader,
@@ -83,7 +83,7 @@
             FakeMembers(own, [OWNER, READER]),
             self.clock,
         )
-        return news, reader
+        return notifications, reader
 
 
 async def test_waiting_caller_knows_at_once() -> None:
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -10,10 +10,13 @@
 import pytest_asyncio
 
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
-from quetzalcourse.coordination.batches.placement import USUAL_LIFE, Placement
+from quetzalcourse.coordination.batches.placement import MEDIAN_TTL, Placement
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
-from quetzalcourse.coordination.forwarding.pool import PACE_READINGS, Pool
+from quetzalcourse.coordination.forwarding.pool import (
+    MIN_LATENCY_READINGS,
+    Pool,
+)
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
@@ -21,7 +24,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.homes import build_shares
+from quetzalcourse.tests.coordinators import build_shares
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -102,12 +105,12 @@
         self.items = HeldItems()
         none: Any = None
         writer: Any = NoWriter()
-        shares, _ = build_shares(self.pool, clock)
+        allocator, _ = build_shares(self.pool, clock)
         self.runner = BatchRunner(
             self.items,
             ItemScoring(none, self.pool, routes, clock, counters),
             writer,
-            Placement(self.pool, shares, clock),
+            Placement(self.pool, allocator, clock),
             self.pool,
             routes,
             clock,
@@ -121,11 +124,11 @@
         self.clock = clock
 
     def set_pace(self, name: str, seconds: float) -> None:
-        """Let an engine's streams have a pace."""
+        """Let an engine's streams have a token latency."""
         upstream = self.pool.find(name)
         assert upstream is not None
-        for _ in range(PACE_READINGS * 5):
-            self.pool.on_pace(upstream, seconds)
+        for _ in range(MIN_LATENCY_READINGS * 5):
+            self.pool.on_token_latency(upstream, seconds)
 
     def count_running(self) -> dict[str, int]:
         """Count the slots that are taken at each engine."""
@@ -136,7 +139,7 @@
         """Add a fast engine, and let the item see it."""
         self.pool.replace(build_member('fast'))
         self.set_pace('fast', 0.03)
-        self.clock.move(USUAL_LIFE)
+        self.clock.move(MEDIAN_TTL)
         await asyncio.sleep(ROUND_SECONDS)
 
 
--- a/quetzalcourse/tests/coordination/batches/scoring_tests.py
+++ b/quetzalcourse/tests/coordination/batches/scoring_tests.py
@@ -12,7 +12,9 @@
     find_wait,
     has_room,
 )
-from quetzalcourse.coordination.forwarding.patience import Patience
+from quetzalcourse.coordination.forwarding.attempt_timeouts import (
+    AttemptTimeouts,
+)
 from quetzalcourse.coordination.forwarding.pool import Upstream
 from quetzalcourse.state.batches import BatchItem, PartialText, ScoringCall
 from quetzalcourse.state.pool import PoolMember
@@ -95,7 +97,7 @@
     # A full server refuses the call. Asked again at once it would only
     # refuse again, and each refusal costs the server time.
     upstream = build_upstream('s')
-    upstream.busy[''] = NOW + timedelta(seconds=1)
+    upstream.unavailable_until[''] = NOW + timedelta(seconds=1)
     assert choose_upstream([upstream], NOW, '') is None
 
 
@@ -103,7 +105,7 @@
     """One that leaves gets none; a resting one is better than none."""
     leaving = build_upstream('leaving', leaving=True)
     resting = build_upstream('resting')
-    resting.closed_until = NOW + timedelta(seconds=1)
+    resting.ejected_until = NOW + timedelta(seconds=1)
     loaded = build_upstream('loaded', running=3)
     assert choose_upstream([leaving, resting, loaded], NOW, '') is loaded
     assert choose_upstream([leaving, resting], NOW, '') is resting
@@ -118,7 +120,7 @@
 
 
 @pytest.mark.parametrize(
-    ('target', 'timeout', 'misses', 'patience'),
+    ('target', 'timeout', 'misses', 'expected'),
     [
         (500, 2000, 0, 500),
         (500, 2000, 1, 1000),
@@ -128,16 +130,16 @@
         (500, 0, 3, 500),
     ],
 )
-def test_patience_grows_to_the_route_s_timeout(
+def test_timeout_grows_to_the_route_s_timeout(
     target: int,
     timeout: int,
     misses: int,
-    patience: int,
+    expected: int,
 ) -> None:
-    # A server that turned slow never answers within the first patience. With
-    # the same patience for ever, its texts would never be scored.
-    found = find_wait(build_route(target, timeout), misses, Patience())
-    assert found == timedelta(milliseconds=patience)
+    # A server that turned slow never answers within the first timeout. With
+    # the same timeout for ever, its texts would never be scored.
+    found = find_wait(build_route(target, timeout), misses, AttemptTimeouts())
+    assert found == timedelta(milliseconds=expected)
 
 
 def test_whole_text_is_saved_as_such() -> None:
--- a/quetzalcourse/tests/coordination/batches/sharing_tests.py
+++ b/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
@@ -1,4 +1,4 @@
-"""Homes that share the slots of upstreams, replayed under bursts."""
+"""Coordinators that share the slots of upstreams, replayed under bursts."""
 
 from __future__ import annotations
 
@@ -6,10 +6,13 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from quetzalcourse.coordination.batches.placement import Need, Placement
-from quetzalcourse.coordination.batches.sharing import (
-    CLAIM_LIFE,
-    NEWS_LIFE,
+from quetzalcourse.coordination.batches.placement import (
+    PlacementRequest,
+    Placement,
+)
+from quetzalcourse.coordination.batches.slot_allocation import (
+    RESERVATION_TTL,
+    UPDATE_TTL,
     SETTLING,
     Waiting,
 )
@@ -17,7 +20,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.homes import HOMES, build_shares
+from quetzalcourse.tests.coordinators import HOMES, build_shares
 from quetzalcourse.tests.peers import FakeNetwork
 
 UPSTREAMS = 24
@@ -31,10 +34,10 @@
 
 
 class Home:
-    """One home, with its own view of the upstreams."""
+    """One coordinator, with its own view of the upstreams."""
 
     def __init__(self, world: World, number: int) -> None:
-        """Begin with items that wait, and nothing known of other homes."""
+        """Begin with items that wait and no other coordinator."""
         self.pool = Pool('hall-a', world.clock, Counters())
         for name in world.names:
             self.pool.replace(
@@ -47,11 +50,11 @@
                     versions=dict.fromkeys(MODELS, 1),
                 )
             )
-        self.shares, self.news = build_shares(
+        self.allocator, self.news = build_shares(
             self.pool, world.clock, number, len(MODELS), world.network
         )
-        self.placement = Placement(self.pool, self.shares, world.clock)
-        self.need = Need(
+        self.placement = Placement(self.pool, self.allocator, world.clock)
+        self.need = PlacementRequest(
             'engines', MODELS[number], 1, latest_start=world.clock.elapsed()
         )
         self.waiting = 0
@@ -63,7 +66,7 @@
         self.news.on_begin()
 
     def place(self) -> None:
-        """Place as many items as find a slot, and tell the other homes."""
+        """Place as many items as find a slot, and tell the others."""
         while self.waiting:
             upstream = self.placement.choose(self.need)
             if upstream is None:
@@ -71,7 +74,7 @@
             self.waiting -= 1
             self.pool.on_start(upstream)
             self.running.append(upstream)
-        short = [Waiting(self.need.want, self.need.latest_start)]
+        short = [Waiting(self.need.key, self.need.latest_start)]
         self.news.tell(short if self.waiting else [])
 
     def finish(self, count: int) -> None:
@@ -89,23 +92,25 @@
 
 
 class World:
-    """Two homes before the same upstreams."""
+    """Two coordinators before the same upstreams."""
 
     def __init__(self) -> None:
-        """Begin with homes that had a batch lately."""
+        """Begin with coordinators that had a batch lately."""
         self.clock = FakeClock()
         self.network = FakeNetwork()
         self.names = [f'e-{number}' for number in range(UPSTREAMS)]
-        self.homes = [Home(self, number) for number in range(len(MODELS))]
+        self.coordinators = [
+            Home(self, number) for number in range(len(MODELS))
+        ]
 
     async def meet(self) -> None:
-        """Let the homes learn of each other by a batch each."""
-        for home in self.homes:
-            home.begin(1)
-            home.place()
+        """Let the coordinators learn of each other by a batch each."""
+        for coordinator in self.coordinators:
+            coordinator.begin(1)
+            coordinator.place()
             await self.pass_time(TICK)
-            home.finish(1)
-            home.place()
+            coordinator.finish(1)
+            coordinator.place()
         await self.pass_time(TICK)
 
     async def pass_time(self, duration: timedelta) -> None:
@@ -114,16 +119,16 @@
         await self.clock.advance(duration)
 
     async def play(self, ticks: int, *, finished: int = 0) -> int:
-        """Let both homes place their items for some ticks.
+        """Let both coordinators place their items for some ticks.
 
-        :param finished: items of each home that end in each tick.
+        :param finished: items of each coordinator that end in each tick.
         :returns: most items that an upstream had beyond its slots.
         """
         most = 0
         for _ in range(ticks):
-            for home in self.homes:
-                home.finish(finished)
-                home.place()
+            for coordinator in self.coordinators:
+                coordinator.finish(finished)
+                coordinator.place()
             most = max(most, self.count_overfull())
             await self.pass_time(TICK)
         return most
@@ -131,7 +136,9 @@
     def count_taken(self) -> Counter[str]:
         """Count the items at each upstream."""
         return Counter(
-            upstream.name for home in self.homes for upstream in home.running
+            upstream.name
+            for coordinator in self.coordinators
+            for upstream in coordinator.running
         )
 
     def count_overfull(self) -> int:
@@ -142,24 +149,24 @@
 
 async def test_steps_that_begin_together_fill_no_upstream_twice() -> None:
     # Two trainers submit within the same milliseconds. Items that their
-    # homes send to the same slots wait inside the upstreams for seconds, and
-    # a trainer waits for the longest of them.
+    # coordinators send to the same slots wait inside the upstreams for
+    # seconds, and a trainer waits for the longest of them.
     world = World()
     await world.meet()
-    for home in world.homes:
-        home.begin(ITEMS)
+    for coordinator in world.coordinators:
+        coordinator.begin(ITEMS)
     assert await world.play(4) == 0
     assert sum(world.count_taken().values()) == UPSTREAMS * SLOTS
 
 
 async def test_both_steps_go_on_while_slots_become_free() -> None:
-    """Neither home takes what becomes free at the other's upstreams."""
+    """Neither coordinator takes what becomes free at the other's upstreams."""
     world = World()
     await world.meet()
-    for home in world.homes:
-        home.begin(ITEMS)
+    for coordinator in world.coordinators:
+        coordinator.begin(ITEMS)
     assert await world.play(12, finished=10) <= SLOTS
-    left = [home.waiting for home in world.homes]
+    left = [coordinator.waiting for coordinator in world.coordinators]
     assert max(left) - min(left) < ITEMS / 4
 
 
@@ -168,7 +175,7 @@
     # free would go on to the first one's waiting items.
     world = World()
     await world.meet()
-    first, second = world.homes
+    first, second = world.coordinators
     first.begin(2 * ITEMS)
     await world.play(3)
     second.begin(ITEMS)
@@ -178,12 +185,12 @@
 
 
 async def test_late_step_goes_first_everywhere() -> None:
-    # A trainer is seconds late, and its older step waits at a home of its
-    # own, as after a takeover. A newer step that had half of the slots would
-    # keep it late to the end of the day.
+    # A trainer is seconds late, and its older step waits at a coordinator of
+    # its own, as after a takeover. A newer step that had half of the slots
+    # would keep it late to the end of the day.
     world = World()
     await world.meet()
-    newer, older = world.homes
+    newer, older = world.coordinators
     newer.begin(2 * ITEMS)
     await world.play(3)
     older.need = replace(
@@ -197,20 +204,20 @@
 
 
 async def test_single_step_takes_every_slot() -> None:
-    """Upstreams are kept for a home only while it has items."""
+    """Upstreams are kept for a coordinator only while it has items."""
     world = World()
     await world.meet()
-    world.homes[0].begin(ITEMS)
+    world.coordinators[0].begin(ITEMS)
     await world.play(3)
-    assert len(world.homes[0].running) == UPSTREAMS * SLOTS
+    assert len(world.coordinators[0].running) == UPSTREAMS * SLOTS
 
 
 async def test_slots_of_a_home_that_died_are_free() -> None:
-    # The other home dies with all its items. Slots kept for it would stand
-    # idle while steps wait.
+    # The other coordinator dies with all its items. Slots kept for it would
+    # stand idle while steps wait.
     world = World()
     await world.meet()
-    first, second = world.homes
+    first, second = world.coordinators
     second.begin(2 * ITEMS)
     second.place()
     await world.pass_time(TICK)
@@ -218,22 +225,22 @@
     first.begin(ITEMS)
     first.place()
     world.network.leave(HOMES[1])
-    await world.pass_time(NEWS_LIFE + TICK)
+    await world.pass_time(UPDATE_TTL + TICK)
     first.place()
     assert len(first.running) == UPSTREAMS * SLOTS
 
 
 async def test_slot_that_its_home_leaves_alone_is_taken() -> None:
-    # An upstream failed at the home that goes first there, so that it rests
-    # at that one. Kept for it all the same it would serve nobody.
+    # An upstream failed at the coordinator that goes first there, so that it
+    # rests at that one. Kept for it all the same it would serve nobody.
     world = World()
     await world.meet()
-    first, second = world.homes
+    first, second = world.coordinators
     for upstream in second.pool.list_service('engines'):
         second.pool.on_failure(upstream, 'reset')
     second.begin(ITEMS)
     first.begin(2 * ITEMS)
-    await world.play(3 + CLAIM_LIFE // TICK)
+    await world.play(3 + RESERVATION_TTL // TICK)
     assert len(first.running) == UPSTREAMS * SLOTS
 
 
@@ -241,11 +248,11 @@
     """The wait is a few milliseconds, and none at the own upstreams."""
     world = World()
     await world.meet()
-    home = world.homes[0]
-    home.begin(UPSTREAMS * SLOTS)
-    home.place()
-    own = len(home.running)
+    coordinator = world.coordinators[0]
+    coordinator.begin(UPSTREAMS * SLOTS)
+    coordinator.place()
+    own = len(coordinator.running)
     assert own > 0
     await world.pass_time(SETTLING + MESSAGE)
-    home.place()
-    assert len(home.running) == UPSTREAMS * SLOTS
+    coordinator.place()
+    assert len(coordinator.running) == UPSTREAMS * SLOTS
--- a/quetzalcourse/tests/coordination/feeds/store_relay_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/store_relay_tests.py
@@ -9,14 +9,14 @@
 
 from quetzalcourse.coordination.feeds.store_helpers import StoreHelpers
 from quetzalcourse.coordination.feeds.store_relay import (
-    MOST_HELPERS,
+    MAX_HELPERS,
     StoreRelay,
 )
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.rows import Condition, Transaction, Write
 from quetzalcourse.tests.clocks import FakeClock
 from quetzalcourse.tests.feeds import FakeFeed
-from quetzalcourse.tests.homes import HOMES
+from quetzalcourse.tests.coordinators import HOMES
 from quetzalcourse.tests.peers import FakeNetwork
 
 KEY = 'batches/b/head'
@@ -81,4 +81,4 @@
     assert answer.is_err()
     assert not world.feed.rows
     asked = [sent for sent in world.network.sent if sent[2] == 'store_asked']
-    assert len(asked) <= MOST_HELPERS
+    assert len(asked) <= MAX_HELPERS
--- a/quetzalcourse/tests/coordination/versions/load_news_tests.py
+++ b/quetzalcourse/tests/coordination/versions/load_updates_tests.py
@@ -4,23 +4,30 @@
 
 from datetime import timedelta
 
-from quetzalcourse.coordination.batches.placement import Need, Placement
+from quetzalcourse.coordination.batches.placement import (
+    PlacementRequest,
+    Placement,
+)
 from quetzalcourse.coordination.forwarding.pool import Pool
-from quetzalcourse.coordination.versions.load_news import LoadNews
+from quetzalcourse.coordination.versions.load_updates import LoadUpdates
 from quetzalcourse.coordination.versions.load_plan import Load
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.homes import HOMES, FixedHomes, build_shares
+from quetzalcourse.tests.coordinators import (
+    HOMES,
+    FixedCoordinators,
+    build_shares,
+)
 from quetzalcourse.tests.peers import FakeNetwork
 
 UPSTREAMS = 8
 LOADING = 4
 SLOTS = 6
 LOAD_TIME = timedelta(seconds=1)
-HOLDER, HOME = HOMES[:2]
-NEWEST = Need('engines', 'verse', 2)
-EARLIER = Need('engines', 'verse', 1)
+HOLDER, COORDINATOR = HOMES[:2]
+NEWEST = PlacementRequest('engines', 'verse', 2)
+EARLIER = PlacementRequest('engines', 'verse', 1)
 
 
 class World:
@@ -42,21 +49,28 @@
                     versions={'verse': 1, 'drill': 1},
                 )
             )
-        shares, _ = build_shares(self.pool, self.clock)
-        self.placement = Placement(self.pool, shares, self.clock)
+        allocator, _ = build_shares(self.pool, self.clock)
+        self.placement = Placement(self.pool, allocator, self.clock)
         self.loads = [
             Load(f'e-{number}', 'verse', 2) for number in range(LOADING)
         ]
         elsewhere = Pool('hall-a', self.clock, Counters())
-        none = FixedHomes()
-        LoadNews(none, self.pool, self.network.join(HOME))  # type: ignore
-        homes = FixedHomes(HOME)
+        none = FixedCoordinators()
+        own = self.network.join(COORDINATOR)
+        LoadUpdates(none, self.pool, own)  # type: ignore
+        coordinators = FixedCoordinators(COORDINATOR)
         peers = self.network.join(HOLDER)
-        self.holder = LoadNews(homes, elsewhere, peers)  # type: ignore
+        self.holder = LoadUpdates(
+            coordinators,  # type: ignore
+            elsewhere,
+            peers,
+        )
 
-    def list_fit(self, need: Need) -> set[str]:
+    def list_eligible(self, need: PlacementRequest) -> set[str]:
         """Name the upstreams where an item may run."""
-        return {upstream.name for upstream in self.placement.list_fit(need)}
+        return {
+            upstream.name for upstream in self.placement.list_eligible(need)
+        }
 
 
 async def test_items_avoid_upstreams_that_load() -> None:
@@ -67,9 +81,12 @@
     world.holder.on_begun(world.loads, LOAD_TIME)
     await settle()
     loading = {load.upstream for load in world.loads}
-    assert not world.list_fit(EARLIER) & loading
-    assert len(world.list_fit(EARLIER)) == UPSTREAMS - LOADING
-    assert len(world.list_fit(Need('engines', 'drill', 1))) == UPSTREAMS
+    assert not world.list_eligible(EARLIER) & loading
+    assert len(world.list_eligible(EARLIER)) == UPSTREAMS - LOADING
+    assert (
+        len(world.list_eligible(PlacementRequest('engines', 'drill', 1)))
+        == UPSTREAMS
+    )
 
 
 async def test_loaded_weights_are_used_at_once() -> None:
@@ -78,10 +95,10 @@
     world = World()
     world.holder.on_begun(world.loads, LOAD_TIME)
     await settle()
-    assert not world.list_fit(NEWEST)
+    assert not world.list_eligible(NEWEST)
     world.holder.on_done(world.loads[0])
     await settle()
-    assert world.list_fit(NEWEST) == {world.loads[0].upstream}
+    assert world.list_eligible(NEWEST) == {world.loads[0].upstream}
 
 
 async def test_load_that_is_never_told_done_is_over_some_day() -> None:
@@ -91,4 +108,4 @@
     world.holder.on_begun(world.loads, LOAD_TIME)
     await settle()
     world.clock.move(LOAD_TIME)
-    assert len(world.list_fit(EARLIER)) == UPSTREAMS
+    assert len(world.list_eligible(EARLIER)) == UPSTREAMS
--- a/quetzalcourse/tests/homes.py
+++ b/quetzalcourse/tests/coordinators.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.home_news import HomeNews
-from quetzalcourse.coordination.batches.sharing import SlotShares
+from quetzalcourse.coordination.batches.slot_usage_updates import (
+    SlotUsageUpdates,
+)
+from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
 from quetzalcourse.state.members import Member
 from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
 
@@ -14,13 +16,18 @@
     from quetzalcourse.tests.clocks import FakeClock
 
 HOMES = tuple(
-    Member(f'home-{name}', f'home-{name}-run', 'hall-a', f'home-{name}:1')
+    Member(
+        f'coordinator-{name}',
+        f'coordinator-{name}-run',
+        'hall-a',
+        f'coordinator-{name}:1',
+    )
     for name in 'abc'
 )
 
 
-class FixedHomes:
-    """Homes that a test decides."""
+class FixedCoordinators:
+    """Coordinators that a test decides."""
 
     def __init__(self, *others: Member) -> None:
         """Keep the others."""
@@ -37,16 +44,16 @@
     number: int = 0,
     count: int = 1,
     network: FakeNetwork | None = None,
-) -> tuple[SlotShares, HomeNews]:
-    """Build what one home knows of the others' slots.
+) -> tuple[SlotAllocator, SlotUsageUpdates]:
+    """Build what one coordinator knows of the others' slots.
 
-    :param number: which of the homes it is.
-    :param count: how many homes there are.
+    :param number: which of the coordinators it is.
+    :param count: how many coordinators there are.
     """
     own = HOMES[number]
     everyone = HOMES[:count]
     peers = (network or FakeNetwork()).join(own)
-    shares = SlotShares(FakeMembers(own, list(everyone)), pool, clock)
-    others = FixedHomes(*(one for one in everyone if one != own))
-    news = HomeNews(shares, pool, others, peers, clock)  # type: ignore
+    shares = SlotAllocator(FakeMembers(own, list(everyone)), pool, clock)
+    others = FixedCoordinators(*(one for one in everyone if one != own))
+    news = SlotUsageUpdates(shares, pool, others, peers, clock)  # type: ignore
     return shares, news
--- a/quetzalcourse/tests/library_log_tests.py
+++ b/quetzalcourse/tests/library_log_tests.py
@@ -10,7 +10,7 @@
 import pytest
 import structlog
 
-from quetzalcourse.library_log import LONGEST_MESSAGE, LibraryHandler
+from quetzalcourse.library_log import MAX_MESSAGE, LibraryHandler
 from quetzalcourse.log import configure_log
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
     assert line['event'] == 'Library reports.'
     assert line['error'] == 'ConnectionResetError'
     assert line['place'].startswith('library_log_tests.py:')
-    assert len(line['report']) == LONGEST_MESSAGE
+    assert len(line['report']) == MAX_MESSAGE
     assert line['vm'] == 'vm-0'
 
 
--- a/quetzalcourse/tests/rollout/batch_homes_tests.py
+++ b/quetzalcourse/tests/rollout/batch_coordinators_tests.py
@@ -1,4 +1,4 @@
-"""Batches that are run by the home of their model."""
+"""Batches that are run by the coordinator of their model."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import aiohttp
 import pytest
 
-from quetzalcourse.coordination.batches import homes
+from quetzalcourse.coordination.batches import coordinators
 from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.world import build_batch
@@ -23,11 +23,15 @@
 ITEMS = [f'i-{number}' for number in range(12)]
 
 
-def find_home(world: RolloutWorld) -> RolloutApplication:
+def find_coordinator(world: RolloutWorld) -> RolloutApplication:
     """Find the daemon that runs the model's batches."""
     presence = world.daemons[0].presence
-    home = homes.find_home(documents.MODEL, presence.own, presence.list_live())
-    return next(one for one in world.daemons if one.settings.vm == home.vm)
+    coordinator = coordinators.find_coordinator(
+        documents.MODEL, presence.own, presence.list_live()
+    )
+    return next(
+        one for one in world.daemons if one.settings.vm == coordinator.vm
+    )
 
 
 def list_owners(world: RolloutWorld, batch: str) -> list[str]:
@@ -47,14 +51,14 @@
     await await_acquaintance(neighbours)
     for engine in neighbours.engines:
         engine.faults.slow = 10
-    home = find_home(neighbours).settings.vm
+    coordinator = find_coordinator(neighbours).settings.vm
     for number in range(3):
         names = [f'{number}-{name}' for name in ITEMS]
         reply = await neighbours.caller.submit(
             neighbours.address(number), f'b-{number}', build_batch(names)
         )
         assert reply.status == 202
-        assert list_owners(neighbours, f'b-{number}') == [home]
+        assert list_owners(neighbours, f'b-{number}') == [coordinator]
     for number in range(3):
         results = await neighbours.caller.read_all(
             neighbours.address(number), f'b-{number}'
@@ -70,17 +74,17 @@
     end: str,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # The home of a model has just died, can't write, or has enough to do,
-    # and the others don't know yet. A submission must not wait for it.
+    # The coordinator of a model has just died, can't write, or has enough to
+    # do, and the others don't know yet. A submission must not wait for it.
     await await_acquaintance(neighbours)
     for engine in neighbours.engines:
         engine.faults.slow = 10
-    home = find_home(neighbours)
-    number = neighbours.daemons.index(home)
+    coordinator = find_coordinator(neighbours)
+    number = neighbours.daemons.index(coordinator)
     if end == 'dead':
-        await neighbours.end_daemon(home)
+        await neighbours.end_daemon(coordinator)
     elif end == 'full':
-        full = 'quetzalcourse.coordination.batches.batches.MOST_ITEMS'
+        full = 'quetzalcourse.coordination.batches.batches.MAX_ITEMS'
         monkeypatch.setattr(full, 0)
     else:
         neighbours.doors[number].faults.mode = 'silent'
@@ -105,25 +109,25 @@
     await await_acquaintance(neighbours)
     for engine in neighbours.engines:
         engine.faults.slow = 40
-    home = find_home(neighbours)
-    other = (neighbours.daemons.index(home) + 1) % 3
+    coordinator = find_coordinator(neighbours)
+    other = (neighbours.daemons.index(coordinator) + 1) % 3
     for number in range(2):
         items = [f'i-{number}-{index}' for index in range(LARGE_STEP)]
         reply = await neighbours.caller.submit(
             neighbours.address(other), f'b-{number}', build_batch(items)
         )
         assert reply.status == 202
-    assert set(home.batches.runner.batches) == {'b-0', 'b-1'}
+    assert set(coordinator.batches.runner.batches) == {'b-0', 'b-1'}
 
 
 async def test_submission_that_its_home_may_hold_is_not_refused(
     neighbours: RolloutWorld,
 ) -> None:
-    # The home writes a batch and its answer is held up; then the store turns
-    # everybody away. The batch stands, so a refusal would not be true: the
-    # caller's channel is cut, and it asks again.
+    # The coordinator writes a batch and its answer is held up; then the store
+    # turns everybody away. The batch stands, so a refusal would not be true:
+    # the caller's channel is cut, and it asks again.
     await await_acquaintance(neighbours)
-    number = neighbours.daemons.index(find_home(neighbours))
+    number = neighbours.daemons.index(find_coordinator(neighbours))
     neighbours.store.faults.slow_answer = 4.0
     other = (number + 1) % 3
     submitted = asyncio.ensure_future(
@@ -151,11 +155,12 @@
     neighbours: RolloutWorld,
 ) -> None:
     # A route is added, and a batch comes in by it at a daemon that knows it
-    # while the home does not yet. To the home the route looks dropped, and
-    # it would abandon every item of a batch that has just been accepted.
+    # while the coordinator does not yet. To the coordinator the route looks
+    # dropped, and it would abandon every item of a batch that has just been
+    # accepted.
     await await_acquaintance(neighbours)
-    home = find_home(neighbours)
-    number = neighbours.daemons.index(home)
+    coordinator = find_coordinator(neighbours)
+    number = neighbours.daemons.index(coordinator)
     other = (number + 1) % 3
     config = documents.build_config(2)
     added = documents.build_route(
@@ -190,7 +195,7 @@
 async def test_submission_is_refused_truly_while_the_store_is_down(
     neighbours: RolloutWorld,
 ) -> None:
-    # The store is down for all. A home that tried in vain could not tell
+    # The store is down for all. A coordinator that tried in vain could not tell
     # whether the batch stands, and the caller would be cut off instead of
     # being told when to come back.
     await await_acquaintance(neighbours)
--- a/quetzalcourse/tests/shared_engine_tests.py
+++ b/quetzalcourse/tests/shared_engine_tests.py
@@ -23,7 +23,7 @@
 DAEMONS = 3
 REQUESTS = 20
 POLL_SECONDS = 0.1
-LONGEST_SECONDS = 60.0
+MAX_SECONDS = 60.0
 
 
 def build_document(
@@ -116,7 +116,7 @@
     asked = 0
     async with aiohttp.ClientSession(headers=HEADERS) as session:
         await wait_agreed(session, daemons)
-        async with asyncio.timeout(LONGEST_SECONDS):
+        async with asyncio.timeout(MAX_SECONDS):
             while record.max_running <= SLOTS // 2:
                 assert await ask_all(session, daemons) == {200}
                 asked += DAEMONS * REQUESTS
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -174,7 +174,7 @@
                 head.target,
                 headers,
                 body.open(),
-                self._forwarder.find_patience(forwarding),
+                self._forwarder.find_timeout(forwarding),
             ) as answer:
                 self._judge(caller, forwarding, upstream, answer)
                 await self._relay(caller, forwarding, answer)
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -5,7 +5,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.coordination.batches.paces import PaceReader
+from quetzalcourse.coordination.batches.token_latencies import (
+    TokenLatencyReader,
+)
 from quetzalcourse.log import get_log
 from quetzalcourse.state.calls import AnswerState, AttemptTerms
 from quetzalcourse.transport.upstream_calls import (
@@ -199,7 +201,7 @@
         :returns: whether it came to its end.
         """
         rest = b''
-        pace = PaceReader()
+        token_latency = TokenLatencyReader()
         async for piece in read_pieces(answer, STALL):
             *frames, rest = (rest + piece).split(FRAME_END)
             for frame in frames:
@@ -210,9 +212,9 @@
                     self._miss(batch, run, upstream, 'mixed weights')
                     return False
                 run.append(event, version)
-            reading = pace.read(self._clock.elapsed(), len(frames))
+            reading = token_latency.read(self._clock.elapsed(), len(frames))
             if reading is not None:
-                self._pool.on_pace(upstream, reading)
+                self._pool.on_token_latency(upstream, reading)
             if run.target is not None:
                 self._miss(batch, run, upstream, 'moved')
                 return False
--- a/quetzalcourse/transport/scoring_calls.py
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -47,10 +47,10 @@
         self,
         call: ScoringCall,
         upstream: Upstream,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ScoringOutcome:
         """Make a call once and judge its answer."""
-        terms = AttemptTerms(upstream.name, '', patience)
+        terms = AttemptTerms(upstream.name, '', timeout)
         try:
             async with self._calls.open(
                 upstream.member.address,
@@ -58,9 +58,9 @@
                 call.path,
                 self._dialect.write_scoring(call, terms),
                 call.body,
-                patience,
+                timeout,
             ) as answer:
-                return await self._judge(call, upstream, answer, patience)
+                return await self._judge(call, upstream, answer, timeout)
         except CallLostError as error:
             reason = error.state.value
             if error.state is LostState.late:
@@ -74,7 +74,7 @@
         call: ScoringCall,
         upstream: Upstream,
         answer: aiohttp.ClientResponse,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ScoringOutcome:
         marks = self._dialect.read_answer(
             call.id, answer.status, answer.headers
@@ -89,7 +89,7 @@
             return ScoringOutcome(ScoringState.lost, reason='foreign answer')
         # An answer that breaks off counts for nothing, so its body is read
         # to the end though nobody wants it.
-        pieces = [piece async for piece in read_pieces(answer, patience)]
+        pieces = [piece async for piece in read_pieces(answer, timeout)]
         if marks.state is AnswerState.failed:
             return ScoringOutcome(ScoringState.failed, reason=reason)
         if marks.state is not AnswerState.served:
--- a/quetzalcourse/transport/upstream_calls.py
+++ b/quetzalcourse/transport/upstream_calls.py
@@ -125,18 +125,18 @@
         target: str,
         headers: list[tuple[str, str]],
         body: Body,
-        patience: timedelta,
+        head_timeout: timedelta,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a request and give its answer once its head is in.
 
         The upstream stops work when the connection closes, which happens
         when the block ends before the answer's end.
 
-        :param patience: how long to wait for the head.
+        :param head_timeout: how long to wait for the head.
         :raises CallLostError: if no head came.
         """
         answer = await self._send(
-            address, method, target, headers, body, patience
+            address, method, target, headers, body, head_timeout
         )
         try:
             yield answer
@@ -156,14 +156,14 @@
         target: str,
         headers: list[tuple[str, str]],
         body: Body,
-        patience: timedelta,
+        head_timeout: timedelta,
     ) -> aiohttp.ClientResponse:
         url = URL(f'http://{address}{target}', encoded=True)
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_SECONDS
         )
         try:
-            async with asyncio.timeout(patience.total_seconds()):
+            async with asyncio.timeout(head_timeout.total_seconds()):
                 answer = await self._session.request(
                     method,
                     url,
@@ -184,15 +184,15 @@
 
 async def read_pieces(
     answer: aiohttp.ClientResponse,
-    patience: timedelta | None,
+    head_timeout: timedelta | None,
 ) -> AsyncIterator[bytes]:
     """Yield the body of an answer as it arrives.
 
-    :param patience: how long the upstream may send nothing.
+    :param head_timeout: how long the upstream may send nothing.
     :raises CallLostError: if the body breaks off.
     """
     peer = f'{answer.url.host}:{answer.url.port}'
-    seconds = None if patience is None else patience.total_seconds()
+    seconds = None if head_timeout is None else head_timeout.total_seconds()
     while True:
         try:
             async with asyncio.timeout(seconds):
