--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -11,9 +11,9 @@
     PlacementRequest,
     Placement,
 )
-from quetzalcourse.coordination.forwarding.pool import (
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.upstream import (
     MIN_LATENCY_READINGS,
-    Pool,
     Upstream,
 )
 from quetzalcourse.coordination.versions.load_plan import (
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -32,7 +32,7 @@
     from quetzalcourse.coordination.feeds.ports import StoreClock
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.coordination.forwarding.pool import Pool
-    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.feed_parts import FeedParts
     from quetzalcourse.lifecycle import Lifecycle
     from quetzalcourse.state.clock import Clock
@@ -57,6 +57,7 @@
     keeper: BatchKeeper
     watch: OwnerWatch
     load_updates: LoadUpdates
+    allocator: SlotAllocator
     batches: Batches
 
     def start(self, lifecycle: Lifecycle) -> None:
@@ -72,7 +73,7 @@
     store_clock: StoreClock,
     calls: BatchCalls,
     pool: Pool,
-    routes: RouteTable,
+    residency: Residency,
     clock: Clock,
     counters: Counters,
 ) -> BatchParts:
@@ -86,17 +87,17 @@
     allocator = SlotAllocator(members, pool, clock)
     runner = BatchRunner(
         calls.items,
-        ItemScoring(calls.scorer, pool, routes, clock, counters),
+        ItemScoring(calls.scorer, pool, residency, clock, counters),
         writer,
         Placement(pool, allocator, clock),
         pool,
-        routes,
+        residency,
         clock,
         counters,
     )
     members.on_urgency(lambda: bool(runner.batches))
     runner.on_begin(members.announce)
-    coordinators = CoordinatorList(directory, routes, members)
+    coordinators = CoordinatorList(directory, residency.routes, members)
     notifications = ResultNotifications(
         directory, runner, reader, calls.peers, members, clock
     )
@@ -105,7 +106,7 @@
         runner,
         SlotUsageUpdates(allocator, pool, coordinators, calls.peers, clock),
     )
-    offers = BatchCoordinators(calls.peers, members, feeds.operators)
+    offers = BatchCoordinators(calls.peers, members, feeds.operators, residency)
     batches = Batches(
         rows, directory, reader, runner, offers, members, store_clock, clock
     )
@@ -113,9 +114,14 @@
     return BatchParts(
         reader,
         runner,
-        BatchKeeper(rows, directory, runner, members, store_clock, clock),
-        OwnerWatch(directory, members, feeds.store, feeds.members, clock),
+        BatchKeeper(
+            rows, directory, runner, members, store_clock, clock, residency
+        ),
+        OwnerWatch(
+            directory, members, feeds.store, feeds.members, clock, residency
+        ),
         LoadUpdates(coordinators, pool, calls.peers),
+        allocator,
         batches,
     )
 
--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -29,6 +29,7 @@
     from quetzalcourse.coordination.batches.runner import BatchRunner
     from quetzalcourse.coordination.feeds.ports import StoreClock
     from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.state.clock import Clock
 
 TICK = timedelta(milliseconds=150)
@@ -58,6 +59,7 @@
         presence: Presence,
         store_clock: StoreClock,
         clock: Clock,
+        residency: Residency,
     ) -> None:
         """Watch the directory."""
         self.kept = KEPT
@@ -67,6 +69,7 @@
         self._presence = presence
         self._store_clock = store_clock
         self._clock = clock
+        self._residency = residency
         self._orphaned: dict[str, timedelta] = {}
         self._taking: dict[str, asyncio.Task[None]] = {}
         self._shown: dict[str, tuple[int, timedelta]] = {}
@@ -169,7 +172,12 @@
         if view.owner is not None and view.owner.incarnation == own.incarnation:
             return timedelta(0)
         before = view.owner.incarnation if view.owner is not None else ''
-        ranked = rank_successors(view.id, before, self._presence.list_live())
+        holders = self._residency.list_holders(
+            view.head,
+            self._presence.list_live(),
+            self._presence.find_data_centre(view.owner),
+        )
+        ranked = rank_successors(view.id, before, holders)
         return RANK_WAIT * ranked.index(own) if own in ranked else RANK_WAIT * 9
 
     def _begin(self, view: BatchView) -> None:
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -99,6 +99,8 @@
         """
         if self._directory.find(batch_id) is not None:
             return
+        if not self._runner.may_run(route, client_account):
+            raise RefusedError(_refuse_regions())
         now = self._store_clock.estimate()
         if now is None:
             raise RefusedError(_refuse_store())
@@ -332,6 +334,16 @@
     )
 
 
+def _refuse_regions() -> Refusal:
+    return Refusal(
+        RefusalCode.overloaded,
+        'No upstream in the allowed regions takes this batch now.',
+        not_run=True,
+        retry_after=COME_BACK,
+        step='batch',
+    )
+
+
 def _refuse_unknown() -> Refusal:
     return Refusal(
         RefusalCode.not_found,
--- a/quetzalcourse/coordination/batches/coordinators.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -29,6 +29,7 @@
     from collections.abc import Sequence
 
     from quetzalcourse.coordination.feeds.follower import TableFollower
+    from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.members import Member
 
@@ -111,8 +112,10 @@
         peers: Peers,
         members: MemberView,
         follower: TableFollower,
+        residency: Residency,
     ) -> None:
         """Listen to offers and to answers."""
+        self._residency = residency
         self._peers = peers
         self._members = members
         self._follower = follower
@@ -142,6 +145,8 @@
         )
         if coordinator.vm == own.vm or self._follower.faulty:
             return OfferOutcome.declined
+        if not self._residency.may_hold(head, coordinator):
+            return OfferOutcome.declined
         offered = BatchOffered(next(self._numbers), head, list(items))
         content = msgspec.msgpack.encode(offered)
         if len(content) > MAX_BYTES:
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from quetzalcourse.coordination.forwarding.pool import Upstream
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.batches import BatchItem, StreamEvent
 
 FIRST_RETRY = timedelta(milliseconds=50)
--- a/quetzalcourse/coordination/batches/migration.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from quetzalcourse.coordination.forwarding.pool import Upstream
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
 
 # Shortest time that a move has to gain; the move itself takes some 50 ms and
 # up to 150 ms where the other upstream reads prompts at that moment.
--- a/quetzalcourse/coordination/batches/owner_watch.py
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -24,6 +24,7 @@
     )
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.clock import Clock
 
@@ -50,6 +51,7 @@
         table: Table,
         members: TableFollower,
         clock: Clock,
+        residency: Residency,
     ) -> None:
         """Begin without owners to watch."""
         self._directory = directory
@@ -57,6 +59,7 @@
         self._table = table
         self._members = members
         self._clock = clock
+        self._residency = residency
         self._choices: dict[str, tuple[int, timedelta, bool]] = {}
 
     async def run(self) -> None:
@@ -94,7 +97,12 @@
         if version == view.owner_version and now - chosen_at < CHOICE_LIFE:
             return chosen
         owner = view.owner.incarnation if view.owner is not None else ''
-        ranked = rank_successors(view.id, owner, self._presence.list_live())
+        holders = self._residency.list_holders(
+            view.head,
+            self._presence.list_live(),
+            self._presence.find_data_centre(view.owner),
+        )
+        ranked = rank_successors(view.id, owner, holders)
         chosen = self._presence.own in ranked[:WATCHERS]
         self._choices[view.id] = (view.owner_version, now, chosen)
         return chosen
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -22,8 +22,10 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.routing import AllowedRegions
 
 # Running items are reviewed twenty times a second each; the usual latency
 # changes more slowly.
@@ -38,6 +40,7 @@
     :param avoided: upstream that it has just left.
     :param latest_start: time since boot at which it has to begin to be whole
         in time.
+    :param allowed_regions: where it may run.
     """
 
     service: str
@@ -45,11 +48,14 @@
     oldest: int
     avoided: str = ''
     latest_start: timedelta = timedelta(0)
+    allowed_regions: AllowedRegions = None
 
     @property
     def key(self) -> PlacementKey:
         """What decides whether any slot is free for it."""
-        return PlacementKey(self.service, self.model, self.oldest)
+        return PlacementKey(
+            self.service, self.model, self.oldest, self.allowed_regions
+        )
 
 
 class Placement:
@@ -75,6 +81,7 @@
             upstream
             for upstream in usable
             if upstream.count_load(now) < upstream.member.slots
+            and self._pool.cold_starts.admits(upstream)
             and self._allocator.is_available(upstream, need.latest_start)
         ]
         if not fit:
@@ -89,6 +96,7 @@
             upstream
             for upstream in self._pool.sample_service(need.service)
             if upstream.fits(need.model, need.oldest, now)
+            and upstream.is_allowed(need.allowed_regions)
         ]
 
     def may_gain(self, upstream: Upstream) -> bool:
@@ -115,7 +123,8 @@
         free = [
             one
             for one in self.list_eligible(need)
-            if self._allocator.is_available(one, need.latest_start)
+            if not self._pool.cold_starts.is_cold(one)
+            and self._allocator.is_available(one, need.latest_start)
         ]
         return choose_target(upstream, free, left, now)
 
@@ -133,10 +142,11 @@
         need: PlacementRequest,
         now: timedelta,
         median: float,
-    ) -> tuple[bool, bool, int, float, int]:
+    ) -> tuple[bool, int, int, float, int]:
+        cold = self._pool.cold_starts.is_cold(upstream)
         return (
             upstream.name == need.avoided,
-            upstream.faults > 0,
+            2 * (upstream.faults > 0) + cold,
             rank_latency(upstream, median),
             _share(upstream, now),
             -upstream.find_version(need.model),
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -24,11 +24,13 @@
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
     from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
-    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.residency import Residency
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.batches import ItemResult
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
+    from quetzalcourse.state.routing import Route
 
     WaitingListener = Callable[[Collection[Waiting]], None]
 
@@ -71,11 +73,12 @@
         writer: BatchWriter,
         placement: Placement,
         pool: Pool,
-        routes: RouteTable,
+        residency: Residency,
         clock: Clock,
         counters: Counters,
     ) -> None:
         """Begin without batches."""
+        self._residency = residency
         self.batches: dict[str, BatchRun] = {}
         self.reserved: set[str] = set()
         self.paused = False
@@ -83,7 +86,7 @@
         self._scoring = scoring
         self._placement = placement
         self._pool = pool
-        self._routes = routes
+        self._routes = residency.routes
         self._clock = clock
         self._counters = counters
         self._lengths = Lengths()
@@ -113,6 +116,17 @@
         """Version of the routing manifest by which items are sent."""
         return self._routes.version
 
+    def may_run(self, route: Route, client_account: str) -> bool:
+        """Tell whether upstreams stand in the regions of a batch."""
+        allowed = self._residency.find_allowed(route, client_account)
+        if allowed is None:
+            return True
+        return any(
+            upstream.accepts_work and upstream.is_allowed(allowed)
+            for target in route.targets
+            for upstream in self._pool.list_service(target.service)
+        )
+
     def add(self, batch: BatchRun) -> None:
         """Begin to run a batch, unless it is run here already."""
         if batch.head.id in self.batches:
@@ -226,6 +240,7 @@
         run.state = ItemState.running
         run.upstream = upstream.name
         run.began = self._clock.elapsed()
+        self._pool.on_send(upstream)
         run.task = self._tasks.begin(self._attempt(batch, run, upstream))
 
     def _find_need(
@@ -240,6 +255,7 @@
             batch.head.min_version,
             run.avoided,
             self._lengths.find_latest_start(batch, run),
+            self._residency.find_batch_regions(batch.head),
         )
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
@@ -311,9 +327,9 @@
         self._pool.on_end(target)
         # It may have left or begun anew while the last event came.
         known = self._pool.find(target.name) is target
-        return (
-            target if known and target.is_open(self._clock.elapsed()) else None
-        )
+        usable = target.is_open(self._clock.elapsed())
+        usable = usable and self._pool.cold_starts.admits(target)
+        return target if known and usable else None
 
     def _give_up(self, batch: BatchRun) -> None:
         for run in batch.items:
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -32,8 +32,9 @@
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.item_run import ItemRun
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
-    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.residency import Residency
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.batches import ScoringCall
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -95,14 +96,15 @@
         self,
         scorer: Scorer,
         pool: Pool,
-        routes: RouteTable,
+        residency: Residency,
         clock: Clock,
         counters: Counters,
     ) -> None:
         """Begin without calls."""
+        self._residency = residency
         self._scorer = scorer
         self._pool = pool
-        self._routes = routes
+        self._routes = residency.routes
         self._clock = clock
         self._counters = counters
         self._on_end: Callable[[], None] = lambda: None
@@ -125,8 +127,14 @@
             self._miss(batch, run, '', error.refusal.code.value)
             return
         service = choose_service(route, call.id)
+        allowed = self._residency.find_allowed(route, batch.head.client_account)
         upstream = choose_upstream(
-            self._pool.sample_service(service),
+            [
+                one
+                for one in self._pool.sample_service(service)
+                if one.is_allowed(allowed)
+                and self._pool.cold_starts.admits(one)
+            ],
             self._clock.elapsed(),
             run.avoided,
         )
@@ -135,6 +143,7 @@
         run.state = ItemState.scoring
         run.upstream = upstream.name
         self._pool.on_start(upstream)
+        self._pool.on_send(upstream)
         run.task = self._tasks.begin(self._score(batch, run, upstream, route))
 
     async def _score(
@@ -235,7 +244,7 @@
     :param avoided: upstream where the call has just failed.
     :returns: ``None`` if none has room beside humans.
     """
-    able = [one for one in upstreams if not one.member.leaving]
+    able = [one for one in upstreams if one.accepts_work]
     usable = [one for one in able if one.is_open(now)] or able
     fit = [one for one in usable if has_room(one, now)]
     return min(
--- a/quetzalcourse/coordination/batches/slot_allocation.py
+++ b/quetzalcourse/coordination/batches/slot_allocation.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.ports import MemberView
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
@@ -55,11 +56,13 @@
     """What decides whether any slot is free for an item.
 
     :param oldest: oldest weight version that may make its tokens.
+    :param allowed_regions: where it may run, ``None`` for anywhere.
     """
 
     service: str
     model: str
     oldest: int
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +119,8 @@
         self._firsts: dict[str, str] = {}
         self._firsts_of: set[str] = set()
         self._settled_at = timedelta(0)
+        self._joined_at: timedelta | None = None
+        self._began_at = timedelta(0)
         self._reservations: dict[str, SlotReservation] = {}
 
     def list_others(self) -> list[Member]:
@@ -127,7 +132,11 @@
 
     def on_begin(self) -> None:
         """Learn that a batch begins here."""
-        self._settled_at = self._clock.elapsed() + SETTLING
+        now = self._clock.elapsed()
+        if self._joined_at is None or now - self._began_at > COORDINATOR_TTL:
+            self._joined_at = now
+        self._began_at = now
+        self._settled_at = now + SETTLING
 
     def on_news(
         self,
@@ -180,6 +189,20 @@
             for vm, coordinator in self._coordinators.items()
         )
 
+    def leads(self, upstream: Upstream) -> bool:
+        """Tell whether this coordinator goes first at an upstream.
+
+        One that has not run batches for long enough to have heard of the
+        others does not.
+        """
+        now = self._clock.elapsed()
+        if self._joined_at is None or now - self._began_at > COORDINATOR_TTL:
+            return False
+        if now - self._joined_at < UPDATE_TTL:
+            return False
+        self._forget_old()
+        return self._find_first(upstream.name) == self._members.own.vm
+
     def _goes_before(
         self,
         vm: str,
@@ -255,4 +278,6 @@
 def _fits(upstream: Upstream, key: PlacementKey, now: timedelta) -> bool:
     if upstream.member.service != key.service:
         return False
+    if not upstream.is_allowed(key.allowed_regions):
+        return False
     return upstream.fits(key.model, key.oldest, now)
--- a/quetzalcourse/coordination/batches/token_latencies.py
+++ b/quetzalcourse/coordination/batches/token_latencies.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from quetzalcourse.coordination.forwarding.pool import Upstream
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
 
 # An upstream of this latency against the median is one that turned slow;
 # the latency of sound ones differs by less than half, as their load
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -25,6 +25,7 @@
     from quetzalcourse.coordination.feeds.calendar import SharedCalendar
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.state.batches import Ownership
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.rows import Row
 
@@ -199,6 +200,11 @@
             return False
         return self._versions[vm] > version
 
+    def find_data_centre(self, owner: Ownership | None) -> str:
+        """Tell where an owner stands or stood, empty if it is not known."""
+        record = self.records.get(owner.vm) if owner is not None else None
+        return record.data_centre if record is not None else ''
+
     def announce(self) -> None:
         """Tell of a change soon, without waiting for the next beat."""
         self._soon.set()
--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -16,6 +16,8 @@
 from quetzalcourse.coordination.tasks import wait_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
@@ -48,6 +50,11 @@
         self._word = asyncio.Event()
         self._asked_at = LONG_AGO
         self._random = random.Random()
+        self._may_help: Callable[[Member], bool] = _anyone
+
+    def restrict(self, may_help: Callable[[Member], bool]) -> None:
+        """Ask only some daemons for help from now on."""
+        self._may_help = may_help
 
     @property
     def needed(self) -> bool:
@@ -73,7 +80,9 @@
         """Find a daemon that the store answers, at random among them."""
         oldest = self._clock.elapsed() - REACHABILITY_TTL
         fresh = [
-            member for member, said in self._words.values() if said >= oldest
+            member
+            for member, said in self._words.values()
+            if said >= oldest and self._may_help(member)
         ]
         return self._random.choice(fresh) if fresh else None
 
@@ -89,3 +98,8 @@
             self.asked.set()
         await wait_event(self._word, WORD_WAIT)
         return self.find()
+
+
+def _anyone(_: Member) -> bool:
+    """Let every daemon help."""
+    return True
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -14,9 +14,10 @@
 from quetzalcourse.state.routing import RouteKind
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.clock import Clock
-    from quetzalcourse.state.routing import Route
+    from quetzalcourse.state.routing import AllowedRegions, Route
 
 # A caller that comes back this soon finds another daemon or an upstream
 # that is open again, and has most of its time left.
@@ -37,6 +38,7 @@
 
     :param service: where it goes.
     :param deadline: time since boot at which its caller stops waiting.
+    :param allowed_regions: where it may run.
     :param replayable: whether its body can be sent once more.
     :param attempts: upstreams that it was sent to.
     :param may_have_run: whether one of them may have begun to run it.
@@ -51,6 +53,7 @@
     service: str
     client_account: str
     deadline: timedelta
+    allowed_regions: AllowedRegions = None
     replayable: bool = True
     attempts: int = 0
     may_have_run: bool = False
@@ -86,12 +89,17 @@
         if self.measure_left(forwarding) < MIN_TIME_LEFT:
             raise RefusedError(self.refuse_late(forwarding))
         upstream = self._pool.choose(
-            forwarding.service, forwarding.tried, forwarding.silent
+            forwarding.service,
+            forwarding.tried,
+            forwarding.silent,
+            forwarding.allowed_regions,
         )
         if upstream is None and forwarding.may_have_run:
             # One that broke off may well serve the rest; where it refused,
             # asking it again at once would only be refused again.
-            upstream = self._pool.choose(forwarding.service)
+            upstream = self._pool.choose(
+                forwarding.service, allowed=forwarding.allowed_regions
+            )
         if upstream is None:
             raise RefusedError(_refuse_without(forwarding))
         forwarding.attempts += 1
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -3,34 +3,32 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from datetime import timedelta
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.forwarding.cold_start import NoColdStarts
+from quetzalcourse.coordination.forwarding.upstream import ZERO, Upstream
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection, Mapping
 
+    from quetzalcourse.coordination.forwarding.cold_start import ColdStarts
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.pool import LoadReport, PoolMember
+    from quetzalcourse.state.routing import AllowedRegions
 
 # After a failed attempt an upstream rests, twice as long each time; a
 # crashed one costs its callers little more than the first attempt then.
 FAILURE_BACKOFF = timedelta(milliseconds=500)
 MAX_FAILURE_BACKOFF = timedelta(seconds=4)
-# Others' requests as an upstream told them; older word says nothing, since
-# most requests are over by then.
-REPORT_TTL = timedelta(seconds=1.5)
 # Share of a new reading in the running mean of an upstream's latency.
 # The six or more streams of an upstream in use give thirty readings within a
 # fifth of a second; over fewer, one prompt that is read between looks like a
 # slow latency.
 LATENCY_WEIGHT = 0.03
-# Readings before a latency says anything: the first ones of a batch vary
-# with how its prompts are read between the tokens of others.
-MIN_LATENCY_READINGS = 12
 # One answer that was late may be a long request; this many in a row are an
 # upstream that fell silent.
 MAX_CONSECUTIVE_TIMEOUTS = 2
@@ -45,95 +43,18 @@
 # are taken: a daemon that has a request now and then would otherwise open a
 # connection for each. Further requests go where there is more room.
 KEPT_SHARE = 0.5
-ZERO = timedelta(0)
+# Failures after which an upstream may be another run; while entries don't
+# come in, nothing else would tell.
+RESTART_REASONS = frozenset(('not_sent',))
+NO_REGIONS: Mapping[str, str] = MappingProxyType({})
 log = get_log('pool')
 
 
-@dataclass(slots=True)
-class Upstream:
-    """An upstream and what this daemon knows of it.
-
-    :param running: requests that this daemon has there.
-    :param others: requests of other daemons when it told its load.
-    :param faults: failed attempts since the last good one.
-    :param ejected_until: time since boot until which it is ejected.
-    :param consecutive_timeouts: answers in a row that did not come in time.
-    :param latencies: readings of its token latency.
-    :param mean_token_latency: running mean of the time between two events.
-    :param versions: weight versions seen in answers, newer than registered.
-    :param unavailable_until: models that it refuses for now, and until when.
-    :param kept_until: until when a connection to it is kept open.
-    :param taken: running items of other daemons, as they told themselves.
-    :param taken_until: until when that says more than the upstream's word.
-    """
-
-    member: PoolMember
-    running: int = 0
-    others: int = 0
-    others_at: timedelta = ZERO
-    faults: int = 0
-    ejected_until: timedelta = ZERO
-    consecutive_timeouts: int = 0
-    latencies: int = 0
-    mean_token_latency: float = 0
-    versions: dict[str, int] = field(default_factory=dict)
-    unavailable_until: dict[str, timedelta] = field(default_factory=dict)
-    kept_until: timedelta = ZERO
-    taken: int = 0
-    taken_until: timedelta = ZERO
-
-    @property
-    def name(self) -> str:
-        """Id of the upstream."""
-        return self.member.name
-
-    @property
-    def token_latency(self) -> float:
-        """Mean time in seconds between two events, 0 if unknown."""
-        if self.latencies < MIN_LATENCY_READINGS:
-            return 0
-        return self.mean_token_latency
-
-    @property
-    def run(self) -> tuple[str, int]:
-        """Name of this run of the upstream."""
-        return self.member.name, self.member.started
-
-    def count_load(self, now: timedelta) -> int:
-        """Count the requests that it has, as far as is known.
-
-        What an upstream says is as old as its last answer here; daemons that
-        run batches tell each other at once.
-        """
-        if now < self.taken_until:
-            return self.running + self.taken
-        if now - self.others_at > REPORT_TTL:
-            return self.running
-        return self.running + self.others
-
-    def find_version(self, model: str) -> int:
-        """Tell the newest weight version that it is known to hold."""
-        registered = self.member.versions.get(model, 0)
-        return max(registered, self.versions.get(model, 0))
-
-    def fits(self, model: str, oldest: int, now: timedelta) -> bool:
-        """Tell whether it takes items of a model.
-
-        :param oldest: oldest weight version that may make their tokens.
-        """
-        if not self.is_open(now) or self.find_version(model) < oldest:
-            return False
-        return self.unavailable_until.get(model, ZERO) <= now
-
-    def is_open(self, now: timedelta) -> bool:
-        """Tell whether it may be given work."""
-        return not self.member.leaving and now >= self.ejected_until
-
-
 class Pool:
     """Every upstream that is registered.
 
     :param data_centre: where this daemon stands.
+    :param regions: region of each data centre.
     """
 
     def __init__(
@@ -141,22 +62,33 @@
         data_centre: str,
         clock: Clock,
         counters: Counters,
+        regions: Mapping[str, str] = NO_REGIONS,
     ) -> None:
         """Begin without upstreams."""
+        self._regions = regions
         self._data_centre = data_centre
         self._clock = clock
         self._counters = counters
         self._upstreams: dict[str, Upstream] = {}
         self._services: dict[str, dict[str, Upstream]] = {}
         self._random = random.Random()
+        self.cold_starts: ColdStarts = NoColdStarts()
+        self._evacuated: set[str] = set()
+        self._are_entries_current: Callable[[], bool] = _always
+
+    def on_entries(self, are_current: Callable[[], bool]) -> None:
+        """Ask whether a restarted upstream would be known by its entry."""
+        self._are_entries_current = are_current
 
     def replace(self, member: PoolMember) -> None:
         """Take an entry that is new or changed."""
         known = self._upstreams.get(member.name)
         if known is None or _is_other_run(known.member, member):
             self._forget(member.name)
-            self._keep(Upstream(member))
+            known = Upstream(member)
+            self._keep(known)
             self._log(member, 'Upstream registered.')
+            self._warm_up(known, member.cold_for)
             return
         if known.member.service != member.service:
             self._forget(member.name)
@@ -165,6 +97,8 @@
         if known.member.leaving != member.leaving:
             self._log(member, 'Upstream leaves.')
         known.member = member
+        self._locate(known)
+        self._warm_up(known, member.cold_for)
 
     def remove(self, name: str) -> None:
         """Forget an upstream that is gone."""
@@ -180,6 +114,19 @@
         """List the upstreams of a service."""
         return list(self._services.get(service, {}).values())
 
+    def on_evacuation(self, data_centre: str) -> None:
+        """Give the upstreams of a data centre no new work."""
+        self._evacuated.add(data_centre)
+        for upstream in self._list_data_centre(data_centre):
+            upstream.evacuated = True
+
+    def on_evacuation_end(self, data_centre: str) -> None:
+        """Give the upstreams of a data centre work again, as cold ones."""
+        self._evacuated.discard(data_centre)
+        for upstream in self._list_data_centre(data_centre):
+            upstream.evacuated = False
+            self._warm_up(upstream, self.cold_starts.find_duration(upstream))
+
     def count_running(self) -> dict[str, int]:
         """Count this daemon's requests at each upstream that has any."""
         return {
@@ -200,6 +147,7 @@
         service: str,
         avoided: Collection[str] = (),
         silent: Collection[str] = (),
+        allowed: AllowedRegions = None,
     ) -> Upstream | None:
         """Choose the upstream for a request, the least loaded one.
 
@@ -211,45 +159,47 @@
             between data centres silences all upstreams behind it, and the
             next attempt may be the last one that is allowed; it goes where
             no cut lies between, to the own data centre first.
+        :param allowed: regions where the request may run.
         """
         now = self._clock.elapsed()
         fit = [
             upstream
             for upstream in self.sample_service(service)
-            if upstream.name not in avoided and not upstream.member.leaving
+            if upstream.name not in avoided
+            and upstream.accepts_work
+            and upstream.is_allowed(allowed)
+            and self.cold_starts.admits(upstream)
         ]
         is_open = [upstream for upstream in fit if upstream.is_open(now)]
         if not is_open:
             return min(fit, key=lambda one: one.ejected_until, default=None)
         return min(
             is_open,
-            key=lambda one: (self._is_far(one, silent), self._rank(one, now)),
+            key=lambda one: (
+                _rank_distance(one, self._data_centre, silent),
+                self._rank(one, now),
+            ),
         )
 
     def _rank(
         self,
         upstream: Upstream,
         now: timedelta,
-    ) -> tuple[bool, bool, float, bool, float]:
+    ) -> tuple[int, bool, float, bool, float]:
         share = upstream.count_load(now) / upstream.member.slots
         near = upstream.member.data_centre == self._data_centre
-        doubtful = upstream.faults > 0
         kept = now < upstream.kept_until and share < KEPT_SHARE
-        return (doubtful, not kept, share, not near, self._random.random())
-
-    def _is_far(self, upstream: Upstream, silent: Collection[str]) -> int:
-        """Rank an upstream after an attempt that got no answer."""
-        if not silent:
-            return 0
-        place = upstream.member.data_centre
-        if place in silent:
-            return 2
-        return int(place != self._data_centre)
+        doubt = 2 * (upstream.faults > 0) + self.cold_starts.is_cold(upstream)
+        return (doubt, not kept, share, not near, self._random.random())
 
     def on_start(self, upstream: Upstream) -> None:
-        """Count a request that is sent."""
+        """Count a request that is sent, or a slot that is kept for one."""
         upstream.running += 1
 
+    def on_send(self, upstream: Upstream) -> None:
+        """Note when a request is sent."""
+        upstream.sent_at.append(self._clock.elapsed())
+
     def on_end(self, upstream: Upstream) -> None:
         """Count a request that ended."""
         upstream.running -= 1
@@ -277,6 +227,9 @@
         backoff = min(FAILURE_BACKOFF * 2**upstream.faults, MAX_FAILURE_BACKOFF)
         upstream.faults = min(upstream.faults + 1, 5)
         upstream.ejected_until = self._clock.elapsed() + backoff
+        if reason in RESTART_REASONS and not self._are_entries_current():
+            cold_for = self.cold_starts.find_duration(upstream)
+            self._warm_up(upstream, backoff + cold_for)
         self._counters.add('upstream_failures', reason=reason)
         log.warning(
             'Upstream ejected.',
@@ -323,8 +276,35 @@
         known = upstream.mean_token_latency or seconds
         upstream.mean_token_latency = known + (seconds - known) * LATENCY_WEIGHT
 
+    def _list_data_centre(self, data_centre: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.member.data_centre == data_centre
+        ]
+
+    def _warm_up(self, upstream: Upstream, duration: timedelta) -> None:
+        """Treat an upstream as cold for some time."""
+        if not duration:
+            return
+        now = self._clock.elapsed()
+        if not upstream.is_cold(now):
+            log.info(
+                'Upstream is cold.',
+                upstream=upstream.name,
+                data_centre=upstream.member.data_centre,
+                seconds=duration.total_seconds(),
+            )
+        upstream.cold_until = max(upstream.cold_until, now + duration)
+
+    def _locate(self, upstream: Upstream) -> None:
+        data_centre = upstream.member.data_centre
+        upstream.region = self._regions.get(data_centre, '')
+        upstream.evacuated = data_centre in self._evacuated
+
     def _keep(self, upstream: Upstream) -> None:
         member = upstream.member
+        self._locate(upstream)
         self._upstreams[member.name] = upstream
         self._services.setdefault(member.service, {})[member.name] = upstream
 
@@ -347,3 +327,23 @@
     """Tell whether an entry is of another run, of which nothing is known."""
     before = (known.address, known.started)
     return before != (member.address, member.started)
+
+
+def _always() -> bool:
+    """Tell that entries are current where nobody follows them."""
+    return True
+
+
+def _rank_distance(
+    upstream: Upstream,
+    own: str,
+    silent: Collection[str],
+) -> int:
+    """Rank an upstream after an attempt that got no answer.
+
+    :param own: data centre of this daemon.
+    """
+    if not silent:
+        return 0
+    place = upstream.member.data_centre
+    return 2 if place in silent else int(place != own)
--- a/quetzalcourse/coordination/forwarding/registrations.py
+++ b/quetzalcourse/coordination/forwarding/registrations.py
@@ -49,6 +49,7 @@
         self._lapsed: set[str] = set()
         self._lapsing = asyncio.Event()
         follower.on_rows(self.on_rows)
+        pool.on_entries(self.are_current)
 
     def on_rows(self, rows: list[Row]) -> None:
         """Take entries that changed."""
@@ -60,12 +61,16 @@
                 self._lapsed.discard(name)
                 self._on_entry(name, row.content)
 
+    def are_current(self) -> bool:
+        """Tell whether entries come in as upstreams write them."""
+        return self._follower.steady_for > RETURN_TIME
+
     async def run(self) -> None:
         """Give up lapsed entries once their time is over."""
         while True:
             await self._lapsing.wait()
             await self._clock.sleep(TICK)
-            if self._follower.steady_for > RETURN_TIME:
+            if self.are_current():
                 for name in self._lapsed:
                     self._pool.remove(name)
                 self._lapsed.clear()
@@ -81,7 +86,7 @@
         self._pool.replace(answer.ok_value)
 
     def _on_removed(self, name: str) -> None:
-        if self._follower.steady_for > RETURN_TIME:
+        if self.are_current():
             self._pool.remove(name)
             return
         log.info('Entry lapsed while the store was away.', upstream=name)
--- a/quetzalcourse/coordination/forwarding/route_table.py
+++ b/quetzalcourse/coordination/forwarding/route_table.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from quetzalcourse.state.routing import (
+        AllowedRegions,
         KeyHolder,
         Route,
         RoutingManifest,
@@ -34,6 +35,7 @@
         self._routes: dict[str, dict[str, Route]] = {}
         self._names: dict[str, Route] = {}
         self._holders: dict[bytes, KeyHolder] = {}
+        self._account_regions: dict[str, AllowedRegions] = {}
         self._listeners: list[Listener] = []
 
     @property
@@ -73,6 +75,10 @@
             for holder in manifest.holders or ()
             for digest in holder.digests
         }
+        self._account_regions = {
+            holder.client_account: holder.allowed_regions
+            for holder in manifest.holders or ()
+        }
         log.info(
             'Manifest in force.',
             version=manifest.version,
@@ -103,6 +109,19 @@
         """Find a route by its name."""
         return self._names.get(name)
 
+    def find_account_regions(self, client_account: str) -> AllowedRegions:
+        """Find the regions of a client account, ``None`` if any will do."""
+        return self._account_regions.get(client_account)
+
+    @property
+    def binds_regions(self) -> bool:
+        """Whether any route or client account is bound to regions."""
+        routes = self.manifest.routes if self.manifest else ()
+        of_routes = any(route.allowed_regions is not None for route in routes)
+        return of_routes or any(
+            allowed is not None for allowed in self._account_regions.values()
+        )
+
     def identify(self, key: str) -> KeyHolder | None:
         """Find the client account that a key acts for.
 
--- a/quetzalcourse/coordination/versions/load_orders.py
+++ b/quetzalcourse/coordination/versions/load_orders.py
@@ -13,7 +13,8 @@
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.versions.load_plan import Load
--- a/quetzalcourse/deployment.py
+++ b/quetzalcourse/deployment.py
@@ -54,6 +54,10 @@
     def version_prefix(self) -> str:
         """What the rows of named versions begin with."""
 
+    @property
+    def evacuation_prefix(self) -> str:
+        """What the rows of evacuated data centres begin with."""
+
     def read_manifest(self, content: bytes) -> Result[RoutingManifest, str]:
         """Read a routing manifest."""
 
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -57,6 +57,7 @@
     reach: StoreReach
     relay: FeedRelay
     store: StoreRelay
+    helpers: StoreHelpers
 
     def on_members(self) -> None:
         """Read less often where there are more daemons."""
@@ -134,7 +135,15 @@
         counters,
     )
     parts = FeedParts(
-        operators, upstreams, batches, members, beats, reach, relay, by_others
+        operators,
+        upstreams,
+        batches,
+        members,
+        beats,
+        reach,
+        relay,
+        by_others,
+        helpers,
     )
     beats.on_change(parts.on_members)
     return parts
--- a/quetzalcourse/platform/deployment.py
+++ b/quetzalcourse/platform/deployment.py
@@ -39,6 +39,7 @@
     upstream_table = documents.SERVERS_TABLE
     manifest_key = documents.MANIFEST_KEY
     version_prefix = documents.VERSION_PREFIX
+    evacuation_prefix = documents.EVACUATION_PREFIX
 
     def read_manifest(self, content: bytes) -> Result[RoutingManifest, str]:
         """Read a desired state."""
--- a/quetzalcourse/platform/documents.py
+++ b/quetzalcourse/platform/documents.py
@@ -11,7 +11,9 @@
 
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.state.routing import (
+    AllowedRegions,
     CallerLimits,
+    ColdStart,
     KeyHolder,
     Route,
     RouteKind,
@@ -24,6 +26,7 @@
 OPERATOR_TABLE = 'op'
 MANIFEST_KEY = 'op//config'
 VERSION_PREFIX = 'op//version/'
+EVACUATION_PREFIX = 'op//evacuate/'
 SERVERS_TABLE = 'servers'
 
 KINDS = {
@@ -62,6 +65,7 @@
     public: bool = False
     streaming: bool = False
     resumable: bool = False
+    allowed_regions: list[str] = []
 
 
 class ModelMessage(msgspec.Struct):
@@ -85,11 +89,17 @@
 
 
 class ServiceMessage(msgspec.Struct):
-    """A service."""
+    """A service.
+
+    ``cold_per_s`` is what a server bears for ``cold_start_s`` after its
+    start; 0 is no limit.
+    """
 
     name: str
     engine: EngineMessage | None = None
     scaling: ScalingMessage | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class LimitsMessage(msgspec.Struct):
@@ -107,6 +117,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class ConfigMessage(msgspec.Struct):
@@ -142,6 +153,7 @@
     born: int = 0
     spot: bool = False
     leaves_ms: float | None = None
+    cold_remaining_ms: float = 0
 
 
 class VersionMessage(msgspec.Struct):
@@ -195,6 +207,7 @@
             started=message.born,
             spot=message.spot,
             leaves_in=leaves_in,
+            cold_for=timedelta(milliseconds=max(message.cold_remaining_ms, 0)),
         )
     )
 
@@ -231,6 +244,7 @@
         results_due=timedelta(milliseconds=message.result_due_ms),
         item_lifetime=timedelta(seconds=message.item_ttl_s),
         single_version=message.single_version,
+        allowed_regions=_read_regions(message.allowed_regions),
     )
 
 
@@ -245,7 +259,12 @@
             message.scaling.max,
             timedelta(seconds=message.scaling.boot_s),
         )
-    return Service(message.name, models, scaling)
+    cold_start = None
+    if message.cold_start_s > 0 and message.cold_per_s > 0:
+        cold_start = ColdStart(
+            timedelta(seconds=message.cold_start_s), message.cold_per_s
+        )
+    return Service(message.name, models, scaling, cold_start)
 
 
 def _read_limits(message: LimitsMessage) -> CallerLimits:
@@ -261,4 +280,14 @@
     digests = frozenset(
         hashlib.sha256(key.encode()).digest() for key in message.api_keys
     )
-    return KeyHolder(message.name, digests, message.priority)
+    return KeyHolder(
+        message.name,
+        digests,
+        message.priority,
+        _read_regions(message.allowed_regions),
+    )
+
+
+def _read_regions(names: list[str]) -> AllowedRegions:
+    """Read a list of regions; an empty one binds to none."""
+    return frozenset(names) or None
--- a/quetzalcourse/platform/duties.py
+++ b/quetzalcourse/platform/duties.py
@@ -19,7 +19,7 @@
     from collections.abc import Mapping
 
     from quetzalcourse.coordination.duties.usage_windows import WindowReport
-    from quetzalcourse.coordination.forwarding.pool import Upstream
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.versions.load_orders import LoadOrder
 
 OK = 200
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.settings.rollout import (
+    ColdStartTerms,
     ListenAddresses,
     RolloutSettings,
     ServiceTerms,
@@ -38,6 +39,8 @@
     usage_late_s: float = 10
     status_s: float = 120
     settle_ms: float = 1000
+    cold_overage: float = 1
+    cold_slack: int = 0
 
 
 class LimitsMessage(msgspec.Struct):
@@ -62,7 +65,10 @@
 
 
 class SettingsMessage(msgspec.Struct):
-    """The fields of the settings that the adapter reads."""
+    """The fields of the settings that the adapter reads.
+
+    ``zones`` names the region of each zone.
+    """
 
     node_name: str
     ip: str
@@ -70,6 +76,7 @@
     listen: ListenMessage
     internal_ports: list[int]
     platform: StoreMessage
+    zones: dict[str, str] = {}
     metrics_port: int = METRICS_PORT
     limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
     bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
@@ -114,6 +121,8 @@
             batch_kept=timedelta(seconds=bounds.status_s),
             settle=timedelta(milliseconds=bounds.settle_ms),
         ),
+        regions=message.zones,
+        cold_start=ColdStartTerms(bounds.cold_overage, bounds.cold_slack),
         duties=frozenset(message.cloud.duties),
         peer_secret=derive_secret(message),
         cores=message.limits.cpu_share * message.limits.cores,
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -11,8 +11,6 @@
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.calendar import SharedCalendar
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
-from quetzalcourse.coordination.forwarding.pool import Pool
-from quetzalcourse.coordination.forwarding.registrations import Registrations
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.duty_parts import build_duty_parts
 from quetzalcourse.feed_parts import build_feed_parts
@@ -38,6 +36,10 @@
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_calls import UpstreamCalls
 from quetzalcourse.transport.web import WebServer
+from quetzalcourse.upstream_parts import (
+    build_upstream_parts,
+    limit_cold_starts,
+)
 
 if TYPE_CHECKING:
     from quetzalcourse.deployment import Deployment
@@ -160,13 +162,15 @@
         self.peers.start(own)
 
     def _build_upstreams(self) -> None:
-        self.pool = Pool(self.settings.data_centre, self.clock, self.counters)
-        self.registrations = Registrations(
-            self.feeds.upstreams,
-            self.pool,
-            self._deployment.documents.read_member,
+        self.upstreams = build_upstream_parts(
+            self.settings,
+            self.feeds,
+            self._deployment.documents,
+            self.routes,
             self.clock,
+            self.counters,
         )
+        self.pool = self.upstreams.pool
         self.calls = UpstreamCalls()
         self.lifecycle.on_stop(self.calls.close)
 
@@ -184,10 +188,18 @@
             self.store.clock,
             BatchCalls(items, scorer, self.peers),
             self.pool,
-            self.routes,
+            self.upstreams.residency,
             self.clock,
             self.counters,
         )
+        limit_cold_starts(
+            self.upstreams,
+            self.settings,
+            self.feeds,
+            self.batches.allocator,
+            self.routes,
+            self.clock,
+        )
         self.batches.keeper.kept = self.settings.terms.batch_kept
         self.duties = build_duty_parts(
             self._deployment,
@@ -212,7 +224,7 @@
         )
         front = Front(
             self._deployment.callers,
-            self.routes,
+            self.upstreams.residency,
             forwards,
             BatchRoutes(self.batches.batches, self._deployment.callers),
             self.activity,
@@ -236,7 +248,7 @@
 
     def _start_parts(self) -> None:
         self.feeds.start(self.lifecycle)
-        self.lifecycle.run('registrations', self.registrations.run)
+        self.lifecycle.run('registrations', self.upstreams.registrations.run)
         self.batches.start(self.lifecycle)
         self.duties.start(self.lifecycle)
         self.routes.on_manifest(self.on_manifest)
@@ -245,9 +257,11 @@
         """Take what operators and trainers wrote."""
         documents = self._deployment.documents
         for row in rows:
-            if row.removed:
+            if row.key.startswith(documents.evacuation_prefix):
+                self._on_evacuation_row(row)
+            elif row.removed:
                 continue
-            if row.key == documents.manifest_key:
+            elif row.key == documents.manifest_key:
                 self._on_manifest_row(row)
             elif row.key.startswith(documents.version_prefix):
                 self._on_version_row(row)
@@ -270,6 +284,14 @@
             return
         self.duties.orders.on_named(*answer.ok_value)
 
+    def _on_evacuation_row(self, row: Row) -> None:
+        prefix = self._deployment.documents.evacuation_prefix
+        data_centre = row.key.removeprefix(prefix)
+        if row.removed:
+            self.upstreams.evacuations.on_removal(data_centre)
+        else:
+            self.upstreams.evacuations.on_request(data_centre)
+
     def _on_count(self) -> None:
         self.presence.announce()
 
--- a/quetzalcourse/settings/rollout.py
+++ b/quetzalcourse/settings/rollout.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +47,18 @@
     settle: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStartTerms:
+    """How far the rate of a cold upstream may be exceeded.
+
+    :param overage: factor on the rate.
+    :param slack: requests beyond that in any second.
+    """
+
+    overage: float = 1
+    slack: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutSettings:
     """Everything that a daemon is told at its start.
@@ -51,6 +67,8 @@
     :param duties: duties that this deployment has.
     :param peer_secret: signs messages between daemons.
     :param cores: processor time of the VM, in cores.
+    :param regions: region of each data centre.
+    :param cold_start: how cold upstreams may be used.
     """
 
     vm: str
@@ -60,3 +78,5 @@
     duties: frozenset[str]
     peer_secret: bytes
     cores: float = 1
+    regions: Mapping[str, str] = field(default_factory=dict)
+    cold_start: ColdStartTerms = ColdStartTerms()
--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 HOST = 'verse.example'
+# Data centre of the first servers.
+HALL = 'hall-a'
 MODEL = 'verse'
 ENGINES = 'verse-models'
 CATALOGUE = 'catalogue-app'
@@ -18,6 +20,9 @@
 BOUND_PREFIX = '/bound/'
 SCORING_PREFIX = '/scoring/'
 KEY = 'key-of-the-desk'
+# Requests a second that a server bears for some seconds after its start.
+COLD_SECONDS = 2.0
+COLD_RATE = 9
 OTHER_KEY = 'key-of-another'
 ACCOUNT = 'desk'
 OTHER_ACCOUNT = 'another'
@@ -76,11 +81,19 @@
             ),
         ],
         'services': [
-            {'name': CATALOGUE, 'health_path': '/health', 'max_conns': 96},
+            {
+                'name': CATALOGUE,
+                'health_path': '/health',
+                'max_conns': 96,
+                'cold_start_s': COLD_SECONDS,
+                'cold_per_s': COLD_RATE,
+            },
             {
                 'name': ENGINES,
                 'health_path': '/health',
                 'max_conns': 150,
+                'cold_start_s': COLD_SECONDS,
+                'cold_per_s': COLD_RATE,
                 'engine': {'slots': 8, 'models': [{'name': MODEL}]},
             },
         ],
@@ -123,6 +136,7 @@
     store: str,
     cloud: str,
     zone: str = 'hall-a',
+    regions: dict[str, str] | None = None,
 ) -> dict[str, Any]:
     """Write the settings file of a daemon on free ports of loopback."""
     front, ready, peers, metrics = find_ports(4)
@@ -130,6 +144,7 @@
         'node_name': name,
         'ip': '127.0.0.1',
         'zone': zone,
+        'zones': regions or {},
         'listen': {
             'front': f'127.0.0.1:{front}',
             'ready': f'127.0.0.1:{ready}',
@@ -145,6 +160,8 @@
             'usage_late_s': 10,
             'status_s': 120,
             'settle_ms': 1000,
+            'cold_overage': 1.0,
+            'cold_slack': 0,
         },
         'unknown_field': True,
     }
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -33,6 +33,7 @@
 EVENT_SECONDS = 0.01
 WORK_SECONDS = 0.01
 LOAD_SECONDS = 0.2
+WINDOW_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -77,6 +78,35 @@
     dark: bool = False
 
 
+@dataclass(slots=True)
+class ColdStartState:
+    """Requests to a server that has just started.
+
+    :param most: requests in any second at which it crashes.
+    :param until: when it is warm, by the steady clock.
+    :param arrivals: when requests came in, oldest first.
+    :param crashed: whether it has had too many.
+    """
+
+    most: int = 0
+    until: float = 0
+    arrivals: list[float] = field(default_factory=list)
+    crashed: bool = False
+
+    def count_remaining(self) -> float:
+        """Count the seconds until it is warm."""
+        return max(self.until - time.monotonic(), 0)
+
+    def admit(self) -> bool:
+        """Count a request, and tell whether the server bears it."""
+        now = time.monotonic()
+        self.arrivals.append(now)
+        recent = sum(now - one < WINDOW_SECONDS for one in self.arrivals)
+        if now < self.until and recent > self.most:
+            self.crashed = True
+        return not self.crashed
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """Weights of a server and the orders that it accepted."""
@@ -127,6 +157,7 @@
         self.slots = slots
         self.faults = UpstreamFaults()
         self.state = UpstreamState(dict.fromkeys(models, 1))
+        self.cold = ColdStartState()
         self.runs: list[Run] = []
         self.padding = ''
         self.running = 0
@@ -165,7 +196,7 @@
             'version': 'v1',
             'slots': self.slots,
             'state': 'draining' if self.leaving else 'ready',
-            'cold_remaining_ms': 0,
+            'cold_remaining_ms': int(self.cold.count_remaining() * 1000),
             'seq': 0,
             'born': self._born,
         }
@@ -173,6 +204,16 @@
             entry['models'] = self._show_models()
         await self._store.write('servers', self.name, entry)
 
+    async def begin_anew(self, seconds: float, most: int) -> None:
+        """Register as another run, which is cold.
+
+        :param seconds: how long it is cold.
+        :param most: requests in any second that it bears meanwhile.
+        """
+        self._born += 1
+        self.cold = ColdStartState(most, time.monotonic() + seconds)
+        await self.register()
+
     async def serve(self, request: Request, head: RequestHead) -> None:
         """Serve one request."""
         while self.faults.dark:
@@ -185,9 +226,11 @@
         elif head.path == '/quetzalcourse/order':
             await request.receive_body()
             await self._order(request, json.loads(request.body))
-        else:
+        elif self.cold.admit():
             await request.receive_body()
             await self._admit(request, head)
+        else:
+            abort_connection(request)
 
     async def _beat(self) -> None:
         while True:
--- a/quetzalcourse/standins/rollout/world.py
+++ b/quetzalcourse/standins/rollout/world.py
@@ -188,6 +188,9 @@
     :param daemons: how many daemons.
     :param together: whether they share a data centre; otherwise each stands
         in one of its own.
+
+    ``regions`` names the region of each data centre, for daemons that start
+    from then on.
     """
 
     def __init__(
@@ -214,6 +217,7 @@
             UpstreamStandin(f's-{number}', documents.CATALOGUE, self.store)
             for number in range(2)
         ]
+        self.regions: dict[str, str] = {}
         self.daemons: list[RolloutApplication] = []
         self.doors: list[StoreDoor] = []
         self._ended: list[RolloutApplication] = []
@@ -236,7 +240,11 @@
         await door.server.start()
         zone = 'hall-a' if self._together else f'hall-of-{name}'
         settings = documents.build_settings(
-            name, door.server.address, self.cloud.server.address, zone
+            name,
+            door.server.address,
+            self.cloud.server.address,
+            zone,
+            self.regions,
         )
         message = msgspec.convert(settings, SettingsMessage)
         daemon = RolloutApplication(PlatformDeployment(message))
--- a/quetzalcourse/state/pool.py
+++ b/quetzalcourse/state/pool.py
@@ -18,6 +18,7 @@
     :param started: when this run of it began, 0 if it does not say; the
         next run may have the same name and knows nothing of this one.
     :param leaves_in: time until it is gone, if it was told.
+    :param cold_for: time for which it still takes few requests.
     """
 
     name: str
@@ -30,6 +31,7 @@
     started: int = 0
     spot: bool = False
     leaves_in: timedelta | None = None
+    cold_for: timedelta = timedelta(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/state/routing.py
+++ b/quetzalcourse/state/routing.py
@@ -7,6 +7,10 @@
 from datetime import timedelta
 
 
+# ``None`` allows every region.
+AllowedRegions = frozenset[str] | None
+
+
 class RouteKind(enum.StrEnum):
     """What may be done again with a request of a route."""
 
@@ -42,6 +46,7 @@
     :param item_lifetime: age of a batch after which its items may be given
         up.
     :param single_version: whether one item must not mix weight versions.
+    :param allowed_regions: where its requests may be handled.
     """
 
     name: str
@@ -59,6 +64,7 @@
     results_due: timedelta = timedelta(0)
     item_lifetime: timedelta = timedelta(0)
     single_version: bool = False
+    allowed_regions: AllowedRegions = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +79,18 @@
     start: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """How gently an upstream is used after its start.
+
+    :param duration: how long it is cold.
+    :param requests_per_second: what it bears meanwhile.
+    """
+
+    duration: timedelta
+    requests_per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """Upstreams that stand in for one another.
@@ -83,6 +101,7 @@
     name: str
     models: tuple[str, ...] = ()
     scaling: ScalingRange | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,11 +120,13 @@
 
     :param digests: SHA-256 of each key; the keys themselves are not kept.
     :param priority: rank that goes before the route's, if it has one.
+    :param allowed_regions: where its requests may be handled.
     """
 
     client_account: str
     digests: frozenset[bytes]
     priority: int | None = None
+    allowed_regions: AllowedRegions = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
+++ b/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
@@ -17,6 +17,8 @@
 from quetzalcourse.coordination.feeds import presence as members
 from quetzalcourse.coordination.feeds.calendar import SharedCalendar
 from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.forwarding.residency import Residency
+from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.feed_parts import BEAT_PAUSE, BEAT_PAUSE_EACH
 from quetzalcourse.state.batches import BatchHead, Ownership
 from quetzalcourse.state.counters import Counters
@@ -85,7 +87,14 @@
             lambda _: None,
             SharedCalendar(clock, NoStoreClock()),
         )
-        watch = OwnerWatch(directory, self.presence, feed, follower, clock)
+        watch = OwnerWatch(
+            directory,
+            self.presence,
+            feed,
+            follower,
+            clock,
+            Residency({}, RouteTable()),
+        )
         batches.adopt(world.list_batch_rows())
         self._tasks = [
             asyncio.ensure_future(body)
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -15,10 +15,9 @@
     PlacementRequest,
     Placement,
 )
-from quetzalcourse.coordination.forwarding.pool import (
-    MAX_CANDIDATES,
+from quetzalcourse.coordination.forwarding.pool import MAX_CANDIDATES, Pool
+from quetzalcourse.coordination.forwarding.upstream import (
     MIN_LATENCY_READINGS,
-    Pool,
     Upstream,
 )
 from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -13,10 +13,11 @@
 from quetzalcourse.coordination.batches.placement import MEDIAN_TTL, Placement
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
-from quetzalcourse.coordination.forwarding.pool import (
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.upstream import (
     MIN_LATENCY_READINGS,
-    Pool,
 )
+from quetzalcourse.coordination.forwarding.residency import Residency
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
@@ -32,7 +33,7 @@
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.item_run import ItemRun
-    from quetzalcourse.coordination.forwarding.pool import Upstream
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
 
 SLOTS = 4
 EVENTS = 40
@@ -102,17 +103,18 @@
         routes = RouteTable()
         config = json.dumps(documents.build_config()).encode()
         routes.adopt(read_manifest(config).unwrap())
+        residency = Residency({}, routes)
         self.items = HeldItems()
         none: Any = None
         writer: Any = NoWriter()
         allocator, _ = build_shares(self.pool, clock)
         self.runner = BatchRunner(
             self.items,
-            ItemScoring(none, self.pool, routes, clock, counters),
+            ItemScoring(none, self.pool, residency, clock, counters),
             writer,
             Placement(self.pool, allocator, clock),
             self.pool,
-            routes,
+            residency,
             clock,
             counters,
         )
--- a/quetzalcourse/tests/coordination/batches/scoring_tests.py
+++ b/quetzalcourse/tests/coordination/batches/scoring_tests.py
@@ -15,7 +15,7 @@
 from quetzalcourse.coordination.forwarding.attempt_timeouts import (
     AttemptTimeouts,
 )
-from quetzalcourse.coordination.forwarding.pool import Upstream
+from quetzalcourse.coordination.forwarding.upstream import Upstream
 from quetzalcourse.state.batches import BatchItem, PartialText, ScoringCall
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.state.routing import Route, RouteKind, Target
--- a/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
+++ b/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
@@ -16,7 +16,8 @@
     SETTLING,
     Waiting,
 )
-from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.upstream import Upstream
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -26,7 +26,8 @@
         Forwarder,
         Forwarding,
     )
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.calls import RequestHead
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.spooling import SpooledBody
@@ -167,6 +168,7 @@
             if body.length is not None:
                 headers.append(('Content-Length', str(body.length)))
         self._pool.on_start(upstream)
+        self._pool.on_send(upstream)
         try:
             async with self._calls.open(
                 upstream.member.address,
--- a/quetzalcourse/transport/front.py
+++ b/quetzalcourse/transport/front.py
@@ -18,7 +18,7 @@
 
     from sanic import Request
 
-    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.state.calls import CallerTerms, RequestHead
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -42,7 +42,7 @@
     def __init__(
         self,
         dialect: CallerDialect,
-        routes: RouteTable,
+        residency: Residency,
         forwards: Forwards,
         batches: BatchRoutes,
         activity: Activity,
@@ -51,7 +51,8 @@
     ) -> None:
         """Keep the parts."""
         self._dialect = dialect
-        self._routes = routes
+        self._routes = residency.routes
+        self._residency = residency
         self._forwards = forwards
         self._batches = batches
         self._activity = activity
@@ -109,6 +110,9 @@
             spooled = SpooledBody(body)
             await spooled.fill()
             forwarding = _build_forwarding(route, terms, account, began)
+            forwarding.allowed_regions = self._residency.find_allowed(
+                route, account
+            )
             await self._forwards.serve(request, head, forwarding, spooled)
         return route.kind.value
 
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -21,7 +21,8 @@
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.item_run import ItemRun
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.batches import ItemResult, StreamEvent
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -8,6 +8,7 @@
     'batch_results': 'Results of items that stand in the store.',
     'batch_texts_saved': 'Saves of the texts of long items, by success.',
     'batches_owned': 'Batches that this daemon runs.',
+    'evacuated_data_centres': 'Data centres that get no new work.',
     'items_running': 'Items of batches that upstreams work on for this daemon.',
     'items_unscored': 'Items whose text is whole and has no score yet.',
     'items_waiting': 'Items of batches that wait for a slot here.',
--- a/quetzalcourse/transport/scoring_calls.py
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -21,7 +21,8 @@
 
     import aiohttp
 
-    from quetzalcourse.coordination.forwarding.pool import Pool, Upstream
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.batches import ScoringCall
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.upstream_calls import UpstreamCalls
--- /dev/null
+++ b/quetzalcourse/upstream_parts.py
@@ -0,0 +1,68 @@
+"""Parts of a daemon that know the upstreams and which may be used."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.forwarding.cold_start import ColdStartLimiter
+from quetzalcourse.coordination.forwarding.evacuation import Evacuations
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.registrations import Registrations
+from quetzalcourse.coordination.forwarding.residency import Residency
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.forwarding.cold_start import Coordinators
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.deployment import Documents
+    from quetzalcourse.feed_parts import FeedParts
+    from quetzalcourse.settings.rollout import RolloutSettings
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamParts:
+    """The upstreams, their entries and the operators' evacuations."""
+
+    pool: Pool
+    registrations: Registrations
+    evacuations: Evacuations
+    residency: Residency
+
+
+def build_upstream_parts(
+    settings: RolloutSettings,
+    feeds: FeedParts,
+    documents: Documents,
+    routes: RouteTable,
+    clock: Clock,
+    counters: Counters,
+) -> UpstreamParts:
+    """Build the parts and connect them."""
+    pool = Pool(settings.data_centre, clock, counters, settings.regions)
+    residency = Residency(settings.regions, routes)
+    feeds.helpers.restrict(partial(residency.may_relay, feeds.presence.own))
+    return UpstreamParts(
+        pool,
+        Registrations(feeds.upstreams, pool, documents.read_member, clock),
+        Evacuations(pool, counters),
+        residency,
+    )
+
+
+def limit_cold_starts(
+    parts: UpstreamParts,
+    settings: RolloutSettings,
+    feeds: FeedParts,
+    coordinators: Coordinators,
+    routes: RouteTable,
+    clock: Clock,
+) -> None:
+    """Limit the requests to cold upstreams from now on."""
+    limiter = ColdStartLimiter(
+        settings.cold_start, feeds.presence, coordinators, clock
+    )
+    parts.pool.cold_starts = limiter
+    routes.on_manifest(limiter.on_manifest)
