Ask overdue daemons before their silence counts

Cause: liveness is a row in one part of the store for each data centre. A daemon whose row is overdue is now asked over the peer link; its answer counts like its row, if it reaches the store at all.

Death is noticed as soon as before (tests, fake clock).

--- /dev/null
+++ b/quetzalcourse/coordination/feeds/liveness_probes.py
@@ -0,0 +1,71 @@
+"""Asks daemons directly whether they live before their silence counts.
+
+Liveness is a row of the store. When the part of the store that holds the rows
+of a data centre is unavailable, all daemons there look dead to the others,
+which would take over their batches, and choose other coordinators, while the
+steps of those batches go on. So a daemon whose row is overdue is asked over
+the peer link, and its answer counts like its row.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.state.members import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.ports import Peers
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.members import Member
+
+# Several answers fit between an overdue row and the end that it stands for.
+PROBE_INTERVAL = timedelta(milliseconds=100)
+EMPTY = b''
+
+
+class LivenessProbes:
+    """Asks the daemons whose rows are overdue, and answers the others.
+
+    :param is_able: whether this daemon reaches the store, directly or by way
+        of another one; a daemon that does not can commit nothing, so it
+        leaves questions unanswered and its work is taken over.
+    """
+
+    def __init__(
+        self,
+        presence: Presence,
+        peers: Peers,
+        is_able: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        """Listen to questions and answers."""
+        self._presence = presence
+        self._peers = peers
+        self._is_able = is_able
+        self._clock = clock
+        peers.subscribe(Topic.liveness_ping, self.on_ping)
+        peers.subscribe(Topic.liveness_pong, self.on_pong)
+
+    async def run(self) -> None:
+        """Ask overdue daemons until the task is cancelled."""
+        while True:
+            self.probe()
+            await self._clock.sleep(PROBE_INTERVAL)
+
+    def probe(self) -> None:
+        """Ask every daemon whose row is overdue."""
+        for member in self._presence.list_overdue():
+            self._peers.send(member, Topic.liveness_ping, EMPTY)
+
+    def on_ping(self, sender: Member, _: bytes) -> None:
+        """Answer another daemon."""
+        if self._is_able() and not self._presence.own.leaving:
+            self._peers.send(sender, Topic.liveness_pong, EMPTY)
+
+    def on_pong(self, sender: Member, _: bytes) -> None:
+        """Learn that another daemon lives."""
+        self._presence.on_pong(sender)
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -12,6 +12,7 @@
 
 from quetzalcourse.coordination.feeds.beats import (
     find_gap,
+    SLOW_WRITE,
     find_longest_silence,
 )
 from quetzalcourse.coordination.tasks import wait_event
@@ -37,6 +38,8 @@
 CHANGE_GAP = timedelta(milliseconds=250)
 # Names in one line of the log; each daemon also tells its own at its start.
 MAX_NAMED = 10
+# A daemon that has not answered for as long is not asked any more.
+PROBED_FOR = timedelta(seconds=15)
 log = get_log('members')
 
 
@@ -98,6 +101,7 @@
         self._inherited = False
         self._row_version: int | None = None
         self._heard: dict[str, timedelta] = {}
+        self._answered: dict[str, timedelta] = {}
         self._versions: dict[str, int] = {}
         self._listeners: list[Callable[[], None]] = []
         self._beat = 0
@@ -180,6 +184,23 @@
             key=lambda member: member.incarnation,
         )
 
+    def list_overdue(self) -> list[Member]:
+        """List the other daemons whose rows should have changed by now."""
+        now = self._clock.elapsed()
+        return [
+            _build_member(record)
+            for record in self.records.values()
+            if record.vm != self.own.vm
+            and not record.leaving
+            and self._is_overdue(record.vm, now)
+        ]
+
+    def on_pong(self, sender: Member) -> None:
+        """Learn from a daemon itself that it lives."""
+        record = self.records.get(sender.vm)
+        if record is not None and record.incarnation == sender.incarnation:
+            self._answered[sender.vm] = self._clock.elapsed()
+
     def is_live(self, vm: str, incarnation: str) -> bool:
         """Tell whether one run of a daemon goes on."""
         if vm == self.own.vm:
@@ -287,15 +308,24 @@
     def _is_heard(self, vm: str) -> bool:
         # While the store is away nobody is heard, which says nothing of
         # the others; they have their time again once it is back.
-        heard = self._heard.get(vm, timedelta(0))
+        heard, longest = self._find_silence(vm)
+        silent = self._clock.elapsed() - heard
+        return silent < longest or self._follower.steady_for < longest
+
+    def _is_overdue(self, vm: str, now: timedelta) -> bool:
+        heard, longest = self._find_silence(vm)
+        return longest - SLOW_WRITE <= now - heard < PROBED_FOR
+
+    def _find_silence(self, vm: str) -> tuple[timedelta, timedelta]:
+        """Find when a daemon was heard, and which silence is its end."""
+        answered = self._answered.get(vm, timedelta(0))
+        heard = max(self._heard.get(vm, timedelta(0)), answered)
         read_gap = self._follower.pause
         watched_since = self._watched.get(vm)
         if watched_since is not None:
             heard = max(heard, watched_since)
             read_gap = self._watch_gap
-        longest = find_longest_silence(self._find_gap(vm), read_gap)
-        silent = self._clock.elapsed() - heard
-        return silent < longest or self._follower.steady_for < longest
+        return heard, find_longest_silence(self._find_gap(vm), read_gap)
 
     def _find_gap(self, vm: str) -> timedelta:
         record = self.records.get(vm)
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -4,12 +4,14 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.batches import batch_rows
 from quetzalcourse.coordination.feeds import presence
 from quetzalcourse.coordination.feeds.follower import TableFollower
 from quetzalcourse.coordination.feeds.store_helpers import StoreHelpers
+from quetzalcourse.coordination.feeds.liveness_probes import LivenessProbes
 from quetzalcourse.coordination.feeds.reach import StoreReach
 from quetzalcourse.coordination.feeds.relay import FeedRelay
 from quetzalcourse.coordination.feeds.store_relay import StoreRelay
@@ -58,6 +60,7 @@
     relay: FeedRelay
     store: StoreRelay
     helpers: StoreHelpers
+    probes: LivenessProbes
 
     def on_members(self) -> None:
         """Read less often where there are more daemons."""
@@ -73,6 +76,7 @@
         lifecycle.run('member feed', self.members.run)
         lifecycle.run('presence', self.presence.run)
         lifecycle.run('relay', self.relay.run)
+        lifecycle.run('liveness probes', self.probes.run)
 
 
 def build_feed_parts(
@@ -144,6 +148,14 @@
         relay,
         by_others,
         helpers,
+        LivenessProbes(
+            beats, peers, partial(_reaches_store, operators, helpers), clock
+        ),
     )
     beats.on_change(parts.on_members)
     return parts
+
+
+def _reaches_store(follower: TableFollower, helpers: StoreHelpers) -> bool:
+    """Tell whether the store answers, or answers a daemon that helps."""
+    return not follower.faulty or helpers.find() is not None
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -58,3 +58,5 @@
     loads_told = 'loads_told'
     results_awaited = 'results_awaited'
     results_stand = 'results_stand'
+    liveness_ping = 'liveness_ping'
+    liveness_pong = 'liveness_pong'
--- /dev/null
+++ b/quetzalcourse/tests/coordination/feeds/liveness_probes_tests.py
@@ -0,0 +1,139 @@
+"""Daemons whose rows stand still while they live, and those that are gone."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import pytest
+
+from quetzalcourse.coordination.feeds import presence as members
+from quetzalcourse.coordination.feeds.beats import find_longest_silence
+from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.feeds.liveness_probes import (
+    PROBE_INTERVAL,
+    LivenessProbes,
+)
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.members import Member, Topic
+from quetzalcourse.state.rows import Row
+from quetzalcourse.tests.clocks import FakeClock, settle
+from quetzalcourse.tests.feeds import FakeFeed
+from quetzalcourse.tests.peers import FakeNetwork
+
+NEAR = Member('vm-n', 'vm-n:1', 'hall-n', 'n:1')
+FAR = Member('vm-f', 'vm-f:1', 'hall-f', 'f:1')
+GAP = timedelta(seconds=0.5)
+LONGEST = find_longest_silence(GAP, timedelta(0))
+
+
+class NoStoreClock:
+    """Store whose clock nobody has read."""
+
+    def estimate(self) -> timedelta | None:
+        """Know nothing."""
+        return None
+
+
+class World:
+    """Two daemons; the row of the far one is written once only."""
+
+    def __init__(self) -> None:
+        """Begin with both rows known."""
+        self.clock = FakeClock()
+        self.network = FakeNetwork()
+        self.able = True
+        self.near = self._build(NEAR)
+        self.far = self._build(FAR)
+        self.probes = LivenessProbes(
+            self.near, self.network.join(NEAR), lambda: True, self.clock
+        )
+        LivenessProbes(
+            self.far, self.network.join(FAR), lambda: self.able, self.clock
+        )
+        self.near.on_rows([self._write(FAR)])
+
+    async def pass_time(self, duration: timedelta) -> None:
+        """Let the near daemon ask while time passes."""
+        for _ in range(duration // PROBE_INTERVAL):
+            self.probes.probe()
+            await settle()
+            self.clock.move(PROBE_INTERVAL)
+
+    def sees_far(self) -> bool:
+        """Tell whether the far daemon counts as live."""
+        return self.near.is_live(FAR.vm, FAR.incarnation)
+
+    def _build(self, own: Member) -> members.Presence:
+        feed: Any = FakeFeed(self.clock)
+        follower = TableFollower(feed, members.TABLE, self.clock, Counters())
+        return members.Presence(
+            own,
+            feed,
+            follower,
+            self.clock,
+            dict,
+            lambda _: None,
+            SharedCalendar(self.clock, NoStoreClock()),
+        )
+
+    def _write(self, member: Member) -> Row:
+        record = members.PresenceRecord(
+            member.vm,
+            member.incarnation,
+            member.data_centre,
+            member.address,
+            leaving=False,
+            beat=1,
+            gap=GAP.total_seconds(),
+        )
+        return Row(members.name_row(member), msgspec.json.encode(record), 1)
+
+
+async def test_daemon_whose_row_stands_still_is_live() -> None:
+    """Guards against deposing owners while a part of the store is away."""
+    world = World()
+    await world.pass_time(LONGEST * 4)
+    assert world.sees_far()
+    assert FAR in world.near.list_live()
+
+
+@pytest.mark.parametrize('warm_up', [timedelta(0), LONGEST * 3])
+async def test_death_is_noticed_as_soon_as_by_the_row(
+    warm_up: timedelta,
+) -> None:
+    """Guards against probes that keep a dead daemon's work waiting."""
+    world = World()
+    await world.pass_time(warm_up)
+    world.network.leave(FAR)
+    await world.pass_time(LONGEST + PROBE_INTERVAL)
+    assert not world.sees_far()
+
+
+async def test_daemon_that_reaches_no_store_is_not_live() -> None:
+    """Guards against an owner that answers and can commit nothing."""
+    world = World()
+    world.able = False
+    await world.pass_time(LONGEST + PROBE_INTERVAL)
+    assert not world.sees_far()
+
+
+async def test_answer_of_a_later_run_says_nothing_of_the_one_before() -> None:
+    """Guards against a restarted daemon that keeps its lost batches."""
+    world = World()
+    await world.pass_time(LONGEST / 2)
+    world.near.on_pong(Member('vm-f', 'vm-f:2', 'hall-f', 'f:1'))
+    world.network.leave(FAR)
+    await world.pass_time(LONGEST / 2 + PROBE_INTERVAL)
+    assert not world.sees_far()
+
+
+async def test_daemon_that_writes_in_time_is_not_asked() -> None:
+    """Guards against messages that grow with the square of the daemons."""
+    world = World()
+    await world.pass_time(GAP)
+    assert not any(
+        topic is Topic.liveness_ping for _, _, topic, _ in world.network.sent
+    )
