Use the field's terms for heartbeats, wall clock and in-flight calls

Module, class, constant and test names of the feeds follow the field: heartbeats.py, WallClockEstimate, InFlightCalls, ..._INTERVAL.

--- a/bench/suites/homes.py
+++ b/bench/suites/homes.py
@@ -16,7 +16,7 @@
     UPSTREAMS,
     World,
 )
-from quetzalcourse.tests.coordinators import HOMES
+from quetzalcourse.tests.coordinators import COORDINATORS
 
 FIGURES = ('items_in_upstream_queues', 'owner_end_noticed_ratio')
 TICKS = 4
@@ -38,7 +38,7 @@
 async def _play_bursts(*, cut: bool) -> int:
     world = World()
     if cut:
-        first, second = HOMES[:2]
+        first, second = COORDINATORS[:2]
         world.network.cut(first, second)
         world.network.cut(second, first)
     await world.meet()
--- a/quetzalcourse/coordination/batches/adoption.py
+++ b/quetzalcourse/coordination/batches/adoption.py
@@ -41,7 +41,7 @@
 REMOVAL_MARGIN = timedelta(seconds=30)
 # As long as a daemon's silence counts as its end.
 SHOWN = timedelta(seconds=1.4)
-REMOVAL_GAP = timedelta(seconds=1)
+REMOVAL_INTERVAL = timedelta(seconds=1)
 log = get_log('batches')
 
 
@@ -161,7 +161,7 @@
 
     def _note_owner(self, view: BatchView) -> None:
         # Whoever has just written itself as the owner lives, whatever its
-        # beats say: they may have been held up while the batch was not.
+        # heartbeats say: they may have been held up while the batch was not.
         shown = self._shown.get(view.id)
         if shown is None or shown[0] != view.owner_version:
             now = self._clock.elapsed()
@@ -233,7 +233,7 @@
         store_now = self._store_clock.estimate()
         if view.head is None or store_now is None:
             return
-        if now - self._removed_at < REMOVAL_GAP:
+        if now - self._removed_at < REMOVAL_INTERVAL:
             return
         age = store_now - view.head.accepted_ms * MILLISECOND
         if age < self.kept + REMOVAL_MARGIN:
--- a/quetzalcourse/coordination/batches/coordinators.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -66,7 +66,7 @@
         """Accept a batch, or decline it."""
 
 
-class BatchOffered(msgspec.Struct, frozen=True):
+class BatchOffer(msgspec.Struct, frozen=True):
     """A batch that another daemon should accept and run.
 
     :param number: which offer of the sender it is.
@@ -147,7 +147,7 @@
             return OfferOutcome.declined
         if not self._residency.may_hold(head, coordinator):
             return OfferOutcome.declined
-        offered = BatchOffered(next(self._numbers), head, list(items))
+        offered = BatchOffer(next(self._numbers), head, list(items))
         content = msgspec.msgpack.encode(offered)
         if len(content) > MAX_BYTES:
             return OfferOutcome.declined
@@ -162,7 +162,7 @@
 
     def on_offered(self, sender: Member, content: bytes) -> None:
         """Take a batch that another daemon offers."""
-        offered = msgspec.msgpack.decode(content, type=BatchOffered)
+        offered = msgspec.msgpack.decode(content, type=BatchOffer)
         self._tasks.begin(self._accept(sender, offered))
 
     def on_message(self, sender: Member, content: bytes) -> None:
@@ -190,7 +190,7 @@
             self._waiting.pop(number, None)
         return OfferOutcome.accepted if accepted else OfferOutcome.declined
 
-    async def _accept(self, sender: Member, offered: BatchOffered) -> None:
+    async def _accept(self, sender: Member, offered: BatchOffer) -> None:
         outcome = OfferOutcome.declined
         if self._take is not None and not self._follower.faulty:
             outcome = await self._take(offered.head, offered.items)
--- a/quetzalcourse/coordination/batches/owner_watch.py
+++ b/quetzalcourse/coordination/batches/owner_watch.py
@@ -31,11 +31,11 @@
 # Two of them may have died with the owner, as in a data centre that is lost.
 WATCHERS = 3
 # An owner's row changes each half second.
-WATCH_GAP = timedelta(milliseconds=300)
+WATCH_INTERVAL = timedelta(milliseconds=300)
 # As often as the rows of batches are read in a large deployment.
 IDLE = timedelta(seconds=1)
 # Who watches follows from all live daemons, which change more slowly.
-CHOICE_LIFE = timedelta(seconds=5)
+CHOICE_TTL = timedelta(seconds=5)
 
 
 class OwnerWatch:
@@ -66,9 +66,9 @@
         """Watch owners until the task is cancelled."""
         while True:
             watched = self._find_owners()
-            self._presence.watch(watched, WATCH_GAP)
+            self._presence.watch(watched, WATCH_INTERVAL)
             await asyncio.gather(*(self._look(vm) for vm in watched))
-            await self._clock.sleep(WATCH_GAP if watched else IDLE)
+            await self._clock.sleep(WATCH_INTERVAL if watched else IDLE)
 
     def _find_owners(self) -> set[str]:
         """Find the VMs whose batches this daemon would take over."""
@@ -94,7 +94,7 @@
         version, chosen_at, chosen = self._choices.get(
             view.id, (-1, now, False)
         )
-        if version == view.owner_version and now - chosen_at < CHOICE_LIFE:
+        if version == view.owner_version and now - chosen_at < CHOICE_TTL:
             return chosen
         owner = view.owner.incarnation if view.owner is not None else ''
         holders = self._residency.list_holders(
@@ -110,7 +110,7 @@
     async def _look(self, vm: str) -> None:
         answer = await self._table.read(self._presence.find_row(vm))
         if isinstance(answer, Err):
-            # Its beats may stand in the store all the same.
+            # Its heartbeats may stand in the store all the same.
             self._presence.on_unread(vm)
         elif answer.ok_value is not None:
             self._members.adopt([answer.ok_value])
--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.coordination.feeds.calendar import EPOCH
+from quetzalcourse.coordination.feeds.wall_clock import EPOCH
 from quetzalcourse.log import get_log
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
--- a/quetzalcourse/coordination/feeds/beats.py
+++ b/quetzalcourse/coordination/feeds/heartbeats.py
@@ -4,7 +4,7 @@
 them may write only every few seconds, and reads what the others wrote only
 every second or two. A daemon that runs batches and dies leaves a step of
 seconds standing still until that is noticed. So the few that run batches
-beat as often as in a small deployment, whatever the number of the others,
+heartbeat as often as in a small deployment, whatever the number of the others,
 and each row says how soon the next one follows.
 """
 
@@ -13,32 +13,34 @@
 from datetime import timedelta
 
 # Work of a daemon that dies stands still until it has been silent for two
-# beats, so beats are as close as their writes allow.
-BEAT = timedelta(seconds=0.5)
+# heartbeats, so heartbeats are as close as their writes allow.
+HEARTBEAT_INTERVAL = timedelta(seconds=0.5)
 # Beats of daemons without batches stay under a tenth of what the store
-# bears, however many there are: 350 of them beat every 4.4 seconds.
+# bears, however many there are: 350 of them heartbeat every 4.4 seconds.
 HEARTBEATS_PER_SECOND = 80
-# A silence of two beats and the time that a slow write takes.
+# A silence of two heartbeats and the time that a slow write takes.
 MAX_MISSED_HEARTBEATS = 2
 SLOW_WRITE = timedelta(seconds=0.4)
 
 
 def find_gap(daemons: int, *, urgent: bool) -> timedelta:
-    """Tell how soon a daemon beats again.
+    """Tell how soon a daemon heartbeats again.
 
     :param daemons: how many share the store.
     :param urgent: whether work stands still if this one dies.
     """
     if urgent:
-        return BEAT
-    return max(BEAT, timedelta(seconds=daemons / HEARTBEATS_PER_SECOND))
+        return HEARTBEAT_INTERVAL
+    return max(
+        HEARTBEAT_INTERVAL, timedelta(seconds=daemons / HEARTBEATS_PER_SECOND)
+    )
 
 
 def find_longest_silence(gap: timedelta, read_gap: timedelta) -> timedelta:
     """Tell after which silence a daemon counts as gone.
 
-    :param gap: how soon it promised its next beat.
-    :param read_gap: time between two reads of its row; a beat may stand in
+    :param gap: how soon it promised its next heartbeat.
+    :param read_gap: time between two reads of its row; a heartbeat may stand in
         the store for as long without being seen.
     """
     return max(gap * MAX_MISSED_HEARTBEATS, gap + read_gap) + SLOW_WRITE
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.coordination.feeds.beats import (
+from quetzalcourse.coordination.feeds.heartbeats import (
     find_gap,
     SLOW_WRITE,
     find_longest_silence,
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+    from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.coordination.feeds.follower import TableFollower
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.batches import Ownership
@@ -35,7 +35,7 @@
 TABLE = 'members'
 # Counts of usage that only this daemon has are lost with it, so they are
 # told soon, yet not with each request.
-CHANGE_GAP = timedelta(milliseconds=250)
+CHANGE_DELAY = timedelta(milliseconds=250)
 # Names in one line of the log; each daemon also tells its own at its start.
 MAX_NAMED = 10
 # A daemon that has not answered for as long is not asked any more.
@@ -47,10 +47,10 @@
     """What a daemon's row says.
 
     :param usage: requests of each account that ran, by window.
-    :param calendar_offset: seconds that the VM's calendar is ahead of the
+    :param calendar_offset: seconds that the VM's wall_clock is ahead of the
         store's clock.
     :param cores: processor time that the VM has.
-    :param gap: seconds within which the next beat follows.
+    :param gap: seconds within which the next heartbeat follows.
     """
 
     vm: str
@@ -74,9 +74,9 @@
     """The daemons whose rows change, as this daemon's clock sees it.
 
     :param own: this daemon.
-    :param usage: gives the counts that go with each beat.
+    :param usage: gives the counts that go with each heartbeat.
     :param inherit: takes the counts of the run before on the same VM.
-    :param calendar: learns how the daemons' calendars differ.
+    :param wall_clock: learns how the daemons' calendars differ.
     """
 
     def __init__(
@@ -87,7 +87,7 @@
         clock: Clock,
         usage: Callable[[], UsageCounts],
         inherit: Callable[[UsageCounts], None],
-        calendar: SharedCalendar,
+        wall_clock: WallClockEstimate,
     ) -> None:
         """Begin with nobody known but this daemon."""
         self.own = own
@@ -97,7 +97,7 @@
         self._clock = clock
         self._usage = usage
         self._inherit = inherit
-        self._calendar = calendar
+        self._wall_clock = wall_clock
         self._inherited = False
         self._row_version: int | None = None
         self._heard: dict[str, timedelta] = {}
@@ -118,7 +118,7 @@
         self._listeners.append(listener)
 
     def on_urgency(self, ask: Callable[[], bool]) -> None:
-        """Ask before each beat whether work stands still if this one dies."""
+        """Ask before each heartbeat whether this daemon does urgent work."""
         self._is_urgent = ask
 
     def watch(self, vms: Collection[str], gap: timedelta) -> None:
@@ -227,7 +227,7 @@
         return record.data_centre if record is not None else ''
 
     def announce(self) -> None:
-        """Tell of a change soon, without waiting for the next beat."""
+        """Tell of a change soon, without waiting for the next heartbeat."""
         self._soon.set()
 
     async def leave(self) -> None:
@@ -237,10 +237,10 @@
         self._tell()
 
     async def run(self) -> None:
-        """Write beats until the task is cancelled."""
+        """Write heartbeats until the task is cancelled."""
         while True:
             await wait_event(self._soon, self._promised)
-            await self._clock.sleep(CHANGE_GAP)
+            await self._clock.sleep(CHANGE_DELAY)
             await self._write()
 
     async def _write(self) -> None:
@@ -249,7 +249,7 @@
             return
         self._beat += 1
         self._soon.clear()
-        # A beat that leaves urgent work behind still keeps the promise of
+        # A heartbeat that leaves urgent work behind still keeps the promise of
         # the one before it.
         self._promised = find_gap(len(self.records), urgent=self._is_urgent())
         record = PresenceRecord(
@@ -264,8 +264,8 @@
             self.own.cores,
             self._promised.total_seconds(),
         )
-        # The condition keeps out beats of the run before whose answers were
-        # lost: applied late, they would show that run as the living one.
+        # The condition keeps out heartbeats of the run before whose answers
+        # were lost: applied late, they would show that run as the living one.
         key = name_row(self.own)
         answer = await self._table.transact(
             Transaction(
@@ -297,13 +297,13 @@
         return True
 
     def _find_offset(self) -> float | None:
-        offset = self._calendar.find_offset()
+        offset = self._wall_clock.find_offset()
         return None if offset is None else round(offset.total_seconds(), 3)
 
     def _take_offset(self, record: PresenceRecord) -> None:
         if record.calendar_offset is not None:
             offset = timedelta(seconds=record.calendar_offset)
-            self._calendar.on_offset(record.vm, offset)
+            self._wall_clock.on_offset(record.vm, offset)
 
     def _is_heard(self, vm: str) -> bool:
         # While the store is away nobody is heard, which says nothing of
--- a/quetzalcourse/coordination/feeds/reach.py
+++ b/quetzalcourse/coordination/feeds/reach.py
@@ -42,7 +42,7 @@
         members: MemberView,
         clock: Clock,
     ) -> None:
-        """Begin without a word from anyone."""
+        """Begin without a report from anyone."""
         self._follower = follower
         self._members = members
         self._clock = clock
@@ -50,8 +50,8 @@
         self._outside_at = LONG_AGO
         self._welcoming = True
 
-    def on_word(self, sender: Member, *, hears_store: bool) -> None:
-        """Take the word of another daemon.
+    def on_report(self, sender: Member, *, hears_store: bool) -> None:
+        """Take the report of another daemon.
 
         :param hears_store: whether the store answers that one.
         """
--- a/quetzalcourse/coordination/feeds/relay.py
+++ b/quetzalcourse/coordination/feeds/relay.py
@@ -135,8 +135,8 @@
     def on_message(self, sender: Member, content: bytes) -> None:
         """Take rows that another daemon knows."""
         told = msgspec.msgpack.decode(content, type=RowsUpdate)
-        self._reach.on_word(sender, hears_store=told.hears_store)
-        self._helpers.on_word(sender, hears_store=told.hears_store)
+        self._reach.on_report(sender, hears_store=told.hears_store)
+        self._helpers.on_report(sender, hears_store=told.hears_store)
         follower = self._followers.get(told.table)
         if follower is None or not follower.faulty or not told.rows:
             return
--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -22,16 +22,16 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# Others are asked four times a second; word older than four questions may
+# Others are asked four times a second; report older than four questions may
 # be of a daemon that is turned away itself by now.
 REACHABILITY_TTL = timedelta(seconds=1)
-# How long a call waits for the first word of another daemon; data centres
+# How long a call waits for the first report of another daemon; data centres
 # are a few milliseconds apart. A call that found nobody by then is refused,
 # so the wait is a small share of the 400 ms in which a caller is answered.
-WORD_WAIT = timedelta(milliseconds=50)
+REPORT_WAIT = timedelta(milliseconds=50)
 # While the store is down for all every call looks for help in vain; they
 # share one question.
-ASK_GAP = timedelta(milliseconds=100)
+ASK_INTERVAL = timedelta(milliseconds=100)
 LONG_AGO = timedelta(days=-1)
 
 
@@ -42,12 +42,12 @@
     """
 
     def __init__(self, follower: TableFollower, clock: Clock) -> None:
-        """Begin without a word from anyone."""
+        """Begin without a report from anyone."""
         self.asked = asyncio.Event()
         self._follower = follower
         self._clock = clock
-        self._words: dict[str, tuple[Member, timedelta]] = {}
-        self._word = asyncio.Event()
+        self._reports: dict[str, tuple[Member, timedelta]] = {}
+        self._reported = asyncio.Event()
         self._asked_at = LONG_AGO
         self._random = random.Random()
         self._may_help: Callable[[Member], bool] = _anyone
@@ -61,27 +61,27 @@
         """Whether the store fails to answer this daemon."""
         return self._follower.faulty
 
-    def on_word(self, sender: Member, *, hears_store: bool) -> None:
-        """Take the word of another daemon.
+    def on_report(self, sender: Member, *, hears_store: bool) -> None:
+        """Take the report of another daemon.
 
         :param hears_store: whether the store answers that one.
         """
         if not hears_store:
-            self._words.pop(sender.vm, None)
+            self._reports.pop(sender.vm, None)
             return
-        self._words[sender.vm] = (sender, self._clock.elapsed())
-        self._word.set()
+        self._reports[sender.vm] = (sender, self._clock.elapsed())
+        self._reported.set()
 
     def on_miss(self, helper: Member) -> None:
         """Learn that a daemon did not answer, or can't help any more."""
-        self._words.pop(helper.vm, None)
+        self._reports.pop(helper.vm, None)
 
     def find(self) -> Member | None:
         """Find a daemon that the store answers, at random among them."""
         oldest = self._clock.elapsed() - REACHABILITY_TTL
         fresh = [
             member
-            for member, said in self._words.values()
+            for member, said in self._reports.values()
             if said >= oldest and self._may_help(member)
         ]
         return self._random.choice(fresh) if fresh else None
@@ -92,11 +92,11 @@
         if found is not None:
             return found
         now = self._clock.elapsed()
-        if now - self._asked_at >= ASK_GAP:
+        if now - self._asked_at >= ASK_INTERVAL:
             self._asked_at = now
-            self._word.clear()
+            self._reported.clear()
             self.asked.set()
-        await wait_event(self._word, WORD_WAIT)
+        await wait_event(self._reported, REPORT_WAIT)
         return self.find()
 
 
--- a/quetzalcourse/coordination/fleet/sendings.py
+++ b/quetzalcourse/coordination/fleet/in_flight.py
@@ -12,7 +12,7 @@
 Outcome = TypeVar('Outcome')
 
 
-class Sendings:
+class InFlightCalls:
     """Lets what is on its way end before its lease is given up.
 
     A daemon that stops cancels its work. An order that was cancelled half
--- a/quetzalcourse/coordination/fleet/orders.py
+++ b/quetzalcourse/coordination/fleet/orders.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.coordination.fleet.sendings import Sendings
+from quetzalcourse.coordination.fleet.in_flight import InFlightCalls
 from quetzalcourse.coordination.usage.usage_reports import scan_rows
 from quetzalcourse.coordination.usage.usage_rows import expect
 from quetzalcourse.log import get_log
@@ -57,7 +57,7 @@
         counters: Counters,
     ) -> None:
         """Begin without knowing any intent."""
-        self.sendings = Sendings()
+        self.in_flight = InFlightCalls()
         self._table = table
         self._platform = platform
         self._lease = lease
@@ -149,7 +149,7 @@
             (self._clock.now() + patience).timestamp(),
             notice.total_seconds(),
         )
-        sent = await self.sendings.run(
+        sent = await self.in_flight.run(
             self._platform.order(order, lambda: self._lease.may_send)
         )
         problem = sent.err()
--- a/quetzalcourse/coordination/usage/usage_reports.py
+++ b/quetzalcourse/coordination/usage/usage_reports.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.coordination.fleet.sendings import Sendings
+from quetzalcourse.coordination.fleet.in_flight import InFlightCalls
 from quetzalcourse.coordination.usage.usage_rows import (
     LATE_PREFIX,
     encode_row,
@@ -112,7 +112,7 @@
         self._counters = counters
         self._length = length
         self._grace = grace
-        self.sendings = Sendings()
+        self.in_flight = InFlightCalls()
         self.on_sent: Callable[[timedelta], None] = _ignore
 
     async def run(self) -> None:
@@ -237,7 +237,7 @@
             window, self._lease.token, answer.ok_value.content
         )
         sending = self._reports.report(report, lambda: self._lease.may_send)
-        sent = await self.sendings.run(sending)
+        sent = await self.in_flight.run(sending)
         if isinstance(sent, Err):
             self._counters.add('usage_report_failures', problem=sent.err_value)
             if sent.err_value is OrderProblem.refused:
--- a/quetzalcourse/duty_parts.py
+++ b/quetzalcourse/duty_parts.py
@@ -15,7 +15,7 @@
 from quetzalcourse.state.lease import LeaseTerms
 
 if TYPE_CHECKING:
-    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+    from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.coordination.feeds.presence import Presence
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
@@ -75,26 +75,26 @@
     presence: Presence,
     pool: Pool,
     routes: RouteTable,
-    calendar: SharedCalendar,
+    wall_clock: WallClockEstimate,
     counters: Counters,
 ) -> DutyParts:
     """Build the parts and connect them.
 
     :param incarnation: name of this run of the daemon.
-    :param calendar: tells windows of usage, and steady time.
+    :param wall_clock: tells windows of usage, and steady time.
     """
     settings = deployment.settings
     lease = Lease(
-        store.table, calendar, LEASE_KEY, incarnation, TERMS, FENCE_KEY
+        store.table, wall_clock, LEASE_KEY, incarnation, TERMS, FENCE_KEY
     )
     lease.is_predecessor = partial(_is_predecessor, incarnation)
-    keeper = LeaseKeeper(lease, presence, calendar, counters)
+    keeper = LeaseKeeper(lease, presence, wall_clock, counters)
     orders = LoadOrders(
         deployment.open_control(),
         lease,
         pool,
         routes,
-        calendar,
+        wall_clock,
         counters,
         settings.vm,
     )
@@ -108,7 +108,7 @@
             store.table,
             deployment.open_reports(),
             lease,
-            calendar,
+            wall_clock,
             counters,
             settings.terms.usage_window,
             settings.terms.usage_due,
--- a/quetzalcourse/feed_parts.py
+++ b/quetzalcourse/feed_parts.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.duties.usage_windows import WindowCounts
-    from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+    from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.deployment import Documents, StoreParts
     from quetzalcourse.lifecycle import Lifecycle
@@ -29,9 +29,9 @@
 # Rows of these tables change several times a second; a reader that took
 # each change alone would spend its time on answers of one row. Each daemon
 # writes there, so the pauses grow with the daemons, and the store's reads
-# stay the same: 125 a second of beats and 200 of batches.
-BEAT_PAUSE = timedelta(milliseconds=250)
-BEAT_PAUSE_EACH = timedelta(milliseconds=8)
+# stay the same: 125 a second of heartbeats and 200 of batches.
+HEARTBEAT_READ_PAUSE = timedelta(milliseconds=250)
+HEARTBEAT_READ_PAUSE_EACH = timedelta(milliseconds=8)
 BATCH_PAUSE = timedelta(milliseconds=100)
 BATCH_PAUSE_EACH = timedelta(milliseconds=5)
 # Rows that a daemon may reach by way of another one.
@@ -65,7 +65,9 @@
     def on_members(self) -> None:
         """Read less often where there are more daemons."""
         count = len(self.presence.records)
-        self.members.pause = max(BEAT_PAUSE, BEAT_PAUSE_EACH * count)
+        self.members.pause = max(
+            HEARTBEAT_READ_PAUSE, HEARTBEAT_READ_PAUSE_EACH * count
+        )
         self.batches.pause = max(BATCH_PAUSE, BATCH_PAUSE_EACH * count)
 
     def start(self, lifecycle: Lifecycle) -> None:
@@ -85,15 +87,15 @@
     store: StoreParts,
     peers: Peers,
     counts: WindowCounts,
-    calendar: SharedCalendar,
+    wall_clock: WallClockEstimate,
     clock: Clock,
     counters: Counters,
 ) -> FeedParts:
     """Build the parts and connect them.
 
     :param own: this daemon.
-    :param counts: counts that go with each beat.
-    :param calendar: learns how the daemons' calendars differ.
+    :param counts: counts that go with each heartbeat.
+    :param wall_clock: learns how the daemons' calendars differ.
     """
     operators = TableFollower(
         store.feed,
@@ -117,22 +119,22 @@
         by_others, batch_rows.TABLE, clock, counters, pause=BATCH_PAUSE
     )
     members = TableFollower(
-        by_others, presence.TABLE, clock, counters, pause=BEAT_PAUSE
+        by_others, presence.TABLE, clock, counters, pause=HEARTBEAT_READ_PAUSE
     )
-    beats = presence.Presence(
+    heartbeats = presence.Presence(
         own,
         by_others,
         members,
         clock,
         counts.describe,
         counts.inherit,
-        calendar,
+        wall_clock,
     )
-    reach = StoreReach(operators, beats, clock)
+    reach = StoreReach(operators, heartbeats, clock)
     relay = FeedRelay(
         (operators, upstreams),
         peers,
-        beats,
+        heartbeats,
         reach,
         helpers,
         clock,
@@ -143,16 +145,19 @@
         upstreams,
         batches,
         members,
-        beats,
+        heartbeats,
         reach,
         relay,
         by_others,
         helpers,
         LivenessProbes(
-            beats, peers, partial(_reaches_store, operators, helpers), clock
+            heartbeats,
+            peers,
+            partial(_reaches_store, operators, helpers),
+            clock,
         ),
     )
-    beats.on_change(parts.on_members)
+    heartbeats.on_change(parts.on_members)
     return parts
 
 
--- a/quetzalcourse/lease_parts.py
+++ b/quetzalcourse/lease_parts.py
@@ -73,8 +73,8 @@
         """
         for keeper in self.keepers:
             keeper.retire()
-        await self.reporter.sendings.finish()
-        await self.orders.sendings.finish()
+        await self.reporter.in_flight.finish()
+        await self.orders.in_flight.finish()
         for keeper in self.keepers:
             await keeper.release()
 
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -9,7 +9,7 @@
 
 from quetzalcourse.batch_parts import BatchCalls, build_batch_parts
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
-from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.duty_parts import build_duty_parts
@@ -136,9 +136,9 @@
     def _build_store(self) -> None:
         self.store = self._deployment.open_store(self.clock, self.counters)
         self.routes = RouteTable()
-        self.calendar = SharedCalendar(self.clock, self.store.clock)
+        self.wall_clock = WallClockEstimate(self.clock, self.store.clock)
         self.counts = WindowCounts(
-            self.calendar, self.settings.terms.usage_window, self._on_count
+            self.wall_clock, self.settings.terms.usage_window, self._on_count
         )
         own = Member(
             self.settings.vm,
@@ -153,7 +153,7 @@
             self.store,
             self.peers,
             self.counts,
-            self.calendar,
+            self.wall_clock,
             self.clock,
             self.counters,
         )
@@ -208,7 +208,7 @@
             self.presence,
             self.pool,
             self.routes,
-            self.calendar,
+            self.wall_clock,
             self.counters,
         )
 
--- a/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
+++ b/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
@@ -13,13 +13,16 @@
 from quetzalcourse.coordination.batches.directory import BatchDirectory
 from quetzalcourse.coordination.batches.owner_watch import WATCHERS, OwnerWatch
 from quetzalcourse.coordination.batches.failover import rank_successors
-from quetzalcourse.coordination.feeds import beats
+from quetzalcourse.coordination.feeds import heartbeats
 from quetzalcourse.coordination.feeds import presence as members
-from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.coordination.feeds.follower import TableFollower
 from quetzalcourse.coordination.forwarding.residency import Residency
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
-from quetzalcourse.feed_parts import BEAT_PAUSE, BEAT_PAUSE_EACH
+from quetzalcourse.feed_parts import (
+    HEARTBEAT_READ_PAUSE,
+    HEARTBEAT_READ_PAUSE_EACH,
+)
 from quetzalcourse.state.batches import BatchHead, Ownership
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
@@ -35,10 +38,10 @@
 WARM_UP = timedelta(seconds=8)
 # Seconds for which the daemons that only stand by count as alive.
 STANDING_BY = 3600
-# A beat and the quarter of a second for which changes are collected.
+# A heartbeat and the quarter of a second for which changes are collected.
 OWNER_BEAT = timedelta(seconds=0.75)
 LONGEST = timedelta(minutes=1)
-# Until the first beat is written, in seconds of the loop's own time.
+# Until the first heartbeat is written, in seconds of the loop's own time.
 REAL_START = 0.1
 HEAD_ROW = BatchHead('b', 'desk', 'r', 'h', 4, 0, 7500, 20_000, 'm')
 
@@ -74,7 +77,9 @@
             members.TABLE,
             clock,
             Counters(),
-            pause=max(BEAT_PAUSE, BEAT_PAUSE_EACH * world.count),
+            pause=max(
+                HEARTBEAT_READ_PAUSE, HEARTBEAT_READ_PAUSE_EACH * world.count
+            ),
         )
         batches = TableFollower(feed, 'batches', clock, Counters())
         directory = BatchDirectory(batches)
@@ -85,7 +90,7 @@
             clock,
             dict,
             lambda _: None,
-            SharedCalendar(clock, NoStoreClock()),
+            WallClockEstimate(clock, NoStoreClock()),
         )
         watch = OwnerWatch(
             directory,
@@ -102,7 +107,7 @@
         ]
 
     def begin_beats(self) -> None:
-        """Begin to beat, which goes by the loop's own time."""
+        """Begin to heartbeat, which goes by the loop's own time."""
         self._tasks.append(asyncio.ensure_future(self.presence.run()))
 
     def kill(self) -> None:
@@ -162,11 +167,13 @@
         while self.clock.elapsed() < ends:
             if self.owner_lives and self.clock.elapsed() >= self._next_beat:
                 self._next_beat = self.clock.elapsed() + OWNER_BEAT
-                self._write(self.owner, beats.BEAT.total_seconds())
+                self._write(
+                    self.owner, heartbeats.HEARTBEAT_INTERVAL.total_seconds()
+                )
             await self.clock.advance(STEP)
 
     def read_gap(self) -> float:
-        """Read how soon the owner promises its next beat."""
+        """Read how soon the owner promises its next heartbeat."""
         row = self.feed.rows[members.name_row(self.owner)]
         record = msgspec.json.decode(row.content, type=members.PresenceRecord)
         return record.gap
@@ -192,7 +199,7 @@
 @pytest.mark.parametrize('rank', range(WATCHERS))
 async def test_death_is_noticed_as_soon_among_many(rank: int) -> None:
     # The daemon that runs a step dies. Among two hundred daemons, each of
-    # which beats every few seconds, its silence said nothing for over five
+    # which heartbeats every few seconds, its silence said nothing for over five
     # seconds, and the trainer waited for a step that was due in seven.
     small, large = WatchWorld(SMALL), WatchWorld(LARGE)
     few = await small.measure(small.takers[rank])
@@ -233,7 +240,7 @@
 
 async def test_daemon_that_runs_a_batch_promises_to_beat_soon() -> None:
     # Others believe its silence by what it promised. A promise that ends
-    # with its batch, before the next beat came, would make it look dead.
+    # with its batch, before the next heartbeat came, would make it look dead.
     world = WatchWorld(LARGE)
     urgent = True
     owner = Daemon(world, world.owner)
@@ -249,5 +256,5 @@
         await world.pass_time(STEP)
         await asyncio.sleep(0.01)
     owner.kill()
-    assert first == beats.BEAT.total_seconds()
+    assert first == heartbeats.HEARTBEAT_INTERVAL.total_seconds()
     assert asyncio.get_running_loop().time() - began < 2 * first
--- a/quetzalcourse/tests/coordination/batches/result_notifications_tests.py
+++ b/quetzalcourse/tests/coordination/batches/result_notifications_tests.py
@@ -16,10 +16,10 @@
 from quetzalcourse.coordination.batches.result_reader import ResultReader
 from quetzalcourse.state.batches import ItemResult, ResultState
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.coordinators import HOMES
+from quetzalcourse.tests.coordinators import COORDINATORS
 from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
 
-OWNER, READER = HOMES[:2]
+OWNER, READER = COORDINATORS[:2]
 # A caller lets its read wait for as long; the feed says nothing meanwhile.
 WAIT = timedelta(seconds=20)
 RESULT = ItemResult('i', ResultState.completed, 'text', [1], '')
--- a/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
+++ b/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
@@ -21,7 +21,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.coordinators import HOMES, build_shares
+from quetzalcourse.tests.coordinators import COORDINATORS, build_shares
 from quetzalcourse.tests.peers import FakeNetwork
 
 UPSTREAMS = 24
@@ -34,7 +34,7 @@
 LATE = timedelta(seconds=4)
 
 
-class Home:
+class Coordinator:
     """One coordinator, with its own view of the upstreams."""
 
     def __init__(self, world: World, number: int) -> None:
@@ -101,7 +101,7 @@
         self.network = FakeNetwork()
         self.names = [f'e-{number}' for number in range(UPSTREAMS)]
         self.coordinators = [
-            Home(self, number) for number in range(len(MODELS))
+            Coordinator(self, number) for number in range(len(MODELS))
         ]
 
     async def meet(self) -> None:
@@ -225,7 +225,7 @@
     second.running.clear()
     first.begin(ITEMS)
     first.place()
-    world.network.leave(HOMES[1])
+    world.network.leave(COORDINATORS[1])
     await world.pass_time(UPDATE_TTL + TICK)
     first.place()
     assert len(first.running) == UPSTREAMS * SLOTS
--- a/quetzalcourse/tests/coordination/feeds/liveness_probes_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/liveness_probes_tests.py
@@ -9,8 +9,8 @@
 import pytest
 
 from quetzalcourse.coordination.feeds import presence as members
-from quetzalcourse.coordination.feeds.beats import find_longest_silence
-from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.heartbeats import find_longest_silence
+from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.coordination.feeds.follower import TableFollower
 from quetzalcourse.coordination.feeds.liveness_probes import (
     PROBE_INTERVAL,
@@ -76,7 +76,7 @@
             self.clock,
             dict,
             lambda _: None,
-            SharedCalendar(self.clock, NoStoreClock()),
+            WallClockEstimate(self.clock, NoStoreClock()),
         )
 
     def _write(self, member: Member) -> Row:
--- a/quetzalcourse/tests/coordination/feeds/reach_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/reach_tests.py
@@ -70,7 +70,7 @@
         while self.clock.elapsed() < end:
             self.clock.move(QUESTION_GAP)
             for member in answering:
-                self.reach.on_word(member, hears_store=hears_store)
+                self.reach.on_report(member, hears_store=hears_store)
         return self.reach.welcomes()
 
 
--- a/quetzalcourse/tests/coordination/feeds/store_relay_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/store_relay_tests.py
@@ -16,12 +16,12 @@
 from quetzalcourse.state.rows import Condition, Transaction, Write
 from quetzalcourse.tests.clocks import FakeClock
 from quetzalcourse.tests.feeds import FakeFeed
-from quetzalcourse.tests.coordinators import HOMES
+from quetzalcourse.tests.coordinators import COORDINATORS
 from quetzalcourse.tests.peers import FakeNetwork
 
 KEY = 'batches/b/head'
 WRITE = Transaction((Condition(KEY, 0),), (Write(KEY, b'head'),))
-CALLER, *OTHERS = HOMES
+CALLER, *OTHERS = COORDINATORS
 
 
 class World:
@@ -32,12 +32,12 @@
         self.clock = FakeClock()
         self.network = FakeNetwork()
         self.feed = FakeFeed(self.clock)
-        self.faulty = {member.vm: False for member in HOMES}
+        self.faulty = {member.vm: False for member in COORDINATORS}
         self.faulty[CALLER.vm] = True
-        relays = [self._build(member) for member in HOMES]
+        relays = [self._build(member) for member in COORDINATORS]
         self.caller, self.helpers = relays[0]
         for other in OTHERS:
-            self.helpers.on_word(other, hears_store=True)
+            self.helpers.on_report(other, hears_store=True)
 
     def turn_away(self, count: int) -> None:
         """Turn some of the others away as well, which nobody knows yet."""
--- a/quetzalcourse/tests/coordination/feeds/calendar_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/wall_clock_tests.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
-from quetzalcourse.coordination.feeds.calendar import SharedCalendar
+from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.tests.clocks import FakeClock
 
 STORE_AHEAD = timedelta(seconds=777)
@@ -29,13 +29,13 @@
 
 
 class CalendarWorld:
-    """One daemon's calendar, and what the others told of theirs."""
+    """One daemon's wall_clock, and what the others told of theirs."""
 
     def __init__(self) -> None:
         """Begin with a store that has answered and three true calendars."""
         self.clock = FakeClock()
         self.store_clock = FakeStoreClock(self.clock)
-        self.calendar = SharedCalendar(self.clock, self.store_clock)
+        self.wall_clock = WallClockEstimate(self.clock, self.store_clock)
         self.true_clock = FakeClock()
         self.store_clock.answered = True
         for vm in VMS:
@@ -43,26 +43,26 @@
 
     def tell(self, vm: str) -> None:
         """Let a daemon tell this machine's present difference as its own."""
-        offset = self.calendar.find_offset()
+        offset = self.wall_clock.find_offset()
         assert offset is not None
-        self.calendar.on_offset(vm, offset)
+        self.wall_clock.on_offset(vm, offset)
 
 
 def test_calendar_that_jumped_is_outvoted() -> None:
-    # The calendar of one VM jumps ahead by half a minute. Its requests would
+    # The wall_clock of one VM jumps ahead by half a minute. Its requests would
     # be counted in windows that the others have not begun, and its reports
     # would close windows that are still open: accounts pay too little.
     world = CalendarWorld()
     world.clock.calendar_error = timedelta(seconds=30)
     world.tell('vm-0')
-    assert world.calendar.now() == world.true_clock.now()
+    assert world.wall_clock.now() == world.true_clock.now()
 
 
 def test_requests_are_counted_in_the_true_window() -> None:
-    # The calendar jumps back while requests run and forth again later, so
+    # The wall_clock jumps back while requests run and forth again later, so
     # the same request would be counted in a window that was reported.
     world = CalendarWorld()
-    counts = WindowCounts(world.calendar, WINDOW, lambda: None)
+    counts = WindowCounts(world.wall_clock, WINDOW, lambda: None)
     counts.record('a')
     world.clock.calendar_error = timedelta(seconds=-20)
     counts.record('a')
@@ -75,8 +75,8 @@
     world = CalendarWorld()
     world.store_clock.answered = False
     world.clock.calendar_error = timedelta(seconds=2)
-    assert world.calendar.find_offset() is None
-    assert world.calendar.now() == world.clock.now()
+    assert world.wall_clock.find_offset() is None
+    assert world.wall_clock.now() == world.clock.now()
 
 
 def test_most_calendars_decide() -> None:
@@ -85,4 +85,4 @@
     world.clock.calendar_error = timedelta(seconds=4)
     for vm in VMS[:2]:
         world.tell(vm)
-    assert world.calendar.now() == world.clock.now()
+    assert world.wall_clock.now() == world.clock.now()
--- a/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
@@ -32,7 +32,7 @@
     Target,
 )
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.coordinators import HOMES, build_shares
+from quetzalcourse.tests.coordinators import COORDINATORS, build_shares
 from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
 
 SLOTS = 8
@@ -96,9 +96,9 @@
         """Begin with upstreams that are warm."""
         self.clock = clock
         self.pool = Pool('hall-a', clock, Counters())
-        number = HOMES.index(member) if member in HOMES else 0
+        number = COORDINATORS.index(member) if member in COORDINATORS else 0
         self.allocator, self.updates = build_shares(
-            self.pool, clock, number, len(HOMES), network
+            self.pool, clock, number, len(COORDINATORS), network
         )
         limiter = ColdStartLimiter(
             TERMS, FakeMembers(member, members), self.allocator, clock
@@ -183,10 +183,10 @@
             clock,
             RouteKind.batch,
             member,
-            list(HOMES),
+            list(COORDINATORS),
             FakeNetwork() if cut else shared,
         )
-        for member in HOMES
+        for member in COORDINATORS
     ]
 
 
--- a/quetzalcourse/tests/coordination/forwarding/residency_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/residency_tests.py
@@ -103,8 +103,8 @@
     helpers = StoreHelpers(follower, FakeClock())
     residency = build_residency(['north'])
     helpers.restrict(lambda one: residency.may_relay(NORTH, one))
-    helpers.on_word(SOUTH, hears_store=True)
+    helpers.on_report(SOUTH, hears_store=True)
     assert helpers.find() is None
-    helpers.on_word(OTHER_NORTH, hears_store=True)
+    helpers.on_report(OTHER_NORTH, hears_store=True)
     assert helpers.find() is OTHER_NORTH
     assert build_residency().may_relay(NORTH, SOUTH)
--- a/quetzalcourse/tests/coordination/versions/load_updates_tests.py
+++ b/quetzalcourse/tests/coordination/versions/load_updates_tests.py
@@ -15,7 +15,7 @@
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
 from quetzalcourse.tests.coordinators import (
-    HOMES,
+    COORDINATORS,
     FixedCoordinators,
     build_shares,
 )
@@ -25,7 +25,7 @@
 LOADING = 4
 SLOTS = 6
 LOAD_TIME = timedelta(seconds=1)
-HOLDER, COORDINATOR = HOMES[:2]
+HOLDER, COORDINATOR = COORDINATORS[:2]
 NEWEST = PlacementRequest('engines', 'verse', 2)
 EARLIER = PlacementRequest('engines', 'verse', 1)
 
--- a/quetzalcourse/tests/coordinators.py
+++ b/quetzalcourse/tests/coordinators.py
@@ -15,7 +15,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.tests.clocks import FakeClock
 
-HOMES = tuple(
+COORDINATORS = tuple(
     Member(
         f'coordinator-{name}',
         f'coordinator-{name}-run',
@@ -50,8 +50,8 @@
     :param number: which of the coordinators it is.
     :param count: how many coordinators there are.
     """
-    own = HOMES[number]
-    everyone = HOMES[:count]
+    own = COORDINATORS[number]
+    everyone = COORDINATORS[:count]
     peers = (network or FakeNetwork()).join(own)
     shares = SlotAllocator(FakeMembers(own, list(everyone)), pool, clock)
     others = FixedCoordinators(*(one for one in everyone if one != own))
