--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -25,7 +25,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.coordinators import build_shares
+from quetzalcourse.tests.coordinators import build_allocator
 from quetzalcourse.tests.coordination.batches.lengths_tests import (
     BURST_SLOTS,
     build_burst,
@@ -110,7 +110,7 @@
     """Count the items that a slow upstream gets while others have room."""
     clock = FakeClock()
     pool = build_pool(clock)
-    allocator, _ = build_shares(pool, clock)
+    allocator, _ = build_allocator(pool, clock)
     placement = Placement(pool, allocator, clock)
     for _ in range(ITEMS):
         upstream = placement.choose(NEED)
@@ -164,7 +164,7 @@
 def _find_rate(kind: type[Pool]) -> float:
     clock = FakeClock()
     pool = build_pool(clock, DESIGN_UPSTREAMS, kind)
-    allocator, _ = build_shares(pool, clock)
+    allocator, _ = build_allocator(pool, clock)
     placement = Placement(pool, allocator, clock)
     began = time.perf_counter()
     for _ in range(ITEMS):
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -127,8 +127,8 @@
 
 
 def _connect_coordinators(
-    runner: BatchRunner, notifications: SlotUsageUpdates
+    runner: BatchRunner, updates: SlotUsageUpdates
 ) -> None:
-    runner.on_begin(notifications.on_begin)
-    runner.on_placed(notifications.tell)
-    notifications.on_news(runner.on_slots)
+    runner.on_begin(updates.on_begin)
+    runner.on_placed(updates.tell)
+    updates.on_update(runner.on_slots)
--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -53,7 +53,7 @@
 WRITE_RETRY = timedelta(milliseconds=100)
 # How long a caller who submits is kept while the store gives no answer;
 # it asks again elsewhere then, and the batch still has most of its time.
-PATIENCE = timedelta(seconds=2.5)
+CREATE_TIMEOUT = timedelta(seconds=2.5)
 log = get_log('batches')
 
 
@@ -192,8 +192,8 @@
         view = await self._find(batch_id, client_account)
         assert view.head is not None  # noqa: S101
         finished = view.ended or view.listed >= view.head.total
-        patience = timedelta(0) if finished else wait
-        answer = await self._reader.read(batch_id, position, patience)
+        wait_for = timedelta(0) if finished else wait
+        answer = await self._reader.read(batch_id, position, wait_for)
         if isinstance(answer, Err):
             raise RefusedError(_refuse_store())
         return ResultPage(view.head.total, position, tuple(answer.ok_value))
@@ -267,7 +267,7 @@
         :param unsure: whether a write of it may be under way already.
         :returns: the write, ``None`` if it stood already.
         """
-        ends = self._clock.elapsed() + PATIENCE
+        ends = self._clock.elapsed() + CREATE_TIMEOUT
         replaced = ABSENT
         while self._clock.elapsed() < ends:
             answer = await self._rows.create(head, chunks, owner, replaced)
--- a/quetzalcourse/coordination/batches/coordinator_list.py
+++ b/quetzalcourse/coordination/batches/coordinator_list.py
@@ -16,7 +16,7 @@
 class CoordinatorList:
     """Finds the daemons that have to know of the upstreams' slots at once.
 
-    Told to all daemons, such news would grow with their square.
+    Told to all daemons, such updates would grow with their square.
     """
 
     def __init__(
--- a/quetzalcourse/coordination/batches/result_reader.py
+++ b/quetzalcourse/coordination/batches/result_reader.py
@@ -35,12 +35,12 @@
 class Shelf:
     """Results of one batch that this daemon has read.
 
-    :param news: set when the store holds more than was read.
+    :param changed: set when the store holds more than was read.
     """
 
     results: list[ItemResult] = field(default_factory=list)
     used: timedelta = timedelta(0)
-    news: asyncio.Event = field(default_factory=asyncio.Event)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
@@ -68,7 +68,7 @@
         """Wake those who wait for results of a batch."""
         shelf = self._shelves.get(view.id)
         if shelf is not None and view.ended:
-            shelf.news.set()
+            shelf.changed.set()
         self.on_listed(view.id, view.listed)
 
     def on_listed(self, batch: str, listed: int) -> None:
@@ -78,7 +78,7 @@
         """
         shelf = self._shelves.get(batch)
         if shelf is not None and listed > len(shelf.results):
-            shelf.news.set()
+            shelf.changed.set()
 
     def on_wait(self, listener: WaitListener) -> None:
         """Call a listener with each batch whose results are waited for.
@@ -97,7 +97,7 @@
         shelf = self._open(batch)
         if len(shelf.results) == position:
             shelf.results.extend(results)
-        shelf.news.set()
+        shelf.changed.set()
 
     async def read(
         self,
@@ -112,14 +112,14 @@
         shelf = self._open(batch)
         if len(shelf.results) > position:
             return Ok(shelf.results[position:])
-        shelf.news.clear()
+        shelf.changed.clear()
         answer = await self._refresh(batch, shelf)
         if isinstance(answer, Err):
             return answer
         if len(shelf.results) <= position and wait > timedelta(0):
             for listener in self._listeners:
                 listener(batch, len(shelf.results))
-            await wait_event(shelf.news, wait)
+            await wait_event(shelf.changed, wait)
             answer = await self._refresh(batch, shelf)
             if isinstance(answer, Err):
                 return answer
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -266,13 +266,15 @@
     return upstream.count_load(now) < most and not refusing
 
 
-def find_wait(route: Route, misses: int, timeout: AttemptTimeouts) -> timedelta:
+def find_wait(
+    route: Route, misses: int, timeouts: AttemptTimeouts
+) -> timedelta:
     """Tell how long a call may take.
 
     :param misses: calls before it that brought no score.
     """
     longest = route.target_latency or DEFAULT_TIMEOUT
-    first = timeout.find_wait(route.name, longest)
+    first = timeouts.find_wait(route.name, longest)
     # A text that waits for minutes has hundreds of misses behind it; so many
     # doublings of a duration are none any more, and would end its calls.
     doublings = min(misses, MAX_DOUBLINGS)
--- a/quetzalcourse/coordination/batches/slot_allocation.py
+++ b/quetzalcourse/coordination/batches/slot_allocation.py
@@ -40,8 +40,9 @@
 # coordinators that are alike, each time idle until the other one has heard of
 # it.
 FIRST_MARGIN = timedelta(seconds=1)
-# Between coordinators that begin at the same moment: the time for their news to
-# pass each other, data centres of a region being a few milliseconds apart.
+# Between coordinators that begin at the same moment: the time for their
+# updates to pass each other, data centres of a region being a few milliseconds
+# apart.
 SETTLING = timedelta(milliseconds=15)
 # What the coordinator that goes first has not taken by then it can't take, as
 # of an upstream that failed there.
@@ -138,7 +139,7 @@
         self._began_at = now
         self._settled_at = now + SETTLING
 
-    def on_news(
+    def on_update(
         self,
         sender: Member,
         taken: Mapping[str, int],
--- a/quetzalcourse/coordination/batches/slot_usage_updates.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -85,7 +85,7 @@
         self._listeners: list[Callable[[], None]] = []
         peers.subscribe(Topic.slots_told, self.on_message)
 
-    def on_news(self, listener: Callable[[], None]) -> None:
+    def on_update(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever another coordinator has told something."""
         self._listeners.append(listener)
 
@@ -102,7 +102,7 @@
             Waiting(one.key, now + timedelta(seconds=one.seconds))
             for one in told.wants
         ]
-        self._allocator.on_news(sender, told.taken, waiting, whole=told.whole)
+        self._allocator.on_update(sender, told.taken, waiting, whole=told.whole)
         for listener in self._listeners:
             listener()
 
--- a/quetzalcourse/coordination/feeds/store_relay.py
+++ b/quetzalcourse/coordination/feeds/store_relay.py
@@ -195,7 +195,7 @@
         self,
         helper: Member,
         call: calls.StoreCall,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> Answered:
         number = next(self._numbers)
         waiting = asyncio.get_running_loop().create_future()
@@ -205,7 +205,7 @@
             helper, Topic.store_asked, msgspec.msgpack.encode(asked)
         )
         try:
-            async with asyncio.timeout(patience.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()):
                 told = await waiting
         except TimeoutError:
             self._helpers.on_miss(helper)
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -6,6 +6,7 @@
 import os
 from datetime import timedelta
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -39,8 +40,8 @@
     usage_late_s: float = 10
     status_s: float = 120
     settle_ms: float = 1000
-    cold_overage: float = 1
-    cold_slack: int = 0
+    cold_overage: Annotated[float, msgspec.Meta(ge=0)] = 1
+    cold_slack: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class LimitsMessage(msgspec.Struct):
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -23,7 +23,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import LoadReport, PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.coordinators import build_shares
+from quetzalcourse.tests.coordinators import build_allocator
 
 SLOTS = 12
 NEED = PlacementRequest('engines', 'verse', 1)
@@ -36,7 +36,7 @@
         """Begin with empty engines at version 1."""
         self.clock = FakeClock()
         self.pool = Pool('hall-a', self.clock, Counters())
-        allocator, _ = build_shares(self.pool, self.clock)
+        allocator, _ = build_allocator(self.pool, self.clock)
         self.placement = Placement(self.pool, allocator, self.clock)
         for number in range(count):
             self.pool.replace(
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -25,7 +25,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.coordinators import build_shares
+from quetzalcourse.tests.coordinators import build_allocator
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -107,7 +107,7 @@
         self.items = HeldItems()
         none: Any = None
         writer: Any = NoWriter()
-        allocator, _ = build_shares(self.pool, clock)
+        allocator, _ = build_allocator(self.pool, clock)
         self.runner = BatchRunner(
             self.items,
             ItemScoring(none, self.pool, residency, clock, counters),
--- a/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
+++ b/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
@@ -21,7 +21,7 @@
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.coordinators import COORDINATORS, build_shares
+from quetzalcourse.tests.coordinators import COORDINATORS, build_allocator
 from quetzalcourse.tests.peers import FakeNetwork
 
 UPSTREAMS = 24
@@ -51,7 +51,7 @@
                     versions=dict.fromkeys(MODELS, 1),
                 )
             )
-        self.allocator, self.news = build_shares(
+        self.allocator, self.updates = build_allocator(
             self.pool, world.clock, number, len(MODELS), world.network
         )
         self.placement = Placement(self.pool, self.allocator, world.clock)
@@ -64,7 +64,7 @@
     def begin(self, items: int) -> None:
         """Begin a batch."""
         self.waiting += items
-        self.news.on_begin()
+        self.updates.on_begin()
 
     def place(self) -> None:
         """Place as many items as find a slot, and tell the others."""
@@ -76,7 +76,7 @@
             self.pool.on_start(upstream)
             self.running.append(upstream)
         short = [Waiting(self.need.key, self.need.latest_start)]
-        self.news.tell(short if self.waiting else [])
+        self.updates.tell(short if self.waiting else [])
 
     def finish(self, count: int) -> None:
         """End some items, spread over the upstreams."""
--- a/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
@@ -32,7 +32,7 @@
     Target,
 )
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.coordinators import COORDINATORS, build_shares
+from quetzalcourse.tests.coordinators import COORDINATORS, build_allocator
 from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
 
 SLOTS = 8
@@ -97,7 +97,7 @@
         self.clock = clock
         self.pool = Pool('hall-a', clock, Counters())
         number = COORDINATORS.index(member) if member in COORDINATORS else 0
-        self.allocator, self.updates = build_shares(
+        self.allocator, self.updates = build_allocator(
             self.pool, clock, number, len(COORDINATORS), network
         )
         limiter = ColdStartLimiter(
--- a/quetzalcourse/tests/coordination/forwarding/residency_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/residency_tests.py
@@ -22,7 +22,7 @@
 from quetzalcourse.state.members import Member
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.coordinators import build_shares
+from quetzalcourse.tests.coordinators import build_allocator
 
 REGIONS = {'hall-n': 'north', 'hall-o': 'north', 'hall-s': 'south'}
 NORTH = Member('vm-n', 'vm-n-run', 'hall-n', 'n:1')
@@ -77,7 +77,7 @@
     chosen = pool.choose('engines', allowed=south)
     assert chosen is pool.find('hall-s')
     assert pool.choose('engines', ['hall-s'], allowed=south) is None
-    allocator, _ = build_shares(pool, FakeClock())
+    allocator, _ = build_allocator(pool, FakeClock())
     placement = Placement(pool, allocator, FakeClock())
     request = PlacementRequest('engines', '', 0, allowed_regions=south)
     assert placement.list_eligible(request) == [pool.find('hall-s')]
--- a/quetzalcourse/tests/coordination/versions/load_updates_tests.py
+++ b/quetzalcourse/tests/coordination/versions/load_updates_tests.py
@@ -17,7 +17,7 @@
 from quetzalcourse.tests.coordinators import (
     COORDINATORS,
     FixedCoordinators,
-    build_shares,
+    build_allocator,
 )
 from quetzalcourse.tests.peers import FakeNetwork
 
@@ -49,7 +49,7 @@
                     versions={'verse': 1, 'drill': 1},
                 )
             )
-        allocator, _ = build_shares(self.pool, self.clock)
+        allocator, _ = build_allocator(self.pool, self.clock)
         self.placement = Placement(self.pool, allocator, self.clock)
         self.loads = [
             Load(f'e-{number}', 'verse', 2) for number in range(LOADING)
--- a/quetzalcourse/tests/coordinators.py
+++ b/quetzalcourse/tests/coordinators.py
@@ -38,7 +38,7 @@
         return list(self._others)
 
 
-def build_shares(
+def build_allocator(
     pool: Pool,
     clock: FakeClock,
     number: int = 0,
@@ -53,7 +53,13 @@
     own = COORDINATORS[number]
     everyone = COORDINATORS[:count]
     peers = (network or FakeNetwork()).join(own)
-    shares = SlotAllocator(FakeMembers(own, list(everyone)), pool, clock)
+    allocator = SlotAllocator(FakeMembers(own, list(everyone)), pool, clock)
     others = FixedCoordinators(*(one for one in everyone if one != own))
-    news = SlotUsageUpdates(shares, pool, others, peers, clock)  # type: ignore
-    return shares, news
+    updates = SlotUsageUpdates(
+        allocator,
+        pool,
+        others,  # type: ignore
+        peers,
+        clock,
+    )
+    return allocator, updates
--- a/quetzalcourse/transport/front.py
+++ b/quetzalcourse/transport/front.py
@@ -130,15 +130,15 @@
     client_account: str,
     began: timedelta,
 ) -> Forwarding:
-    patience = route.timeout
+    timeout = route.timeout
     if terms.time_left is not None:
-        patience = min(patience, terms.time_left)
+        timeout = min(timeout, terms.time_left)
     return Forwarding(
         terms.request_id,
         route,
         choose_service(route, terms.request_id),
         client_account,
-        began + patience,
+        began + timeout,
     )
 
 
