Shorten comments to their reason

Comments of the rollout path told how values were chosen. They now say what a constant bounds; the syntax trees of the modules are the same as before.

--- a/quetzalcourse/coordination/batches/coordinators.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -33,16 +33,12 @@
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.state.members import Member
 
-# A sound coordinator answers within 50 ms, most of which is the store's;
-# behind a slow store both write, and the store lets one of them win.
+# Time that a coordinator has to answer an offer.
 OFFER_TIME = timedelta(milliseconds=150)
-# Items that a coordinator holds at most. A trainer that has fallen behind
-# keeps two steps open, and the older one must go first, which a daemon that
-# runs both sees to best; items that wait for a slot cost some kilobytes each.
-# Larger steps are run where they come in, so that no daemon reads the streams
-# of a whole deployment.
+# Unfinished items that a coordinator holds; larger batches run where they come
+# in, which spreads the streams.
 MAX_ITEMS = 640
-# Larger batches are run where they come in; a message holds 4 MB.
+# Size of an offer; larger batches run where they come in.
 MAX_BYTES = 1_000_000
 log = get_log('coordinators')
 
--- a/quetzalcourse/coordination/batches/failover.py
+++ b/quetzalcourse/coordination/batches/failover.py
@@ -12,9 +12,8 @@
 
     from quetzalcourse.state.members import Member
 
-# A weaker machine than this share of the strongest runs no batch while a
-# strong one lives: the streams of a whole step leave nothing of it for
-# callers.
+# Machines below this share of the strongest one's processor time run no batch
+# while a stronger one lives.
 STRONG_SHARE = 0.75
 
 
--- a/quetzalcourse/coordination/batches/migration.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -26,13 +26,11 @@
 
     from quetzalcourse.coordination.forwarding.upstream import Upstream
 
-# Shortest time that a move has to gain; the move itself takes some 50 ms and
-# up to 150 ms where the other upstream reads prompts at that moment.
+# Time that a migration must gain to be worth its connection and prompt.
 MIN_GAIN = timedelta(milliseconds=500)
-# Events that an item is taken to have still before it, at the least: what is
-# expected of it may be short by a factor.
+# Lower bound of the events that an item still has before it.
 MIN_EVENTS = 12
-# Slots that a move leaves free, so that it takes none from items that wait.
+# Slots that a migration leaves to waiting items.
 SPARE_SLOTS = 1
 
 
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -27,8 +27,7 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.routing import AllowedRegions
 
-# Running items are reviewed twenty times a second each; the usual latency
-# changes more slowly.
+# Time for which the median token latency is not computed again.
 MEDIAN_TTL = timedelta(milliseconds=250)
 
 
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -35,9 +35,7 @@
     WaitingListener = Callable[[Collection[Waiting]], None]
 
 TICK = timedelta(milliseconds=50)
-# Half of the items are done before they are saved once. What an owner that
-# dies has not saved is made again, 30 ms an event, and its step waits; a
-# save is one write of the store, of the hundreds that it bears.
+# Interval at which the texts of long items are saved for a next owner.
 SAVE_INTERVAL = timedelta(milliseconds=350)
 # Without a batch there is nothing to look after; the next one wakes.
 IDLE = timedelta(seconds=1)
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -40,13 +40,9 @@
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.routing import Route
 
-# Share of an upstream's slots that scoring calls may fill, as far as its
-# load is known. The rest is for humans, who come one at a time: two of six
-# slots take bursts of 50 requests a second of 38 ms each.
+# Share of an upstream's slots for scoring calls; the rest is for humans.
 SCORING_SHARE = 2 / 3
-# Until answers have shown how long calls take, one is as long on its way as
-# a human's may be; one that is lost is made again elsewhere, with twice the
-# time each time.
+# Timeout of a scoring call until answers on its route are known.
 DEFAULT_TIMEOUT = timedelta(milliseconds=500)
 log = get_log('scoring')
 
--- a/quetzalcourse/coordination/batches/slot_allocation.py
+++ b/quetzalcourse/coordination/batches/slot_allocation.py
@@ -29,25 +29,18 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# A coordinator tells of its slots at least once a second while it has any; one
-# that was silent for longer is gone or cut off, and what it took is free.
+# Age after which the last update of a coordinator is ignored.
 UPDATE_TTL = timedelta(seconds=1.5)
-# Trainers submit every few seconds. A coordinator without a batch for longer
-# has no upstreams kept for it any more.
+# Time without a batch after which a coordinator is forgotten.
 COORDINATOR_TTL = timedelta(seconds=15)
-# An item goes before those of the coordinator that an upstream is kept for if
-# it must begin this much sooner. Less would pass slots to and fro between
-# coordinators that are alike, each time idle until the other one has heard of
-# it.
+# How much sooner an item must begin to go before those of the coordinator that
+# goes first; it keeps slots from passing to and fro.
 FIRST_MARGIN = timedelta(seconds=1)
-# Between coordinators that begin at the same moment: the time for their
-# updates to pass each other, data centres of a region being a few milliseconds
-# apart.
+# Time in which coordinators that begin together wait for each other's updates.
 SETTLING = timedelta(milliseconds=15)
-# What the coordinator that goes first has not taken by then it can't take, as
-# of an upstream that failed there.
+# Time after which a free slot that was left alone is no longer reserved.
 RESERVATION_TTL = timedelta(milliseconds=200)
-# Slots are looked for at least this often while items wait.
+# Longest interval between two looks at a reserved slot.
 RESERVATION_INTERVAL = timedelta(milliseconds=120)
 log = get_log('coordinators')
 
--- a/quetzalcourse/coordination/batches/slot_usage_updates.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -25,11 +25,9 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# Slots become free every few milliseconds; what changed meanwhile is told
-# together, well before a slot that another coordinator waits for is noticed
-# there.
+# Changes within this time share one message.
 UPDATE_INTERVAL = timedelta(milliseconds=40)
-# A message that was lost is made up for by then.
+# Interval of full updates, which make up for lost messages.
 FULL_UPDATE_INTERVAL = timedelta(seconds=1)
 
 
--- a/quetzalcourse/coordination/batches/token_latencies.py
+++ b/quetzalcourse/coordination/batches/token_latencies.py
@@ -11,18 +11,11 @@
 
     from quetzalcourse.coordination.forwarding.upstream import Upstream
 
-# An upstream of this latency against the median is one that turned slow;
-# the latency of sound ones differs by less than half, as their load
-# does.
+# Latency against the median above which an upstream is slow.
 SLOW_FACTOR = 1.8
-# Machines of one kind may differ by a third, and what a long item loses at a
-# slower one is lost to its step; so the slower ones are filled after the
-# others. Below this the difference is that of their load.
+# Latency against the median above which an upstream is filled late.
 SLOWER_FACTOR = 1.12
-# A load of weights stops every stream of an upstream for most of a second,
-# which says nothing of its latency: counted in, it made all items leave
-# an upstream just when it was as fast as ever again. A second gap of a stream
-# counts.
+# A longer gap is a load of weights; the first one of a stream is left out.
 PAUSE = timedelta(milliseconds=400)
 
 
--- a/quetzalcourse/coordination/feeds/heartbeats.py
+++ b/quetzalcourse/coordination/feeds/heartbeats.py
@@ -12,13 +12,12 @@
 
 from datetime import timedelta
 
-# Work of a daemon that dies stands still until it has been silent for two
-# heartbeats, so heartbeats are as close as their writes allow.
+# Shortest interval, and that of daemons that run batches.
 HEARTBEAT_INTERVAL = timedelta(seconds=0.5)
-# Beats of daemons without batches stay under a tenth of what the store
-# bears, however many there are: 350 of them heartbeat every 4.4 seconds.
+# Rate of all daemons without batches together.
 HEARTBEATS_PER_SECOND = 80
-# A silence of two heartbeats and the time that a slow write takes.
+# Missed heartbeats, and the time of a slow write, after which a daemon counts
+# as gone.
 MAX_MISSED_HEARTBEATS = 2
 SLOW_WRITE = timedelta(seconds=0.4)
 
--- a/quetzalcourse/coordination/feeds/liveness_probes.py
+++ b/quetzalcourse/coordination/feeds/liveness_probes.py
@@ -22,7 +22,7 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# Several answers fit between an overdue row and the end that it stands for.
+# Several probes fit between an overdue row and the end that it means.
 PROBE_INTERVAL = timedelta(milliseconds=100)
 EMPTY = b''
 
--- a/quetzalcourse/coordination/feeds/reach.py
+++ b/quetzalcourse/coordination/feeds/reach.py
@@ -20,10 +20,9 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# A sound store answers within 1.1 seconds, and the other daemons are asked
-# four times a second; whoever has heard nothing of either by then is cut.
+# Silence of the store and of all other daemons that means a partition.
 CUT_AFTER = timedelta(seconds=1.9)
-# Word of another daemon counts for four questions.
+# Age until which another daemon's report counts.
 REACHABILITY_TTL = timedelta(seconds=1)
 LONG_AGO = timedelta(days=-1)
 log = get_log('reach')
--- a/quetzalcourse/coordination/feeds/store_helpers.py
+++ b/quetzalcourse/coordination/feeds/store_helpers.py
@@ -22,15 +22,11 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.members import Member
 
-# Others are asked four times a second; report older than four questions may
-# be of a daemon that is turned away itself by now.
+# Age until which another daemon's report counts.
 REACHABILITY_TTL = timedelta(seconds=1)
-# How long a call waits for the first report of another daemon; data centres
-# are a few milliseconds apart. A call that found nobody by then is refused,
-# so the wait is a small share of the 400 ms in which a caller is answered.
+# Time that a call waits for the first report of another daemon.
 REPORT_WAIT = timedelta(milliseconds=50)
-# While the store is down for all every call looks for help in vain; they
-# share one question.
+# Calls within this time share one question to the other daemons.
 ASK_INTERVAL = timedelta(milliseconds=100)
 LONG_AGO = timedelta(days=-1)
 
--- a/quetzalcourse/coordination/forwarding/attempt_timeouts.py
+++ b/quetzalcourse/coordination/forwarding/attempt_timeouts.py
@@ -18,12 +18,11 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATIONS = 4
-# Answers before their mean says anything.
+# Answers before their mean is used.
 MIN_ANSWERS = 8
-# Timers and scheduling of a small VM are off by some ten milliseconds; a
-# wait below this would give up on answers that are on their way.
+# Lower bound of a timeout, well above the jitter of timers.
 MIN_WAIT = timedelta(milliseconds=100)
-# A wait in vain counts as an answer that took twice as long.
+# A timeout counts as an answer that took this many times as long.
 TIMEOUT_BACKOFF_FACTOR = 2
 
 
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -19,16 +19,13 @@
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.routing import AllowedRegions, Route
 
-# A caller that comes back this soon finds another daemon or an upstream
-# that is open again, and has most of its time left.
+# Retry-After of a refused request; another daemon may serve it.
 COME_BACK = timedelta(milliseconds=200)
-# While nothing is known of a route's answers, an idempotent request leaves
-# its upstream after this share of its time, so that one which fell silent
-# leaves time for another. Half of it would leave the second attempt less
-# than the first had.
+# Share of an idempotent request's time after which its first attempt is given
+# up, until answers on the route are known.
 FIRST_SHARE = 0.4
 MIN_TIMEOUT = timedelta(milliseconds=250)
-# Work that can't be done in less is refused instead of started.
+# Requests with less time left are refused at once.
 MIN_TIME_LEFT = timedelta(milliseconds=5)
 
 
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -20,31 +20,22 @@
     from quetzalcourse.state.pool import LoadReport, PoolMember
     from quetzalcourse.state.routing import AllowedRegions
 
-# After a failed attempt an upstream rests, twice as long each time; a
-# crashed one costs its callers little more than the first attempt then.
+# Ejection after a failed attempt, doubled with each further one.
 FAILURE_BACKOFF = timedelta(milliseconds=500)
 MAX_FAILURE_BACKOFF = timedelta(seconds=4)
-# Share of a new reading in the running mean of an upstream's latency.
-# The six or more streams of an upstream in use give thirty readings within a
-# fifth of a second; over fewer, one prompt that is read between looks like a
-# slow latency.
+# Weight of a new reading in the running mean of the token latency.
 LATENCY_WEIGHT = 0.03
-# One answer that was late may be a long request; this many in a row are an
-# upstream that fell silent.
+# A single timeout may be a long request; this many in a row eject.
 MAX_CONSECUTIVE_TIMEOUTS = 2
-# How much longer a refusing upstream is left alone for one model, which is
-# about a third of a load of weights.
+# Time for which an upstream that refuses a model gets no more of it.
 LOADING_BACKOFF = timedelta(milliseconds=300)
-# Upstreams among which one is chosen. The best of 64 drawn at random is
-# about as good as the best of thousands, whose weighing for each item would
-# take the time of the requests; ``make bench ONLY=rollouts`` measures both.
+# Candidates that are scored for one request, drawn at random if there are
+# more.
 MAX_CANDIDATES = 64
-# An upstream with an open connection is used first until half of its slots
-# are taken: a daemon that has a request now and then would otherwise open a
-# connection for each. Further requests go where there is more room.
+# Below this share of its slots an upstream with an open connection goes first,
+# which saves opening another one.
 KEPT_SHARE = 0.5
-# Failures after which an upstream may be another run; while entries don't
-# come in, nothing else would tell.
+# Failures after which an upstream may have restarted unnoticed.
 RESTART_REASONS = frozenset(('not_sent',))
 NO_REGIONS: Mapping[str, str] = MappingProxyType({})
 log = get_log('pool')
--- a/quetzalcourse/coordination/forwarding/upstream.py
+++ b/quetzalcourse/coordination/forwarding/upstream.py
@@ -11,13 +11,11 @@
     from quetzalcourse.state.pool import PoolMember
     from quetzalcourse.state.routing import AllowedRegions
 
-# Others' requests as an upstream told them; older word says nothing, since
-# most requests are over by then.
+# Age until which a load report counts.
 REPORT_TTL = timedelta(seconds=1.5)
-# Readings before a latency says anything: the first ones of a batch vary
-# with how its prompts are read between the tokens of others.
+# Readings before the mean token latency is used.
 MIN_LATENCY_READINGS = 12
-# Sent requests that are remembered; limits of cold upstreams are lower.
+# Sent requests that are remembered for each upstream.
 MAX_SENT = 64
 ZERO = timedelta(0)
 
