--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -18,6 +18,7 @@
 from soak.callers import BatchRecord, Told
 from soak.checks import (
     check_batches,
+    check_cold_starts,
     check_orders,
     check_requests,
     check_usage,
@@ -130,7 +131,16 @@
     assert bool(check_usage([report])) is broken
 
 
-async def test_short_soak_keeps_every_promise() -> None:
+def test_check_of_cold_starts_finds_a_crash() -> None:
+    """Guards against a soak that overlooks overloaded cold servers."""
+    server = UpstreamStandin('u', 's', StoreStandin())
+    assert not check_cold_starts([server])
+    server.cold.crashed = True
+    assert check_cold_starts([server])
+
+
+@pytest.mark.parametrize('options', [(), ('--places',)])
+async def test_short_soak_keeps_every_promise(options: tuple[str, ...]) -> None:
     # Daemons are killed, stopped and paused, and links, store and servers
     # fail in an overlapping series. Callers notice no more than a retry.
     process = await asyncio.create_subprocess_exec(
@@ -143,6 +153,7 @@
         '6',
         '--daemons',
         '3',
+        *options,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from quetzalcourse.loop import run_loop
 from soak.checks import (
     check_batches,
+    check_cold_starts,
     check_orders,
     check_requests,
     check_usage,
@@ -26,16 +27,18 @@
 
 
 async def play(
-    seed: int, seconds: float, daemons: int, folder: Path
+    seed: int,
+    options: argparse.Namespace,
+    folder: Path,
 ) -> list[str]:
     """Play one seed.
 
     :returns: the promises that were broken.
     """
-    world = SoakWorld(folder, daemons, seed)
-    series = FaultSeries(world, seed)
+    world = SoakWorld(folder, options.daemons, seed)
+    series = FaultSeries(world, seed, places=options.places)
     try:
-        await play_world(world, series, seconds)
+        await play_world(world, series, options.seconds)
     finally:
         await world.stop()
         (folder / 'faults.log').write_text('\n'.join(series.log))
@@ -66,6 +69,7 @@
     faults = check_requests(world.callers.told, runs)
     faults += check_batches(world.callers.batches, runs)
     faults += check_orders(world.list_servers())
+    faults += check_cold_starts(world.list_servers())
     faults += check_usage(world.cloud.reports)
     faults += [
         f'{daemon.name} ended by itself with {codes}'
@@ -91,7 +95,7 @@
     broken = 0
     for seed in options.seeds or [random.randrange(10**6)]:
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        faults = await play(seed, options.seconds, options.daemons, folder)
+        faults = await play(seed, options, folder)
         sys.stdout.write(describe(faults, seed, folder) + '\n')
         sys.stdout.flush()
         broken += bool(faults)
@@ -106,6 +110,11 @@
     parser.add_argument('--seeds', type=int, nargs='*', metavar='SEED')
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--daemons', type=int, default=4)
+    parser.add_argument(
+        '--places',
+        action='store_true',
+        help='also evacuate data centres and let servers come back cold',
+    )
     options = parser.parse_args()
     configure_log('error', 'console')
     return run_loop(run(options))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -113,6 +113,15 @@
     return faults
 
 
+def check_cold_starts(upstreams: Iterable[UpstreamStandin]) -> list[str]:
+    """Check that no cold server got more requests than it bears."""
+    return [
+        f'{upstream.name} crashed under its first requests'
+        for upstream in upstreams
+        if upstream.cold.crashed
+    ]
+
+
 def check_usage(reports: Iterable[UsageCall]) -> list[str]:
     """Check that each window is over and has one figure.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,9 +26,17 @@
     """Injects faults at random moments, also several at a time.
 
     :param world: what is harmed.
+    :param places: whether data centres are evacuated and servers come back
+        cold, besides all else.
     """
 
-    def __init__(self, world: SoakWorld, seed: int) -> None:
+    def __init__(
+        self,
+        world: SoakWorld,
+        seed: int,
+        *,
+        places: bool = False,
+    ) -> None:
         """Begin with nothing harmed."""
         self.log: list[str] = []
         self._world = world
@@ -50,6 +58,8 @@
             self.lose_answers,
             self.change_manifest,
         ]
+        if places:
+            self._kinds += [self.evacuate, self.restart_cold]
 
     async def run(self, stop: asyncio.Event) -> None:
         """Inject faults until told to stop, then let them end."""
@@ -165,5 +175,17 @@
         world.callers.named += 1
         await world.name_version(world.callers.named)
 
+    async def evacuate(self, length: float) -> None:
+        """Evacuate the data centre of all servers for a while."""
+        key = f'evacuate/{documents.HALL}'
+        await self._world.store.write('op', key, {})
+        await asyncio.sleep(length)
+        await self._world.store.remove('op', key)
+
+    async def restart_cold(self, length: float) -> None:
+        """Crash a server; a cold one takes its place."""
+        server = self._choose_server()
+        await self._world.replace_server(server, length, cold=True)
+
     def _choose_server(self) -> UpstreamStandin:
         return self._random.choice(self._world.servers)
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.cloud import CloudStandin
 from quetzalcourse.standins.rollout.store import StoreDoor, StoreStandin
-from quetzalcourse.standins.rollout.upstream import UpstreamStandin
+from quetzalcourse.standins.rollout.upstream import (
+    ColdStartState,
+    UpstreamStandin,
+)
 from quetzalcourse.standins.rollout.world import Caller
 from soak.callers import SoakCallers
 from soak.daemons import SoakDaemon, build_daemon
@@ -73,7 +77,13 @@
             await door.server.stop()
         await self.cloud.server.stop()
 
-    async def add_server(self, service: str, models: tuple[str, ...]) -> None:
+    async def add_server(
+        self,
+        service: str,
+        models: tuple[str, ...],
+        *,
+        cold: bool = False,
+    ) -> None:
         """Start a server behind a proxy of its own."""
         self._names += 1
         server = UpstreamStandin(
@@ -86,14 +96,24 @@
         self.servers.append(server)
         for model in models:
             server.state.versions[model] = self._find_version()
+        if cold:
+            server.cold = ColdStartState(
+                documents.COLD_RATE, time.monotonic() + documents.COLD_SECONDS
+            )
         await server.start()
 
     async def replace_server(
         self,
         server: UpstreamStandin,
         seconds: float,
+        *,
+        cold: bool = False,
     ) -> None:
-        """Crash a server, and start another one after a while."""
+        """Crash a server, and start another one.
+
+        :param seconds: after which the entry of the first one lapses.
+        :param cold: whether the other one is cold at first.
+        """
         if server not in self.servers:
             return
         self.servers.remove(server)
@@ -101,7 +121,8 @@
         proxy = self.server_links.pop(server.name)
         await server.stop()
         await proxy.stop()
-        await self.add_server(server.service, tuple(server.state.versions))
+        models = tuple(server.state.versions)
+        await self.add_server(server.service, models, cold=cold)
         await asyncio.sleep(seconds)
         await self.store.remove('servers', server.name)
 
