--- a/quetzalcourse/coordination/batches/coordinators.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -163,10 +163,10 @@
 
     def on_message(self, sender: Member, content: bytes) -> None:
         """Take the answer to an offer."""
-        told = msgspec.msgpack.decode(content, type=OfferReply)
-        waiting = self._waiting.get(told.number)
+        reply = msgspec.msgpack.decode(content, type=OfferReply)
+        waiting = self._waiting.get(reply.number)
         if waiting is not None and not waiting.done():
-            waiting.set_result(told.accepted)
+            waiting.set_result(reply.accepted)
 
     async def _send(
         self,
@@ -193,5 +193,7 @@
         if outcome is OfferOutcome.unknown:
             # Silence is the answer that promises nothing.
             return
-        told = OfferReply(offered.number, outcome is OfferOutcome.accepted)
-        self._peers.send(sender, Topic.batch_told, msgspec.msgpack.encode(told))
+        reply = OfferReply(offered.number, outcome is OfferOutcome.accepted)
+        self._peers.send(
+            sender, Topic.batch_told, msgspec.msgpack.encode(reply)
+        )
--- a/quetzalcourse/coordination/batches/slot_usage_updates.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -94,13 +94,15 @@
 
     def on_message(self, sender: Member, content: bytes) -> None:
         """Take what another coordinator tells."""
-        told = msgspec.msgpack.decode(content, type=SlotUsageUpdate)
+        update = msgspec.msgpack.decode(content, type=SlotUsageUpdate)
         now = self._clock.elapsed()
         waiting = [
             Waiting(one.key, now + timedelta(seconds=one.seconds))
-            for one in told.wants
+            for one in update.wants
         ]
-        self._allocator.on_update(sender, told.taken, waiting, whole=told.whole)
+        self._allocator.on_update(
+            sender, update.taken, waiting, whole=update.whole
+        )
         for listener in self._listeners:
             listener()
 
@@ -115,12 +117,12 @@
         if not self._is_due(taken, waiting, now):
             return
         whole = self._beginning or now - self._whole_at >= FULL_UPDATE_INTERVAL
-        told = SlotUsageUpdate(
+        update = SlotUsageUpdate(
             taken if whole else self._find_changes(taken),
             [_tell_waiting(one, now) for one in waiting],
             whole,
         )
-        content = msgspec.msgpack.encode(told)
+        content = msgspec.msgpack.encode(update)
         for receiver in self._list_receivers():
             self._peers.send(receiver, Topic.slots_told, content)
         self._beginning = False
--- a/quetzalcourse/coordination/feeds/relay.py
+++ b/quetzalcourse/coordination/feeds/relay.py
@@ -116,44 +116,46 @@
 
         It learns from an answer without rows that this one is in reach.
         """
-        asked = msgspec.msgpack.decode(content, type=RowsRequest)
-        follower = self._followers.get(asked.table)
+        request = msgspec.msgpack.decode(content, type=RowsRequest)
+        follower = self._followers.get(request.table)
         if follower is None:
             return
-        told = RowsUpdate(
-            asked.table,
+        update = RowsUpdate(
+            request.table,
             follower.newest,
             [],
             [],
             hears_store=follower.loaded and not follower.faulty,
         )
-        if told.hears_store and told.newest > asked.newest:
-            told.rows.extend(_list_newer(follower, asked.newest))
-            told.keys.extend(follower.rows)
-        self._peers.send(sender, Topic.rows_told, msgspec.msgpack.encode(told))
+        if update.hears_store and update.newest > request.newest:
+            update.rows.extend(_list_newer(follower, request.newest))
+            update.keys.extend(follower.rows)
+        self._peers.send(
+            sender, Topic.rows_told, msgspec.msgpack.encode(update)
+        )
 
     def on_message(self, sender: Member, content: bytes) -> None:
         """Take rows that another daemon knows."""
-        told = msgspec.msgpack.decode(content, type=RowsUpdate)
-        self._reach.on_report(sender, hears_store=told.hears_store)
-        self._helpers.on_report(sender, hears_store=told.hears_store)
-        follower = self._followers.get(told.table)
-        if follower is None or not follower.faulty or not told.rows:
+        update = msgspec.msgpack.decode(content, type=RowsUpdate)
+        self._reach.on_report(sender, hears_store=update.hears_store)
+        self._helpers.on_report(sender, hears_store=update.hears_store)
+        follower = self._followers.get(update.table)
+        if follower is None or not follower.faulty or not update.rows:
             return
-        present = set(told.keys)
+        present = set(update.keys)
         gone = [
-            Row(key, b'', told.newest, removed=True)
+            Row(key, b'', update.newest, removed=True)
             for key in follower.rows
             if key not in present
         ]
-        rows = [Row(row.key, row.content, row.version) for row in told.rows]
-        self._counters.add('rows_relayed', len(rows), table=told.table)
+        rows = [Row(row.key, row.content, row.version) for row in update.rows]
+        self._counters.add('rows_relayed', len(rows), table=update.table)
         log.info(
             'Rows came from another daemon.',
-            table=told.table,
+            table=update.table,
             peer=sender.address,
             rows=len(rows),
-            newest=told.newest,
+            newest=update.newest,
         )
         follower.adopt([*rows, *gone])
 
@@ -164,8 +166,8 @@
             for member in self._members.list_live()
             if member.vm != own.vm
         ]
-        asked = RowsRequest(follower.table, follower.newest)
-        content = msgspec.msgpack.encode(asked)
+        request = RowsRequest(follower.table, follower.newest)
+        content = msgspec.msgpack.encode(request)
         count = min(ASKED, len(others))
         for member in self._random.sample(others, count):
             self._peers.send(member, Topic.rows_asked, content)
--- a/quetzalcourse/coordination/feeds/store_calls.py
+++ b/quetzalcourse/coordination/feeds/store_calls.py
@@ -124,7 +124,7 @@
 
     :param number: call that is answered.
     :param fault: kind of the failure, empty if there was none.
-    :param version: of the rows just written, or the newest one told.
+    :param version: of the rows just written, or the newest one known.
     :param applied: whether a transaction took effect.
     """
 
@@ -191,21 +191,21 @@
     )
 
 
-def read_commit(told: StoreReply) -> Commit:
+def read_commit(reply: StoreReply) -> Commit:
     """Read what became of a transaction."""
-    return Commit(told.applied, tuple(told.read_rows()), told.version)
+    return Commit(reply.applied, tuple(reply.read_rows()), reply.version)
 
 
-def read_changes(told: StoreReply) -> Changes:
+def read_changes(reply: StoreReply) -> Changes:
     """Read changes of a table."""
-    return Changes(tuple(told.read_rows()), told.version)
+    return Changes(tuple(reply.read_rows()), reply.version)
 
 
-def read_row(told: StoreReply) -> Row | None:
+def read_row(reply: StoreReply) -> Row | None:
     """Read the one row, ``None`` if there is none."""
-    return next(iter(told.read_rows()), None)
+    return next(iter(reply.read_rows()), None)
 
 
-def read_answer(told: StoreReply) -> Result[StoreReply, StoreFault]:
+def read_answer(reply: StoreReply) -> Result[StoreReply, StoreFault]:
     """Tell an answer from a failure."""
-    return Err(told.read_fault()) if told.fault else Ok(told)
+    return Err(reply.read_fault()) if reply.fault else Ok(reply)
--- a/quetzalcourse/coordination/feeds/store_relay.py
+++ b/quetzalcourse/coordination/feeds/store_relay.py
@@ -129,7 +129,7 @@
         return await self._call(
             lambda: self._feed.list_parts(table),
             calls.ListPartsCall(table),
-            lambda told: told.parts,
+            lambda reply: reply.parts,
         )
 
     async def follow(
@@ -149,20 +149,20 @@
 
     def on_request(self, sender: Member, content: bytes) -> None:
         """Make a call for another daemon."""
-        asked = msgspec.msgpack.decode(content, type=calls.StoreRequest)
+        request = msgspec.msgpack.decode(content, type=calls.StoreRequest)
         able = self._helped < MAX_HELPED and not self._helpers.needed
-        if able and asked.call.tables <= self._tables:
-            self._tasks.begin(self._help(sender, asked))
+        if able and request.call.tables <= self._tables:
+            self._tasks.begin(self._help(sender, request))
             return
         fault = StoreFault(FaultKind.not_applied, NOT_HELPED, '')
-        self._tell(sender, calls.tell_fault(asked.number, fault))
+        self._tell(sender, calls.tell_fault(request.number, fault))
 
     def on_message(self, sender: Member, content: bytes) -> None:
         """Take the answer to a call."""
-        told = msgspec.msgpack.decode(content, type=calls.StoreReply)
-        waiting = self._waiting.get(told.number)
+        reply = msgspec.msgpack.decode(content, type=calls.StoreReply)
+        waiting = self._waiting.get(reply.number)
         if waiting is not None and not waiting.done():
-            waiting.set_result(told)
+            waiting.set_result(reply)
 
     async def _call(
         self,
@@ -184,9 +184,9 @@
             helper = await self._helpers.seek()
             if helper is None:
                 break
-            told = await self._ask(helper, call, wait + ANSWER_TIME)
-            answer = told.map(read)
-            if not _is_turned_down(told):
+            reply = await self._ask(helper, call, wait + ANSWER_TIME)
+            answer = reply.map(read)
+            if not _is_turned_down(reply):
                 return answer
             self._helpers.on_miss(helper)
         return answer if answer is not None else await direct()
@@ -200,20 +200,20 @@
         number = next(self._numbers)
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[number] = waiting
-        asked = calls.StoreRequest(number, call)
+        request = calls.StoreRequest(number, call)
         self._peers.send(
-            helper, Topic.store_asked, msgspec.msgpack.encode(asked)
+            helper, Topic.store_asked, msgspec.msgpack.encode(request)
         )
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                told = await waiting
+                reply = await waiting
         except TimeoutError:
             self._helpers.on_miss(helper)
             answer: Answered = Err(
                 StoreFault(FaultKind.unanswered, 'relay', helper.address)
             )
         else:
-            answer = calls.read_answer(told)
+            answer = calls.read_answer(reply)
         finally:
             self._waiting.pop(number, None)
         kind = type(call).__name__
@@ -230,13 +230,13 @@
             )
         return answer
 
-    async def _help(self, sender: Member, asked: calls.StoreRequest) -> None:
+    async def _help(self, sender: Member, request: calls.StoreRequest) -> None:
         self._helped += 1
         try:
-            told = await self._make(asked.number, asked.call)
+            reply = await self._make(request.number, request.call)
         finally:
             self._helped -= 1
-        self._tell(sender, told)
+        self._tell(sender, reply)
 
     async def _make(
         self,
@@ -295,9 +295,9 @@
         answer = await self._table.read(call.key)
         return answer.map(lambda row: [] if row is None else [row])
 
-    def _tell(self, receiver: Member, told: calls.StoreReply) -> None:
+    def _tell(self, receiver: Member, reply: calls.StoreReply) -> None:
         self._peers.send(
-            receiver, Topic.store_told, msgspec.msgpack.encode(told)
+            receiver, Topic.store_told, msgspec.msgpack.encode(reply)
         )
 
 
--- a/quetzalcourse/coordination/feeds/wall_clock.py
+++ b/quetzalcourse/coordination/feeds/wall_clock.py
@@ -14,20 +14,20 @@
 
 
 class WallClockEstimate:
-    """The store's steady clock, put on the wall_clock by most daemons.
+    """The store's steady clock, put on the wall clock by most daemons.
 
-    The wall_clock of a VM may jump by seconds while the others' do not.
+    The wall clock of a VM may jump by seconds while the others' do not.
     Windows of usage that go by it alone would count requests twice or in
-    the wrong window. So each daemon tells how far its own wall_clock is from
+    the wrong window. So each daemon tells how far its own wall clock is from
     the store's clock, and the median of all counts: it stays right as long
     as more than half of the calendars are.
 
     It is a :class:`~quetzalcourse.state.clock.Clock` for whoever needs the
-    wall_clock; steady time is the machine's own.
+    wall clock; steady time is the machine's own.
     """
 
     def __init__(self, clock: Clock, store_clock: StoreClock) -> None:
-        """Begin with the machine's own wall_clock."""
+        """Begin with the machine's own wall clock."""
         self._clock = clock
         self._store_clock = store_clock
         self._offsets: dict[str, timedelta] = {}
@@ -39,7 +39,7 @@
         return self._clock.elapsed()
 
     def now(self) -> datetime:
-        """Tell the wall_clock time in UTC that most daemons agree on."""
+        """Tell the wall clock time in UTC that most daemons agree on."""
         store_now = self._store_clock.estimate()
         chosen = self._choose()
         if store_now is None or chosen is None:
@@ -51,7 +51,7 @@
         await self._clock.sleep(duration)
 
     def find_offset(self) -> timedelta | None:
-        """Tell how far this machine's wall_clock is ahead of the store's clock.
+        """Tell how far this machine's wall clock is ahead of the store's clock.
 
         :returns: the difference, ``None`` before the store's first answer.
         """
@@ -61,7 +61,7 @@
         return self._clock.now() - EPOCH - store_now
 
     def on_offset(self, vm: str, offset: timedelta) -> None:
-        """Take what a daemon told of its wall_clock.
+        """Take what a daemon said of its wall clock.
 
         A daemon that is gone goes on counting: the difference that it told
         stays as true as it was.
--- a/quetzalcourse/coordination/versions/load_updates.py
+++ b/quetzalcourse/coordination/versions/load_updates.py
@@ -64,19 +64,19 @@
         """Take the word of the daemon that gives orders."""
         self._adopt(msgspec.msgpack.decode(content, type=LoadsUpdate))
 
-    def _tell(self, told: LoadsUpdate) -> None:
-        self._adopt(told)
-        content = msgspec.msgpack.encode(told)
+    def _tell(self, update: LoadsUpdate) -> None:
+        self._adopt(update)
+        content = msgspec.msgpack.encode(update)
         for member in self._coordinators.list_others():
             self._peers.send(member, Topic.loads_told, content)
 
-    def _adopt(self, told: LoadsUpdate) -> None:
-        for load in told.loads:
+    def _adopt(self, update: LoadsUpdate) -> None:
+        for load in update.loads:
             upstream = self._pool.find(load.upstream)
             if upstream is None:
                 continue
-            if told.seconds:
-                expected = timedelta(seconds=told.seconds)
+            if update.seconds:
+                expected = timedelta(seconds=update.seconds)
                 self._pool.on_loading(upstream, load.model, expected)
             else:
                 self._pool.on_version(upstream, load.model, load.version)
