Build refusals of batches in one place, and share a stand-in clock

Cause: two refusals of batches repeated the same five fields, and two test files had a store clock of their own each.

--- a/quetzalcourse/coordination/batches/batches.py
+++ b/quetzalcourse/coordination/batches/batches.py
@@ -325,22 +325,21 @@
 
 
 def _refuse_store() -> Refusal:
-    return Refusal(
-        RefusalCode.store_unavailable,
-        'The store does not answer now.',
-        not_run=True,
-        retry_after=COME_BACK,
-        step='batch',
+    return _refuse_for_now(
+        RefusalCode.store_unavailable, 'The store does not answer now.'
     )
 
 
 def _refuse_regions() -> Refusal:
-    return Refusal(
+    return _refuse_for_now(
         RefusalCode.overloaded,
         'No upstream in the allowed regions takes this batch now.',
-        not_run=True,
-        retry_after=COME_BACK,
-        step='batch',
+    )
+
+
+def _refuse_for_now(code: RefusalCode, reason: str) -> Refusal:
+    return Refusal(
+        code, reason, not_run=True, retry_after=COME_BACK, step='batch'
     )
 
 
--- a/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
+++ b/quetzalcourse/tests/coordination/batches/owner_watch_tests.py
@@ -28,7 +28,7 @@
 from quetzalcourse.state.members import Member
 from quetzalcourse.state.rows import Row
 from quetzalcourse.tests.clocks import FakeClock
-from quetzalcourse.tests.feeds import FakeFeed
+from quetzalcourse.tests.feeds import FakeFeed, NoStoreClock
 
 STEP = timedelta(milliseconds=50)
 SMALL = 11
@@ -57,14 +57,6 @@
     )
 
 
-class NoStoreClock:
-    """Store whose clock nobody has read."""
-
-    def estimate(self) -> timedelta | None:
-        """Know nothing."""
-        return None
-
-
 class Daemon:
     """What a daemon knows of the others and of one open batch."""
 
--- a/quetzalcourse/tests/coordination/feeds/liveness_probes_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/liveness_probes_tests.py
@@ -20,7 +20,7 @@
 from quetzalcourse.state.members import Member, Topic
 from quetzalcourse.state.rows import Row
 from quetzalcourse.tests.clocks import FakeClock, settle
-from quetzalcourse.tests.feeds import FakeFeed
+from quetzalcourse.tests.feeds import FakeFeed, NoStoreClock
 from quetzalcourse.tests.peers import FakeNetwork
 
 NEAR = Member('vm-n', 'vm-n:1', 'hall-n', 'n:1')
@@ -29,14 +29,6 @@
 LONGEST = find_longest_silence(GAP, timedelta(0))
 
 
-class NoStoreClock:
-    """Store whose clock nobody has read."""
-
-    def estimate(self) -> timedelta | None:
-        """Know nothing."""
-        return None
-
-
 class World:
     """Two daemons; the row of the far one is written once only."""
 
--- a/quetzalcourse/tests/feeds.py
+++ b/quetzalcourse/tests/feeds.py
@@ -112,3 +112,11 @@
         )
         changed.cancel()
         sleeping.cancel()
+
+
+class NoStoreClock:
+    """Store whose clock nobody has read."""
+
+    def estimate(self) -> timedelta | None:
+        """Know nothing."""
+        return None
