--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -28,6 +28,8 @@
 OTHER_ACCOUNT = 'another'
 # Below the range of outgoing connections.
 PORTS = (15_000, 32_000)
+# Ports that were given to daemons, which may not listen there yet.
+GIVEN_PORTS: set[int] = set()
 
 
 def build_route(prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
@@ -126,7 +128,8 @@
         port = random.randrange(*PORTS)
         with socket.socket() as probe:
             taken = probe.connect_ex(('127.0.0.1', port)) == 0
-        if not taken and port not in found:
+        if not taken and port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
             found.append(port)
     return found
 
