Show in the log which attempts are the same request, and which upstreams ended

Callers saw lookups refused since no upstream was up; the logs could not tell one request that comes again with another id from many, nor a broken connection from an upstream that ended. Each failed attempt of a request, an item and a scoring call now names the fingerprint of its request (method, host, target, client account, body; bodies above 256 KiB by their beginning and declared length). After a connection broke, the daemon connects once more: a refusal means that the process ended. quetzalctl trace finds fingerprints. The stand-in of a server can end under a given body and begin anew.

--- a/quetzalcourse/commands/trace.py
+++ b/quetzalcourse/commands/trace.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable, Iterator
 
 # Fields that name what a line is about.
-SUBJECTS = ('request_id', 'batch', 'item', 'call')
+SUBJECTS = ('request_id', 'batch', 'item', 'call', 'fingerprint')
 # Fields that every line has, or that the story shows elsewhere.
 COMMON = frozenset(('event', 'level', 'timestamp', 'part', 'vm'))
 NOT_FOUND = 1
@@ -41,7 +41,9 @@
         'trace', help="tell a request's story from logs"
     )
     parser.add_argument(
-        'id', help='id of a request, a batch, an item or its scoring call'
+        'id',
+        help='id of a request, a batch, an item or its scoring call, or the '
+        'fingerprint of a request',
     )
     parser.add_argument('files', nargs='+', type=Path, metavar='FILE')
     parser.set_defaults(run=run)
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -9,6 +9,9 @@
 
 from quetzalcourse.coordination.batches.batch_rows import COMMIT_BYTES
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
+from quetzalcourse.coordination.forwarding.fingerprint import (
+    compute_fingerprint,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,6 +23,8 @@
         PartialText,
     )
 
+POST = 'POST'
+
 
 @dataclass(slots=True)
 class BatchRun:
@@ -137,7 +142,7 @@
     :param accepted_at: time since boot at which it was first submitted.
     """
     listed = {result.id for result in results}
-    runs = [ItemRun(item, rank) for rank, item in enumerate(items)]
+    runs = [_build_run(head, item, rank) for rank, item in enumerate(items)]
     for run in runs:
         if run.item.id in listed:
             run.state = ItemState.finished
@@ -149,3 +154,16 @@
         given_up=accepted_at + timedelta(milliseconds=head.lifetime_ms),
         listed=len(results),
     )
+
+
+def _build_run(head: BatchHead, item: BatchItem, rank: int) -> ItemRun:
+    run = ItemRun(item, rank)
+    run.fingerprint = compute_fingerprint(
+        POST, head.host, item.path, head.client_account, (item.body,)
+    )
+    call = item.scoring
+    if call is not None:
+        run.scoring_fingerprint = compute_fingerprint(
+            POST, call.host, call.path, '', (call.body,)
+        )
+    return run
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -40,6 +40,8 @@
     """An item, and the text that upstreams have made of it so far.
 
     :param rank: place in the order in which items are begun.
+    :param fingerprint: the same for all requests that are repeats of it.
+    :param scoring_fingerprint: that of its scoring call, if it has one.
     :param retry_at: time since boot before which it isn't tried again.
     :param failures: attempts that its upstream called failed.
     :param scoring_failures: scoring calls that were answered as failed.
@@ -69,6 +71,8 @@
     began: timedelta = timedelta(0)
     target: Upstream | None = None
     task: asyncio.Task[None] | None = None
+    fingerprint: str = ''
+    scoring_fingerprint: str = ''
 
     @property
     def whole(self) -> bool:
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -76,11 +76,13 @@
     async def score(
         self,
         call: ScoringCall,
+        fingerprint: str,
         upstream: Upstream,
         timeout: timedelta,
     ) -> ScoringOutcome:
         """Make a call once.
 
+        :param fingerprint: the same for all calls that are repeats of it.
         :param timeout: when it is given up.
         """
 
@@ -155,7 +157,9 @@
         wait = find_wait(route, run.misses, self._timeouts)
         timeout = min(wait, batch.given_up - began)
         try:
-            outcome = await self._scorer.score(call, upstream, timeout)
+            outcome = await self._scorer.score(
+                call, run.scoring_fingerprint, upstream, timeout
+            )
         finally:
             self._release(run, upstream)
         took = self._clock.elapsed() - began
@@ -224,6 +228,7 @@
             batch=batch.head.id,
             item=run.item.id,
             call=run.item.scoring.id if run.item.scoring else '',
+            fingerprint=run.scoring_fingerprint,
             upstream=upstream,
             reason=reason,
             failures=run.scoring_failures,
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -37,6 +37,7 @@
     :param deadline: time since boot at which its caller stops waiting.
     :param allowed_regions: where it may run.
     :param replayable: whether its body can be sent once more.
+    :param fingerprint: the same for all requests that are repeats of it.
     :param attempts: upstreams that it was sent to.
     :param may_have_run: whether one of them may have begun to run it.
     :param attempt_began: time since boot at which the last one was chosen.
@@ -52,6 +53,7 @@
     deadline: timedelta
     allowed_regions: AllowedRegions = None
     replayable: bool = True
+    fingerprint: str = ''
     attempts: int = 0
     may_have_run: bool = False
     attempt_began: timedelta = timedelta(0)
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -35,6 +35,7 @@
 from quetzalcourse.transport.scoring_calls import ScoringCalls
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_calls import UpstreamCalls
+from quetzalcourse.transport.upstream_ends import UpstreamEnds
 from quetzalcourse.transport.web import WebServer
 from quetzalcourse.upstream_parts import (
     build_upstream_parts,
@@ -172,6 +173,7 @@
         )
         self.pool = self.upstreams.pool
         self.calls = UpstreamCalls()
+        self.ends = UpstreamEnds(self.pool)
         self.lifecycle.on_stop(self.calls.close)
 
     def _build_parts(self) -> None:
@@ -179,10 +181,13 @@
             self.calls,
             self._deployment.upstreams,
             self.pool,
+            self.ends,
             self.clock,
             self.counters,
         )
-        scorer = ScoringCalls(self.calls, self._deployment.upstreams, self.pool)
+        scorer = ScoringCalls(
+            self.calls, self._deployment.upstreams, self.pool, self.ends
+        )
         self.batches = build_batch_parts(
             self.feeds,
             self.store.clock,
@@ -220,6 +225,7 @@
             self.pool,
             self.calls,
             self._deployment.upstreams,
+            self.ends,
             self.counts.record,
         )
         front = Front(
--- a/quetzalcourse/standins/rollout/server.py
+++ b/quetzalcourse/standins/rollout/server.py
@@ -40,6 +40,12 @@
         """Begin to serve."""
         await self._server.start()
 
+    async def end(self) -> None:
+        """Close the port and cut all connections, as a process's end does."""
+        await self._server.close_port()
+        self._listener.close()
+        self._server.abort()
+
     async def stop(self) -> None:
         """Stop serving and close the port, with the connections to it."""
         self._server.abort()
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -33,6 +33,8 @@
 EVENT_SECONDS = 0.01
 WORK_SECONDS = 0.01
 LOAD_SECONDS = 0.2
+CRASH_SECONDS = 0.02
+RESTART_SECONDS = 0.4
 WINDOW_SECONDS = 1.0
 
 
@@ -64,6 +66,8 @@
     :param short: answers of plain requests whose body breaks off.
     :param misname: answers of plain requests that name another one.
     :param dark: whether it answers nothing at all.
+    :param poison: bytes in a body that end the server which runs it.
+    :param poison_events: events of a run that come before its end.
     """
 
     slow: float = 1
@@ -76,6 +80,8 @@
     short: int = 0
     misname: int = 0
     dark: bool = False
+    poison: bytes = b''
+    poison_events: int = 0
 
 
 @dataclass(slots=True)
@@ -159,6 +165,7 @@
         self.state = UpstreamState(dict.fromkeys(models, 1))
         self.cold = ColdStartState()
         self.runs: list[Run] = []
+        self.crashes: list[Run] = []
         self.padding = ''
         self.running = 0
         self.leaving = False
@@ -169,6 +176,7 @@
         self.server = StandinServer(name, self.serve)
         self.announced = self.server.address
         self._tasks: set[asyncio.Task[None]] = set()
+        self._restart: asyncio.Future[None] | None = None
 
     async def start(self) -> None:
         """Begin to serve and register."""
@@ -178,10 +186,24 @@
 
     async def stop(self) -> None:
         """End at once, as a crash does; the entry lapses later."""
+        if self._restart is not None:
+            self._restart.cancel()
         for task in tuple(self._tasks):
             task.cancel()
         await self.server.stop()
 
+    async def crash(self) -> None:
+        """End as a process does, and begin anew at the same address."""
+        await self.server.end()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.sleep(RESTART_SECONDS)
+        self.server = StandinServer(self.name, self.serve, self.server.address)
+        await self.server.start()
+        self._born += 1
+        await self.register()
+        self._keep(self._beat())
+
     async def stop_beats(self) -> None:
         """Serve on without registering again."""
         for task in tuple(self._tasks):
@@ -316,6 +338,9 @@
                 'x-key' in dict(head.headers),
             )
         )
+        if self.faults.poison and self.faults.poison in request.body:
+            await self._run_poison(request, head, model)
+            return
         if self.faults.lose:
             self.faults.lose -= 1
             abort_connection(request)
@@ -331,6 +356,27 @@
             await asyncio.sleep(WORK_SECONDS * self.faults.slow)
             await self._answer_plain(request, head)
 
+    async def _run_poison(
+        self,
+        request: Request,
+        head: RequestHead,
+        model: str,
+    ) -> None:
+        self.crashes.append(self.runs[-1])
+        if model:
+            answer = await request.respond(
+                headers=self._mark(head), content_type='text/event-stream'
+            )
+            first = self.runs[-1].resumed_after + 1
+            for number in range(first, first + self.faults.poison_events):
+                await asyncio.sleep(EVENT_SECONDS)
+                text = write_event(head.find('x-request-id'), number)
+                await answer.send(f'id: {number}\ndata: {text}\n\n')
+        await asyncio.sleep(CRASH_SECONDS)
+        # The crash ends the connection of this request, and with it the task.
+        self._restart = asyncio.ensure_future(self.crash())
+        await asyncio.shield(self._restart)
+
     async def _answer_plain(self, request: Request, head: RequestHead) -> None:
         body = b'answer to ' + request.body
         if self.faults.short:
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -32,6 +32,7 @@
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.spooling import SpooledBody
     from quetzalcourse.transport.upstream_calls import UpstreamCalls
+    from quetzalcourse.transport.upstream_ends import UpstreamEnds
 
 # An answer up to this size is read whole before its first byte is sent on,
 # so that one which breaks off can be asked for again elsewhere.
@@ -70,6 +71,7 @@
         pool: Pool,
         calls: UpstreamCalls,
         dialect: UpstreamDialect,
+        ends: UpstreamEnds,
         on_run: Callable[[str], None],
     ) -> None:
         """Keep the parts."""
@@ -77,6 +79,7 @@
         self._pool = pool
         self._calls = calls
         self._dialect = dialect
+        self._ends = ends
         self._on_run = on_run
 
     async def serve(
@@ -141,6 +144,7 @@
         log.info(
             'Attempt failed.',
             request_id=forwarding.request_id,
+            fingerprint=forwarding.fingerprint,
             upstream=upstream.name,
             reason=error.reason,
             not_run=error.not_run,
@@ -190,6 +194,10 @@
                 self._pool.on_late(upstream)
             else:
                 self._pool.on_failure(upstream, error.state.value)
+            if error.state is LostState.unanswered:
+                await self._ends.on_broken(
+                    upstream, forwarding.request_id, forwarding.fingerprint
+                )
             raise AttemptFailedError(
                 error.state.value, not_run=not_run
             ) from error
@@ -233,6 +241,7 @@
         log.info(
             'Request answered.',
             request_id=forwarding.request_id,
+            fingerprint=forwarding.fingerprint,
             route=forwarding.route.name,
             upstream=upstream.name,
             status=answer.status,
--- a/quetzalcourse/transport/front.py
+++ b/quetzalcourse/transport/front.py
@@ -110,6 +110,7 @@
             spooled = SpooledBody(body)
             await spooled.fill()
             forwarding = _build_forwarding(route, terms, account, began)
+            forwarding.fingerprint = spooled.compute_fingerprint(head, account)
             forwarding.allowed_regions = self._residency.find_allowed(
                 route, account
             )
--- a/quetzalcourse/transport/item_calls.py
+++ b/quetzalcourse/transport/item_calls.py
@@ -28,6 +28,7 @@
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.upstream_calls import UpstreamCalls
+    from quetzalcourse.transport.upstream_ends import UpstreamEnds
 
 # An upstream sends an event every 40 to 150 ms, and none during a load of
 # weights, which takes about a second; one silent for longer is gone.
@@ -48,6 +49,7 @@
         calls: UpstreamCalls,
         dialect: UpstreamDialect,
         pool: Pool,
+        ends: UpstreamEnds,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -55,6 +57,7 @@
         self._calls = calls
         self._dialect = dialect
         self._pool = pool
+        self._ends = ends
         self._clock = clock
         self._counters = counters
 
@@ -88,12 +91,17 @@
         except CallLostError as error:
             self._pool.on_failure(upstream, error.state.value)
             self._miss(batch, run, upstream, error.state.value)
+            if error.state is LostState.unanswered:
+                await self._ends.on_broken(
+                    upstream, run.item.id, run.fingerprint
+                )
             if error.state is LostState.not_sent:
                 run.postpone(self._clock.elapsed())
             return None
         except GarbledStreamError as error:
             self._pool.on_failure(upstream, 'garbled')
             self._miss(batch, run, upstream, str(error))
+            await self._ends.on_broken(upstream, run.item.id, run.fingerprint)
             run.postpone(self._clock.elapsed())
             return None
         if result is not None:
@@ -121,6 +129,7 @@
             'Item attempt failed.',
             batch=batch.head.id,
             item=run.item.id,
+            fingerprint=run.fingerprint,
             upstream=upstream.name,
             reason=reason,
             events=len(run.texts),
--- a/quetzalcourse/transport/scoring_calls.py
+++ b/quetzalcourse/transport/scoring_calls.py
@@ -26,6 +26,7 @@
     from quetzalcourse.state.batches import ScoringCall
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.upstream_calls import UpstreamCalls
+    from quetzalcourse.transport.upstream_ends import UpstreamEnds
 
 log = get_log('scoring')
 
@@ -38,15 +39,18 @@
         calls: UpstreamCalls,
         dialect: UpstreamDialect,
         pool: Pool,
+        ends: UpstreamEnds,
     ) -> None:
         """Keep the parts."""
         self._calls = calls
         self._dialect = dialect
         self._pool = pool
+        self._ends = ends
 
     async def score(
         self,
         call: ScoringCall,
+        fingerprint: str,
         upstream: Upstream,
         timeout: timedelta,
     ) -> ScoringOutcome:
@@ -68,6 +72,8 @@
                 self._pool.on_late(upstream)
                 return ScoringOutcome(ScoringState.late, reason=reason)
             self._pool.on_failure(upstream, reason)
+            if error.state is LostState.unanswered:
+                await self._ends.on_broken(upstream, call.id, fingerprint)
             return ScoringOutcome(ScoringState.lost, reason=reason)
 
     async def _judge(
--- a/quetzalcourse/transport/spooling.py
+++ b/quetzalcourse/transport/spooling.py
@@ -4,13 +4,19 @@
 
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.forwarding.fingerprint import (
+    BODY_BYTES,
+    compute_fingerprint,
+)
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from quetzalcourse.state.calls import RequestHead
     from quetzalcourse.transport.bodies import BodySource
 
 # Most of a body that is kept; hundreds at once fit a daemon's memory.
-KEPT_BYTES = 262_144
+KEPT_BYTES = BODY_BYTES
 
 
 class SpooledBody:
@@ -41,6 +47,20 @@
         """Length, if the caller declared it."""
         return self._source.length
 
+    def compute_fingerprint(self, head: RequestHead, account: str) -> str:
+        """Compute the fingerprint of its request, before it is opened.
+
+        :param account: client account that the request runs for.
+        """
+        return compute_fingerprint(
+            head.method,
+            head.host,
+            head.target,
+            account,
+            self._pieces,
+            None if self.whole else self.length,
+        )
+
     def open(self) -> bytes | AsyncIterator[bytes] | None:
         """Give the body in the form that the HTTP client sends."""
         if self.whole:
--- a/quetzalcourse/transport/web.py
+++ b/quetzalcourse/transport/web.py
@@ -127,11 +127,16 @@
             for connection in tuple(self._server.connections):
                 connection.abort()
 
+    async def close_port(self) -> None:
+        """Accept nothing more."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
     async def stop(self) -> None:
         """Accept nothing more and close the idle connections."""
         if self._server is None:
             return
-        self._server.close()
-        await self._server.wait_closed()
+        await self.close_port()
         self.close_idle()
         Sanic.unregister_app(self._app)
