Read a command's document in a test apart from log lines

A test of quetzalctl key failed once in a whole run beside nothing else: a daemon in the same process had logged 'Store not read.' to the captured output before the command's JSON. The test now reads the one document among the lines and fails if there is none or a second one; it is as strict on the document itself.

--- a/quetzalcourse/tests/commands/key_tests.py
+++ b/quetzalcourse/tests/commands/key_tests.py
@@ -13,6 +13,7 @@
 from quetzalcourse.application import Application
 from quetzalcourse.coordination.manifest.keys import hash_secret
 from quetzalcourse.standins.deployment import Deployment, build_settings
+from quetzalcourse.tests.printed import read_document
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -92,7 +93,7 @@
     assert await operator.run(*grant, daemon=cut) == 1
     capsys.readouterr()
     assert await operator.run('key', 'list', '--json', daemon=cut) == 0
-    assert json.loads(capsys.readouterr().out) == [
+    assert read_document(capsys) == [
         {'key_id': 'new', 'client_account': 'readers', 'state': 'withdrawn'}
     ]
     deployment.platform.faults.down = False
--- /dev/null
+++ b/quetzalcourse/tests/printed.py
@@ -0,0 +1,18 @@
+"""What commands print, told from log lines of daemons in the same process."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    import pytest
+
+DOCUMENT = re.compile(r'^[\[{]$.*?^[\]}]$', re.MULTILINE | re.DOTALL)
+
+
+def read_document(capsys: pytest.CaptureFixture[str]) -> Any:
+    """Read the one document that a command printed since the last reading."""
+    (found,) = DOCUMENT.findall(capsys.readouterr().out)
+    return json.loads(found)
