Quarantine requests that end the upstreams which run them

Callers of a service saw it without an upstream over and over: a lookup that ends each server which runs it came again at other daemons, and each return was given max_attempts fresh servers. Cause: what a daemon knows of a request lived for one attempt of one caller; nothing was kept by the request itself, and daemons told each other nothing. The class is requests that crash what runs them; items of batches ended 20 engines in four seconds in the same way, scoring calls 6 servers.

A request is known by its fingerprint. An end counts if the connection broke and the upstream's host then refuses a new one. Daemons tell each other of each end; a row in the store keeps the quarantine across restarts, lets operators lift it and decides which daemon runs a trial. From the second end on a request runs apart from other suspects, so that overload which ends upstreams in turn blames nobody. Streams that break in the middle count too: their upstream is ejected now like any other that broke off. Nothing is special to a deployment.

--- a/quetzalcourse/__main__.py
+++ b/quetzalcourse/__main__.py
@@ -12,6 +12,7 @@
     check,
     demo,
     key,
+    quarantine,
     report,
     status,
     trace,
@@ -22,7 +23,17 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-COMMANDS = (check, apply, key, status, report, usage, trace, demo)
+COMMANDS = (
+    check,
+    apply,
+    key,
+    status,
+    report,
+    usage,
+    trace,
+    quarantine,
+    demo,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/quetzalcourse/batch_parts.py
+++ b/quetzalcourse/batch_parts.py
@@ -33,6 +33,7 @@
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.feed_parts import FeedParts
     from quetzalcourse.lifecycle import Lifecycle
     from quetzalcourse.state.clock import Clock
@@ -74,6 +75,7 @@
     calls: BatchCalls,
     pool: Pool,
     residency: Residency,
+    quarantine: Quarantine,
     clock: Clock,
     counters: Counters,
 ) -> BatchParts:
@@ -87,13 +89,13 @@
     allocator = SlotAllocator(members, pool, clock)
     runner = BatchRunner(
         calls.items,
-        ItemScoring(calls.scorer, pool, residency, clock, counters),
+        ItemScoring(calls.scorer, pool, residency, quarantine, clock, counters),
         writer,
         Placement(pool, allocator, clock),
         pool,
         residency,
+        quarantine,
         clock,
-        counters,
     )
     members.on_urgency(lambda: bool(runner.batches))
     runner.on_begin(members.announce)
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -40,6 +40,7 @@
     """An item, and the text that upstreams have made of it so far.
 
     :param rank: place in the order in which items are begun.
+    :param isolated: whether it runs apart from other suspect requests.
     :param fingerprint: the same for all requests that are repeats of it.
     :param scoring_fingerprint: that of its scoring call, if it has one.
     :param retry_at: time since boot before which it isn't tried again.
@@ -71,6 +72,7 @@
     began: timedelta = timedelta(0)
     target: Upstream | None = None
     task: asyncio.Task[None] | None = None
+    isolated: bool = False
     fingerprint: str = ''
     scoring_fingerprint: str = ''
 
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -21,6 +21,8 @@
 from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
@@ -40,6 +42,7 @@
     :param latest_start: time since boot at which it has to begin to be whole
         in time.
     :param allowed_regions: where it may run.
+    :param occupied: upstreams where it must not run for now.
     """
 
     service: str
@@ -48,6 +51,7 @@
     avoided: str = ''
     latest_start: timedelta = timedelta(0)
     allowed_regions: AllowedRegions = None
+    occupied: Collection[str] = ()
 
     @property
     def key(self) -> PlacementKey:
@@ -96,6 +100,7 @@
             for upstream in self._pool.sample_service(need.service)
             if upstream.fits(need.model, need.oldest, now)
             and upstream.is_allowed(need.allowed_regions)
+            and upstream.name not in need.occupied
         ]
 
     def may_gain(self, upstream: Upstream) -> bool:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -27,6 +27,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.batches import ItemResult
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -72,8 +73,8 @@
         placement: Placement,
         pool: Pool,
         residency: Residency,
+        quarantine: Quarantine,
         clock: Clock,
-        counters: Counters,
     ) -> None:
         """Begin without batches."""
         self._residency = residency
@@ -85,8 +86,8 @@
         self._placement = placement
         self._pool = pool
         self._routes = residency.routes
+        self._quarantine = quarantine
         self._clock = clock
-        self._counters = counters
         self._lengths = Lengths()
         self._writer = writer
         self._wake = asyncio.Event()
@@ -153,15 +154,15 @@
             )
         return batch
 
-    def describe(self) -> None:
+    def describe(self, counters: Counters) -> None:
         """Show in the metrics what runs and what waits."""
         states = Counter(
             run.state for batch in self.batches.values() for run in batch.items
         )
-        self._counters.set('batches_owned', len(self.batches))
-        self._counters.set('items_running', states[ItemState.running])
-        self._counters.set('items_waiting', states[ItemState.waiting])
-        self._counters.set('items_unscored', states[ItemState.unscored])
+        counters.set('batches_owned', len(self.batches))
+        counters.set('items_running', states[ItemState.running])
+        counters.set('items_waiting', states[ItemState.waiting])
+        counters.set('items_unscored', states[ItemState.unscored])
 
     async def run(self) -> None:
         """Begin items as slots become free, until the task is cancelled."""
@@ -197,9 +198,14 @@
         # Where one found no slot, the next one with the same need finds none.
         full: dict[PlacementKey, Waiting] = {}
         for batch, run in self._lengths.order(waiting):
+            if not self._quarantine.may_begin(run.fingerprint):
+                continue
             need = self._find_need(batch, run)
             if need is None:
                 self._on_missing_route(batch, run)
+            elif need.occupied:
+                # It may have to wait where others find a slot.
+                self._begin(batch, run, need)
             elif need.key not in full and not self._begin(batch, run, need):
                 full[need.key] = Waiting(need.key, need.latest_start)
         self._any_unplaced = bool(full)
@@ -239,6 +245,7 @@
         run.upstream = upstream.name
         run.began = self._clock.elapsed()
         self._pool.on_send(upstream)
+        run.isolated = self._quarantine.on_start(run.fingerprint, upstream.name)
         run.task = self._tasks.begin(self._attempt(batch, run, upstream))
 
     def _find_need(
@@ -254,6 +261,7 @@
             run.avoided,
             self._lengths.find_latest_start(batch, run),
             self._residency.find_batch_regions(batch.head),
+            self._quarantine.list_avoided(run.fingerprint),
         )
 
     def _review(self, batch: BatchRun, run: ItemRun) -> None:
@@ -286,6 +294,8 @@
             result = await self._items.run(batch, run, upstream)
         finally:
             target = self._on_end(run, upstream)
+        if result is not None:
+            self._quarantine.on_answer(run.fingerprint)
         if result is None:
             run.avoided = upstream.name
             run.state = ItemState.waiting
@@ -316,6 +326,8 @@
             takes work.
         """
         self._pool.on_end(upstream)
+        if run.isolated:
+            self._quarantine.on_finish(run.fingerprint, upstream.name)
         target = run.target
         run.target = None
         run.task = None
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -35,6 +35,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.batches import ScoringCall
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -57,6 +58,9 @@
     late = 'late'
 
 
+ANSWERED = frozenset((ScoringState.scored, ScoringState.failed))
+
+
 @dataclass(frozen=True, slots=True)
 class ScoringOutcome:
     """Answer to a scoring call.
@@ -95,11 +99,13 @@
         scorer: Scorer,
         pool: Pool,
         residency: Residency,
+        quarantine: Quarantine,
         clock: Clock,
         counters: Counters,
     ) -> None:
         """Begin without calls."""
         self._residency = residency
+        self._quarantine = quarantine
         self._scorer = scorer
         self._pool = pool
         self._routes = residency.routes
@@ -117,6 +123,9 @@
         """Begin the call of an item if there is room for it."""
         call = run.item.scoring
         assert call is not None  # noqa: S101
+        if not self._quarantine.may_begin(run.scoring_fingerprint):
+            return
+        avoided = self._quarantine.list_avoided(run.scoring_fingerprint)
         try:
             route = self._routes.match(call.host, call.path)
         except RefusedError as error:
@@ -131,6 +140,7 @@
                 one
                 for one in self._pool.sample_service(service)
                 if one.is_allowed(allowed)
+                and one.name not in avoided
                 and self._pool.cold_starts.admits(one)
             ],
             self._clock.elapsed(),
@@ -142,6 +152,9 @@
         run.upstream = upstream.name
         self._pool.on_start(upstream)
         self._pool.on_send(upstream)
+        run.isolated = self._quarantine.on_start(
+            run.scoring_fingerprint, upstream.name
+        )
         run.task = self._tasks.begin(self._score(batch, run, upstream, route))
 
     async def _score(
@@ -164,6 +177,8 @@
             self._release(run, upstream)
         took = self._clock.elapsed() - began
         self._note(route, outcome, took)
+        if outcome.state in ANSWERED:
+            self._quarantine.on_answer(run.scoring_fingerprint)
         if outcome.state is ScoringState.scored:
             log.info(
                 'Item is scored.',
@@ -189,13 +204,15 @@
         self._counters.observe(
             'scoring_call', took.total_seconds(), state=outcome.state.value
         )
-        if outcome.state in {ScoringState.scored, ScoringState.failed}:
+        if outcome.state in ANSWERED:
             self._timeouts.on_answer(route.name, took)
         elif outcome.state is ScoringState.late:
             self._timeouts.on_timeout(route.name, took)
 
     def _release(self, run: ItemRun, upstream: Upstream) -> None:
         self._pool.on_end(upstream)
+        if run.isolated:
+            self._quarantine.on_finish(run.scoring_fingerprint, upstream.name)
         run.task = None
         # An item that was given up meanwhile stays so.
         if run.state is ItemState.scoring:
--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -40,6 +40,7 @@
 
     :param table: name of the table.
     :param single_part: whether all its rows are in the empty part.
+    :param wait: how long the store holds a question for changes.
     :param pause: time between two answers, for tables that change all the
         time; changes that come meanwhile arrive together.
     """
@@ -53,6 +54,7 @@
         *,
         single_part: bool = False,
         pause: timedelta = timedelta(0),
+        wait: timedelta = WAIT,
     ) -> None:
         """Begin with an empty copy."""
         self.table = table
@@ -63,6 +65,7 @@
         self._clock = clock
         self._counters = counters
         self._single_part = single_part
+        self._wait = wait
         self._version = UNKNOWN
         self._listeners: list[Listener] = []
         self._answered_at = clock.elapsed()
@@ -138,7 +141,7 @@
     async def _step(self) -> StoreFault | None:
         if self._version == UNKNOWN:
             return await self._load()
-        answer = await self._feed.follow(self.table, self._version, WAIT)
+        answer = await self._feed.follow(self.table, self._version, self._wait)
         if isinstance(answer, Err):
             if answer.err_value.history_lost:
                 log.warning('History is lost, read again.', table=self.table)
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.routing import AllowedRegions, Route
 
@@ -70,9 +71,12 @@
 class Forwarder:
     """Decides on the attempts of requests."""
 
-    def __init__(self, pool: Pool, clock: Clock) -> None:
+    def __init__(
+        self, pool: Pool, quarantine: Quarantine, clock: Clock
+    ) -> None:
         """Keep the pool that attempts choose from."""
         self._pool = pool
+        self._quarantine = quarantine
         self._timeouts = AttemptTimeouts()
         self._clock = clock
 
@@ -80,6 +84,15 @@
         """Tell how long the caller still waits."""
         return forwarding.deadline - self._clock.elapsed()
 
+    async def admit(self, forwarding: Forwarding) -> None:
+        """Let a request be sent to an upstream, or once more to another.
+
+        :raises RefusedError: if it ends the upstreams that run it.
+        """
+        await self._quarantine.admit(
+            forwarding.fingerprint, may_have_run=forwarding.may_have_run
+        )
+
     def choose(self, forwarding: Forwarding) -> Upstream:
         """Choose the upstream of the next attempt.
 
@@ -87,9 +100,10 @@
         """
         if self.measure_left(forwarding) < MIN_TIME_LEFT:
             raise RefusedError(self.refuse_late(forwarding))
+        avoided = self._quarantine.list_avoided(forwarding.fingerprint)
         upstream = self._pool.choose(
             forwarding.service,
-            forwarding.tried,
+            forwarding.tried.union(avoided),
             forwarding.silent,
             forwarding.allowed_regions,
         )
@@ -97,7 +111,9 @@
             # One that broke off may well serve the rest; where it refused,
             # asking it again at once would only be refused again.
             upstream = self._pool.choose(
-                forwarding.service, allowed=forwarding.allowed_regions
+                forwarding.service,
+                avoided,
+                allowed=forwarding.allowed_regions,
             )
         if upstream is None:
             raise RefusedError(_refuse_without(forwarding))
--- /dev/null
+++ b/quetzalcourse/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the upstreams which run them."""
--- /dev/null
+++ b/quetzalcourse/coordination/quarantine/records.py
@@ -0,0 +1,144 @@
+"""Decides from the ends of upstreams which requests are quarantined.
+
+An upstream that ends takes all its requests along, and each of them may be the
+one that ended it. A request that ends whatever runs it never gets an answer, so
+ends count only until the next answer, and each run of an upstream counts once.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.state.quarantine import RequestRecord, RequestState
+
+if TYPE_CHECKING:
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.quarantine import UpstreamRun
+
+# Upstreams that may end under a request before it is quarantined.
+MAX_ENDS = 3
+# Ends after which a request runs apart from other suspects.
+SUSPECT_ENDS = 2
+# Age at which ends without an answer in between are forgotten.
+RECORD_TTL = timedelta(minutes=10)
+# Quarantine before the first trial, doubled with each trial.
+QUARANTINE_TIME = timedelta(minutes=10)
+# A request that has failed as many trials waits for an operator, or until
+# its record is forgotten.
+MAX_TRIALS = 3
+QUARANTINE_RETENTION = timedelta(days=1)
+# Requests that are remembered; the oldest that are not quarantined go first.
+MAX_RECORDS = 4096
+
+
+class QuarantineRecords:
+    """Requests under which upstreams have ended, by their fingerprints."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Begin without a record."""
+        self._clock = clock
+        self._records: dict[str, RequestRecord] = {}
+
+    def __len__(self) -> int:
+        """Count the records."""
+        return len(self._records)
+
+    def find(self, fingerprint: str) -> RequestRecord | None:
+        """Find the record of a request, ``None`` if it has none."""
+        record = self._records.get(fingerprint)
+        if record is None or not self._is_outdated(record):
+            return record
+        self._records.pop(fingerprint)
+        return None
+
+    def find_state(self, fingerprint: str) -> RequestState:
+        """Tell how a request may be run."""
+        record = self.find(fingerprint)
+        if record is None:
+            return RequestState.sound
+        if record.quarantined_until is not None:
+            due = record.quarantined_until <= self._clock.elapsed()
+            if due and record.trials < MAX_TRIALS:
+                return RequestState.due
+            return RequestState.quarantined
+        if len(record.runs) >= SUSPECT_ENDS:
+            return RequestState.suspect
+        return RequestState.sound
+
+    def find_time_left(self, fingerprint: str) -> timedelta:
+        """Tell how long a request stays quarantined, at least a second."""
+        record = self.find(fingerprint)
+        until = record.quarantined_until if record else None
+        shortest = timedelta(seconds=1)
+        if record is None or until is None:
+            return shortest
+        if record.trials >= MAX_TRIALS:
+            until = record.changed_at + QUARANTINE_RETENTION
+        return max(until - self._clock.elapsed(), shortest)
+
+    def list_quarantined(self) -> list[str]:
+        """List the fingerprints of quarantined requests."""
+        return [
+            fingerprint
+            for fingerprint in tuple(self._records)
+            if (record := self.find(fingerprint)) is not None
+            and record.quarantined_until is not None
+        ]
+
+    def on_end(self, fingerprint: str, run: UpstreamRun) -> bool:
+        """Learn that an upstream ended while it ran a request.
+
+        :returns: whether that is new.
+        """
+        record = self.find(fingerprint)
+        if record is None:
+            record = self._add(fingerprint)
+        if run in record.runs:
+            return False
+        record.runs.add(run)
+        if record.quarantined_until is not None:
+            return True
+        record.changed_at = self._clock.elapsed()
+        if len(record.runs) >= MAX_ENDS:
+            record.quarantined_until = record.changed_at + QUARANTINE_TIME
+        return True
+
+    def quarantine(
+        self, fingerprint: str, age: timedelta, trials: int = 0
+    ) -> None:
+        """Quarantine a request, also one that another daemon judged.
+
+        :param age: how long ago its quarantine or its last trial began.
+        :param trials: trials that were begun.
+        """
+        record = self.find(fingerprint) or self._add(fingerprint)
+        record.changed_at = self._clock.elapsed() - age
+        record.quarantined_until = record.changed_at + find_duration(trials)
+        record.trials = trials
+
+    def forget(self, fingerprint: str) -> RequestRecord | None:
+        """Hold nothing against a request any more."""
+        return self._records.pop(fingerprint, None)
+
+    def _add(self, fingerprint: str) -> RequestRecord:
+        if len(self._records) >= MAX_RECORDS:
+            self._records.pop(min(self._records, key=self._rank))
+        record = RequestRecord(changed_at=self._clock.elapsed())
+        self._records[fingerprint] = record
+        return record
+
+    def _rank(self, fingerprint: str) -> tuple[bool, timedelta]:
+        record = self._records[fingerprint]
+        return record.quarantined_until is not None, record.changed_at
+
+    def _is_outdated(self, record: RequestRecord) -> bool:
+        age = self._clock.elapsed() - record.changed_at
+        if record.quarantined_until is not None:
+            return age > QUARANTINE_RETENTION
+        return age > RECORD_TTL
+
+
+def find_duration(trials: int) -> timedelta:
+    """Tell how long a quarantine lasts before its next trial."""
+    return QUARANTINE_TIME * 2**trials
--- a/quetzalcourse/protocol/refusals.py
+++ b/quetzalcourse/protocol/refusals.py
@@ -33,6 +33,7 @@
     RefusalCode.internal: HTTPStatus.INTERNAL_SERVER_ERROR,
     RefusalCode.already_ran: HTTPStatus.CONFLICT,
     RefusalCode.body_timeout: HTTPStatus.REQUEST_TIMEOUT,
+    RefusalCode.quarantined: HTTPStatus.BAD_GATEWAY,
 }
 
 
--- /dev/null
+++ b/quetzalcourse/quarantine_parts.py
@@ -0,0 +1,67 @@
+"""Parts of a daemon that quarantine requests which end upstreams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.feeds.follower import TableFollower
+from quetzalcourse.coordination.quarantine import quarantine_rows
+from quetzalcourse.coordination.quarantine.end_updates import EndUpdates
+from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+from quetzalcourse.coordination.quarantine.records import QuarantineRecords
+
+from quetzalcourse.transport.upstream_ends import UpstreamEnds
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.ports import MemberView, Peers
+    from quetzalcourse.deployment import StoreParts
+    from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.state.clock import Clock
+    from quetzalcourse.state.counters import Counters
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineParts:
+    """What a daemon knows of such requests, and how it tells the others."""
+
+    quarantine: Quarantine
+    follower: TableFollower
+    rows: quarantine_rows.QuarantineRows
+    updates: EndUpdates
+    ends: UpstreamEnds
+
+    def start(self, lifecycle: Lifecycle) -> None:
+        """Run the parts in the background."""
+        lifecycle.run('quarantine feed', self.follower.run)
+        lifecycle.run('quarantine rows', self.rows.run)
+
+
+def build_quarantine_parts(
+    pool: Pool,
+    store: StoreParts,
+    members: MemberView,
+    peers: Peers,
+    clock: Clock,
+    counters: Counters,
+) -> QuarantineParts:
+    """Build the parts and connect them."""
+    quarantine = Quarantine(QuarantineRecords(clock), counters)
+    follower = TableFollower(
+        store.feed,
+        quarantine_rows.TABLE,
+        clock,
+        counters,
+        single_part=True,
+        wait=quarantine_rows.FEED_WAIT,
+    )
+    return QuarantineParts(
+        quarantine,
+        follower,
+        quarantine_rows.QuarantineRows(
+            quarantine, store.table, follower, store.clock, clock
+        ),
+        EndUpdates(quarantine, members, peers),
+        UpstreamEnds(pool, quarantine),
+    )
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -17,6 +17,7 @@
 from quetzalcourse.incarnation import name_incarnation
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
+from quetzalcourse.quarantine_parts import build_quarantine_parts
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
 from quetzalcourse.transport.activity import Activity
@@ -35,7 +36,6 @@
 from quetzalcourse.transport.scoring_calls import ScoringCalls
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_calls import UpstreamCalls
-from quetzalcourse.transport.upstream_ends import UpstreamEnds
 from quetzalcourse.transport.web import WebServer
 from quetzalcourse.upstream_parts import (
     build_upstream_parts,
@@ -173,7 +173,14 @@
         )
         self.pool = self.upstreams.pool
         self.calls = UpstreamCalls()
-        self.ends = UpstreamEnds(self.pool)
+        self.quarantine = build_quarantine_parts(
+            self.pool,
+            self.store,
+            self.presence,
+            self.peers,
+            self.clock,
+            self.counters,
+        )
         self.lifecycle.on_stop(self.calls.close)
 
     def _build_parts(self) -> None:
@@ -181,12 +188,15 @@
             self.calls,
             self._deployment.upstreams,
             self.pool,
-            self.ends,
+            self.quarantine.ends,
             self.clock,
             self.counters,
         )
         scorer = ScoringCalls(
-            self.calls, self._deployment.upstreams, self.pool, self.ends
+            self.calls,
+            self._deployment.upstreams,
+            self.pool,
+            self.quarantine.ends,
         )
         self.batches = build_batch_parts(
             self.feeds,
@@ -194,6 +204,7 @@
             BatchCalls(items, scorer, self.peers),
             self.pool,
             self.upstreams.residency,
+            self.quarantine.quarantine,
             self.clock,
             self.counters,
         )
@@ -221,11 +232,12 @@
 
     async def _build_servers(self) -> None:
         forwards = Forwards(
-            Forwarder(self.pool, self.clock),
+            Forwarder(self.pool, self.quarantine.quarantine, self.clock),
             self.pool,
             self.calls,
             self._deployment.upstreams,
-            self.ends,
+            self.quarantine.ends,
+            self.quarantine.quarantine,
             self.counts.record,
         )
         front = Front(
@@ -255,6 +267,7 @@
     def _start_parts(self) -> None:
         self.feeds.start(self.lifecycle)
         self.lifecycle.run('registrations', self.upstreams.registrations.run)
+        self.quarantine.start(self.lifecycle)
         self.batches.start(self.lifecycle)
         self.duties.start(self.lifecycle)
         self.routes.on_manifest(self.on_manifest)
@@ -331,4 +344,4 @@
                 feed.silence.total_seconds(),
                 table=feed.table,
             )
-        self.batches.runner.describe()
+        self.batches.runner.describe(self.counters)
--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -60,3 +60,4 @@
     results_stand = 'results_stand'
     liveness_ping = 'liveness_ping'
     liveness_pong = 'liveness_pong'
+    upstream_ends = 'upstream_ends'
--- a/quetzalcourse/state/refusal.py
+++ b/quetzalcourse/state/refusal.py
@@ -33,6 +33,7 @@
     internal = 'internal'
     already_ran = 'already_ran'
     body_timeout = 'body_timeout'
+    quarantined = 'quarantined'
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -19,6 +19,8 @@
 )
 from quetzalcourse.coordination.forwarding.residency import Residency
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
+from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+from quetzalcourse.coordination.quarantine.records import QuarantineRecords
 from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.state.batches import BatchHead, BatchItem, StreamEvent
@@ -104,19 +106,22 @@
         config = json.dumps(documents.build_config()).encode()
         routes.adopt(read_manifest(config).unwrap())
         residency = Residency({}, routes)
+        quarantine = Quarantine(QuarantineRecords(clock), counters)
         self.items = HeldItems()
         none: Any = None
         writer: Any = NoWriter()
         allocator, _ = build_allocator(self.pool, clock)
         self.runner = BatchRunner(
             self.items,
-            ItemScoring(none, self.pool, residency, clock, counters),
+            ItemScoring(
+                none, self.pool, residency, quarantine, clock, counters
+            ),
             writer,
             Placement(self.pool, allocator, clock),
             self.pool,
             residency,
+            quarantine,
             clock,
-            counters,
         )
         head = BatchHead(
             'b', 'desk', 'r-drill', 'h', 1, 0, 7500, 20_000, 'm', min_version=1
--- /dev/null
+++ b/quetzalcourse/tests/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of requests."""
--- /dev/null
+++ b/quetzalcourse/tests/coordination/quarantine/quarantine_tests.py
@@ -0,0 +1,155 @@
+"""Whether and where requests run that upstreams ended under."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.quarantine.end_updates import EndUpdates
+from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+from quetzalcourse.coordination.quarantine.records import (
+    MAX_ENDS,
+    QUARANTINE_TIME,
+    QuarantineRecords,
+)
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.members import Member
+from quetzalcourse.state.quarantine import RequestState
+from quetzalcourse.state.refusal import RefusalCode
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.peers import FakeMembers, FakeNetwork
+
+UPSTREAMS = 12
+REQUESTS = 96
+# Requests that an upstream bears at once in the cascade.
+CAPACITY = 6
+ROUNDS = 60
+
+
+def build() -> Quarantine:
+    """Build a quarantine that knows nothing."""
+    return Quarantine(QuarantineRecords(FakeClock()), Counters())
+
+
+def end(quarantine: Quarantine, count: int, name: str = 'f') -> None:
+    """Let as many upstreams end under a request."""
+    for number in range(count):
+        quarantine.on_end(name, (f'u-{number}', 1))
+
+
+@pytest.mark.parametrize('may_have_run', [False, True])
+async def test_refusal_says_whether_the_request_may_have_run(
+    may_have_run: bool,
+) -> None:
+    """Guards against a promise that nothing ran where something did."""
+    quarantine = build()
+    end(quarantine, MAX_ENDS)
+    with pytest.raises(RefusedError) as raised:
+        await quarantine.admit('f', may_have_run=may_have_run)
+    refusal = raised.value.refusal
+    assert refusal.code is RefusalCode.quarantined
+    assert refusal.not_run is not may_have_run
+    assert refusal.retry_after == QUARANTINE_TIME
+
+
+async def test_suspect_runs_once_at_a_time_and_apart() -> None:
+    """Guards against copies that end several upstreams side by side."""
+    quarantine = build()
+    end(quarantine, 2, 'first')
+    end(quarantine, 2, 'second')
+    assert quarantine.on_start('first', 'u')
+    assert not quarantine.may_begin('first')
+    with pytest.raises(RefusedError) as raised:
+        await quarantine.admit('first')
+    assert raised.value.refusal.retry_after
+    assert quarantine.may_begin('second')
+    assert set(quarantine.list_avoided('second')) == {'u'}
+    assert not quarantine.list_avoided('sound')
+    quarantine.on_finish('first', 'u')
+    assert quarantine.may_begin('first')
+    assert not quarantine.list_avoided('second')
+
+
+async def test_daemons_add_up_what_they_see() -> None:
+    """Guards against three upstreams lost at each daemon."""
+    names = [f'vm-{number}' for number in range(4)]
+    members = [Member(name, f'{name}-1', 'hall', name) for name in names]
+    network = FakeNetwork()
+    daemons = []
+    for member in members:
+        quarantine = build()
+        peers = network.join(member)
+        EndUpdates(quarantine, FakeMembers(member, members), peers)
+        daemons.append(quarantine)
+    for number, quarantine in enumerate(daemons[:MAX_ENDS]):
+        quarantine.on_end('f', (f'u-{number}', 1))
+        quarantine.on_end('popular', (f'u-{number}', 1))
+        daemons[3].on_answer('popular')
+        await asyncio.sleep(0)
+    for quarantine in daemons:
+        state = quarantine.records.find_state('f')
+        assert state is RequestState.quarantined
+    await asyncio.sleep(0)
+    assert daemons[3].may_begin('popular')
+
+
+def run_cascade(quarantine: Quarantine, *, isolated: bool) -> int:
+    """Let overloaded upstreams end until all requests are answered.
+
+    :param isolated: whether suspects keep apart.
+    :returns: how many requests were quarantined.
+    """
+    waiting = [f'r-{number}' for number in range(REQUESTS)]
+    for round_number in range(ROUNDS):
+        placed: dict[str, list[str]] = {}
+        for number, name in enumerate(waiting):
+            if not quarantine.may_begin(name):
+                continue
+            avoided = quarantine.list_avoided(name) if isolated else ()
+            free = [
+                upstream
+                for upstream in map(str, range(UPSTREAMS))
+                if upstream not in avoided
+            ]
+            if not free:
+                continue
+            chosen = free[number % len(free)]
+            placed.setdefault(chosen, []).append(name)
+            quarantine.on_start(name, chosen)
+        answered = set()
+        for upstream, names in placed.items():
+            for name in names:
+                if quarantine.records.find_state(name) is RequestState.suspect:
+                    quarantine.on_finish(name, upstream)
+            if len(names) > CAPACITY:
+                for name in names:
+                    quarantine.on_end(name, (upstream, round_number))
+            else:
+                for name in names:
+                    quarantine.on_answer(name)
+                answered.update(names)
+        waiting = [name for name in waiting if name not in answered]
+    return len(quarantine.records.list_quarantined())
+
+
+@pytest.mark.parametrize(('isolated', 'blamed'), [(True, False), (False, True)])
+def test_overload_that_ends_upstreams_in_turn_blames_nobody(
+    isolated: bool,
+    blamed: bool,
+) -> None:
+    """Guards against blame for a burst that ends one upstream after another."""
+    assert bool(run_cascade(build(), isolated=isolated)) is blamed
+
+
+def test_gauge_counts_quarantined_requests() -> None:
+    """Guards against a quarantine that operators don't see."""
+    counters = Counters()
+    quarantine = Quarantine(QuarantineRecords(FakeClock()), counters)
+    end(quarantine, MAX_ENDS)
+    quarantine.adopt('g', [('u', 0)], timedelta(0), 0)
+    assert list(counters.gauges['requests_quarantined'].values()) == [2]
+    quarantine.lift('f', 'test')
+    assert list(counters.gauges['requests_quarantined'].values()) == [1]
--- /dev/null
+++ b/quetzalcourse/tests/coordination/quarantine/records_tests.py
@@ -0,0 +1,106 @@
+"""Which requests are quarantined, for how long, and what lifts it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from quetzalcourse.coordination.quarantine import records as limits
+from quetzalcourse.coordination.quarantine.records import QuarantineRecords
+from quetzalcourse.state.quarantine import RequestState
+from quetzalcourse.tests.clocks import FakeClock
+
+SECOND = timedelta(seconds=1)
+
+
+def build() -> tuple[QuarantineRecords, FakeClock]:
+    """Build records and their clock."""
+    clock = FakeClock()
+    return QuarantineRecords(clock), clock
+
+
+def end(records: QuarantineRecords, count: int, name: str = 'f') -> None:
+    """Let as many upstreams end under a request."""
+    for number in range(count):
+        records.on_end(name, (f'u-{number}', 1))
+
+
+def test_third_end_quarantines() -> None:
+    """Guards against a request that goes on to a fourth upstream."""
+    records, _ = build()
+    states = []
+    for number in range(4):
+        states.append(records.find_state('f'))
+        records.on_end('f', (f'u-{number}', 1))
+    assert states == [
+        RequestState.sound,
+        RequestState.sound,
+        RequestState.suspect,
+        RequestState.quarantined,
+    ]
+
+
+def test_end_of_one_run_counts_once() -> None:
+    """Guards against blame for one end that several daemons report."""
+    records, _ = build()
+    assert records.on_end('f', ('u', 1))
+    assert not records.on_end('f', ('u', 1))
+    assert records.on_end('f', ('u', 2))
+    assert records.find_state('f') is RequestState.suspect
+
+
+def test_ends_count_since_the_last_answer() -> None:
+    """Guards against blame for a popular request that is mostly answered."""
+    records, _ = build()
+    for number in range(9):
+        records.on_end('f', (f'u-{number}', 1))
+        if number % 2:
+            records.forget('f')
+    assert records.find_state('f') is RequestState.sound
+
+
+def test_old_ends_are_forgotten() -> None:
+    """Guards against blame that adds up over days."""
+    records, clock = build()
+    end(records, 2)
+    clock.move(limits.RECORD_TTL + SECOND)
+    records.on_end('f', ('later', 1))
+    assert records.find_state('f') is RequestState.sound
+
+
+def test_trials_come_later_each_time_and_end() -> None:
+    """Guards against upstreams that end for trials all day long."""
+    records, clock = build()
+    end(records, limits.MAX_ENDS)
+    waits = []
+    for trial in range(limits.MAX_TRIALS):
+        wait = records.find_time_left('f')
+        clock.move(wait - SECOND)
+        assert records.find_state('f') is RequestState.quarantined
+        clock.move(SECOND)
+        assert records.find_state('f') is RequestState.due
+        records.quarantine('f', timedelta(0), trial + 1)
+        waits.append(wait)
+    assert waits == [limits.QUARANTINE_TIME * factor for factor in (1, 2, 4)]
+    clock.move(limits.QUARANTINE_RETENTION - SECOND)
+    assert records.find_state('f') is RequestState.quarantined
+    clock.move(2 * SECOND)
+    assert records.find_state('f') is RequestState.sound
+
+
+def test_quarantine_that_is_learned_late_ends_in_time() -> None:
+    """Guards against a quarantine that each restart prolongs."""
+    records, _ = build()
+    records.quarantine('f', limits.QUARANTINE_TIME - SECOND)
+    assert records.find_time_left('f') == SECOND
+
+
+def test_number_of_records_is_bounded() -> None:
+    """Guards against a caller who fills the memory with requests."""
+    records, clock = build()
+    end(records, limits.MAX_ENDS, 'quarantined')
+    for number in range(limits.MAX_RECORDS + 10):
+        clock.move(timedelta(milliseconds=1))
+        end(records, 1, f'f-{number}')
+    assert len(records) == limits.MAX_RECORDS
+    assert records.find_state('quarantined') is RequestState.quarantined
+    assert records.find('f-0') is None
--- a/quetzalcourse/tests/feeds.py
+++ b/quetzalcourse/tests/feeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -46,6 +47,12 @@
         self._changed = asyncio.Event()
         return self._version
 
+    def remove(self, key: str) -> int:
+        """Remove a row, as an operator does."""
+        self.put(key, b'')
+        self.rows[key] = replace(self.rows[key], removed=True)
+        return self._version
+
     async def read(self, key: str) -> Result[Row | None, StoreFault]:
         """Read one row."""
         self.reads += 1
@@ -62,12 +69,16 @@
             return Err(StoreFault(FaultKind.not_applied, 'write', ''))
         for condition in transaction.conditions:
             known = self.rows.get(condition.key)
-            version = known.version if known else ABSENT
+            exists = known is not None and not known.removed
+            version = known.version if known and exists else ABSENT
             if version != condition.version:
                 return Ok(Commit(applied=False))
         version = ABSENT
         for write in transaction.writes:
-            version = self.put(write.key, write.content or b'')
+            if write.content is None:
+                version = self.remove(write.key)
+            else:
+                version = self.put(write.key, write.content)
         return Ok(Commit(applied=True, version=version))
 
     async def list_parts(self, table: str) -> Result[list[str], StoreFault]:
@@ -82,7 +93,9 @@
         """Read the rows of a part."""
         self.reads += 1
         rows = [
-            row for key, row in self.rows.items() if key.split('/')[1] == part
+            row
+            for key, row in self.rows.items()
+            if key.split('/')[1] == part and not row.removed
         ]
         return Ok(Changes(tuple(rows), self._version))
 
--- a/quetzalcourse/tests/rollout/quarantine_tests.py
+++ b/quetzalcourse/tests/rollout/quarantine_tests.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
+from quetzalcourse.commands import quarantine
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.upstream import RESTART_SECONDS
-from quetzalcourse.standins.rollout.world import build_batch
+from quetzalcourse.standins.rollout.world import Caller, build_batch
+from quetzalcourse.tests.printed import read_document
 from quetzalcourse.tests.rollout.calls import LOOKUP, await_acquaintance
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from quetzalcourse.standins.rollout.upstream import UpstreamStandin
     from quetzalcourse.standins.rollout.world import Reply, RolloutWorld
 
@@ -121,3 +127,115 @@
     await asyncio.sleep(2 * MAX_ENDS * (RESTART_SECONDS + NOTICED_SECONDS))
     assert count_ends(pair.services) <= MAX_ENDS
     assert (await ask(pair, LOOKUP, 0, b'salt')).status == 200  # type: ignore
+
+
+async def quarantine_lookup(world: RolloutWorld) -> None:
+    """Let upstreams end under a lookup until it is quarantined."""
+    poison(world.services, POISON)
+    await await_acquaintance(world)
+    for number in range(2):
+        await ask(world, LOOKUP, number)
+        await await_return()
+    assert count_ends(world.services) == MAX_ENDS
+
+
+async def test_quarantined_request_is_refused_at_once(
+    pair: RolloutWorld,
+) -> None:
+    """Guards against a caller that is not told when to come back."""
+    await quarantine_lookup(pair)
+    for number in range(2):
+        reply = await ask(pair, LOOKUP, number)
+        assert reply is not None
+        assert reply.status == 503
+        assert float(reply.headers['Retry-After']) > 60
+        assert reply.read()['error']['code'] == 'quarantined'
+    other = Caller(documents.OTHER_KEY)
+    poison(pair.services, b'')
+    answer = await other.call(pair.address(), 'POST', LOOKUP, POISON)
+    assert answer.status == 200
+
+
+async def test_quarantine_outlives_all_daemons(pair: RolloutWorld) -> None:
+    """Guards against upstreams that end again after each restart."""
+    await quarantine_lookup(pair)
+    for daemon in tuple(pair.daemons):
+        await pair.end_daemon(daemon)
+    pair.daemons.clear()
+    await pair.add_daemon('vm-8')
+    await asyncio.sleep(NOTICED_SECONDS)
+    reply = await ask(pair, LOOKUP, 0)
+    assert reply is not None
+    assert reply.status == 503
+
+
+async def test_operator_lifts_a_quarantine(
+    pair: RolloutWorld,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture,
+) -> None:
+    """Guards against a request that stays refused once its cause is mended."""
+    await quarantine_lookup(pair)
+    poison(pair.services, b'')
+    path = tmp_path / 'settings.json'
+    path.write_text(
+        json.dumps(
+            documents.build_settings('desk', pair.doors[0].server.address, '')
+        )
+    )
+    options = argparse.Namespace(platform_settings=path, json=True)
+    capsys.readouterr()
+    assert await quarantine.call(quarantine.list_requests, options) == 0
+    (listed,) = read_document(capsys)['quarantined']
+    assert set(listed['upstreams']) == {'s-0', 's-1'}
+    options.fingerprint = listed['fingerprint']
+    assert await quarantine.call(quarantine.lift_request, options) == 0
+    await asyncio.sleep(NOTICED_SECONDS)
+    assert await quarantine.call(quarantine.lift_request, options) == 1
+    for number in range(2):
+        reply = await ask(pair, LOOKUP, number)
+        assert reply is not None
+        assert reply.status == 200
+
+
+async def test_bystanders_of_such_a_request_are_served(
+    pair: RolloutWorld,
+) -> None:
+    """Guards against blame for requests that ran on the same upstreams."""
+    for server in pair.services:
+        server.faults.slow = 5
+    asking = [
+        asyncio.ensure_future(
+            ask(pair, LOOKUP, number, f'salt {number}'.encode())
+        )
+        for number in range(6)
+    ]
+    await quarantine_lookup(pair)
+    replies = await asyncio.gather(*asking)
+    again = [
+        await ask(pair, LOOKUP, number, f'salt {number}'.encode())
+        for number in range(6)
+    ]
+    assert len(replies) == 6
+    assert {reply.status for reply in again if reply} == {200}
+
+
+async def test_servers_that_end_by_themselves_blame_no_request(
+    pair: RolloutWorld,
+) -> None:
+    """Guards against blame for a popular request when servers are killed."""
+    await await_acquaintance(pair)
+    for server in pair.services:
+        server.faults.slow = 10
+    for _ in range(MAX_ENDS):
+        asking = [
+            asyncio.ensure_future(ask(pair, LOOKUP, number, b'popular'))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.03)
+        await asyncio.gather(*(server.crash() for server in pair.services))
+        await asyncio.gather(*asking)
+        await asyncio.sleep(NOTICED_SECONDS)
+        reply = await ask(pair, LOOKUP, 0, b'popular')
+        assert reply is not None
+        assert reply.status == 200
--- a/quetzalcourse/tests/transport/upstream_ends_tests.py
+++ b/quetzalcourse/tests/transport/upstream_ends_tests.py
@@ -7,6 +7,8 @@
 import pytest
 
 from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+from quetzalcourse.coordination.quarantine.records import QuarantineRecords
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
@@ -27,10 +29,16 @@
         return read_address(listener)
 
 
+def build_ends(pool: Pool) -> UpstreamEnds:
+    """Build the part under test."""
+    records = QuarantineRecords(FakeClock())
+    return UpstreamEnds(pool, Quarantine(records, Counters()))
+
+
 async def ask(pool: Pool) -> bool:
     """Ask whether the upstream ended."""
     upstream = pool.list_service('s')[0]
-    return await UpstreamEnds(pool).on_broken(upstream, 'r-1', 'f-1')
+    return await build_ends(pool).on_broken(upstream, 'r-1', 'f-1')
 
 
 @pytest.mark.parametrize('leaving', [False, True])
@@ -70,4 +78,4 @@
     pool = build_pool(find_free_address())
     upstream = pool.list_service('s')[0]
     pool.remove('u')
-    assert not await UpstreamEnds(pool).on_broken(upstream, 'r-1', 'f-1')
+    assert not await build_ends(pool).on_broken(upstream, 'r-1', 'f-1')
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -28,6 +28,7 @@
     )
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.calls import RequestHead
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.spooling import SpooledBody
@@ -72,6 +73,7 @@
         calls: UpstreamCalls,
         dialect: UpstreamDialect,
         ends: UpstreamEnds,
+        quarantine: Quarantine,
         on_run: Callable[[str], None],
     ) -> None:
         """Keep the parts."""
@@ -80,6 +82,7 @@
         self._calls = calls
         self._dialect = dialect
         self._ends = ends
+        self._quarantine = quarantine
         self._on_run = on_run
 
     async def serve(
@@ -95,7 +98,7 @@
         """
         caller = CallerAnswer(request, head.find('last-event-id'))
         while True:
-            upstream = self._choose(caller, forwarding)
+            upstream = await self._choose(caller, forwarding)
             if upstream is None:
                 return
             try:
@@ -107,12 +110,13 @@
             else:
                 return
 
-    def _choose(
+    async def _choose(
         self,
         caller: CallerAnswer,
         forwarding: Forwarding,
     ) -> Upstream | None:
         try:
+            await self._forwarder.admit(forwarding)
             return self._forwarder.choose(forwarding)
         except RefusedError:
             if not caller.begun:
@@ -126,6 +130,9 @@
         forwarding: Forwarding,
         error: AttemptFailedError,
     ) -> bool:
+        if caller.is_broken:
+            caller.cut()
+            return False
         if self._forwarder.may_repeat(forwarding, not_run=error.not_run):
             return True
         if caller.begun:
@@ -173,6 +180,9 @@
                 headers.append(('Content-Length', str(body.length)))
         self._pool.on_start(upstream)
         self._pool.on_send(upstream)
+        isolated = self._quarantine.on_start(
+            forwarding.fingerprint, upstream.name
+        )
         try:
             async with self._calls.open(
                 upstream.member.address,
@@ -203,6 +213,10 @@
             ) from error
         finally:
             self._pool.on_end(upstream)
+            if isolated:
+                self._quarantine.on_finish(
+                    forwarding.fingerprint, upstream.name
+                )
 
     def _judge(
         self,
@@ -237,6 +251,7 @@
         answer: aiohttp.ClientResponse,
     ) -> None:
         self._pool.on_success(upstream)
+        self._quarantine.on_answer(forwarding.fingerprint)
         self._pool.on_kept(upstream, self._calls.keep_alive)
         log.info(
             'Request answered.',
@@ -270,8 +285,8 @@
             async for piece in pieces:
                 await caller.send(piece)
         except CallLostError:
-            caller.cut()
-            return
+            caller.is_broken = True
+            raise
         await caller.send(b'', last=True)
 
     async def _relay_events(
@@ -285,7 +300,8 @@
         An upstream may break off in the middle of an event; what goes on
         elsewhere goes on behind the last whole one.
 
-        :raises CallLostError: if the stream broke off and may be resumed.
+        :raises CallLostError: if the stream broke off; the caller's answer is
+            broken if it can't be resumed.
         """
         rest = b''
         try:
@@ -301,10 +317,9 @@
                 raise CallLostError(LostState.unanswered, 'broken event')
         except CallLostError:
             may = self._forwarder.may_repeat(forwarding, not_run=False)
-            if forwarding.route.resumable and may:
-                raise
-            caller.cut()
-            return
+            if not (forwarding.route.resumable and may):
+                caller.is_broken = True
+            raise
         await caller.send(b'', last=True)
 
 
@@ -312,11 +327,14 @@
     """The answer that a caller gets, from one upstream or from several.
 
     :param resume_after: number of the last event that went out.
+
+    ``is_broken`` tells whether no other upstream can complete it.
     """
 
     def __init__(self, request: Request, resume_after: str) -> None:
         """Begin before the first byte."""
         self.resume_after = resume_after
+        self.is_broken = False
         self._request = request
         self._stream: AnswerStream | None = None
 
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -29,6 +29,7 @@
     'peer_sockets': 'Open sockets to other daemons.',
     'refusals': 'Requests refused, by code.',
     'request': 'Time that callers waited, by kind of request.',
+    'requests_quarantined': 'Requests that no upstream runs for now.',
     'rows_relayed': 'Rows taken from other daemons while the store was away.',
     'scoring_call': 'Time that scoring calls took, by how they ended.',
     'scoring_calls_failed': 'Scoring calls without a score, by reason.',
@@ -37,6 +38,7 @@
     'store_feed_faults': 'Times that a table could not be followed.',
     'store_silence_seconds': 'Age of what is known of a table, in seconds.',
     'store_calls_relayed': 'Calls to the store by way of another daemon.',
+    'upstream_ends': 'Requests under which their upstream ended.',
     'upstream_failures': 'Failed attempts that made upstreams rest.',
     'usage_reports': 'Reports of usage sent, by whether they were taken.',
 }
--- a/quetzalcourse/transport/upstream_ends.py
+++ b/quetzalcourse/transport/upstream_ends.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.quarantine.quarantine import Quarantine
 
 # An upstream whose connection has just broken is a round trip away.
 PROBE_SECONDS = 0.1
@@ -21,9 +22,10 @@
 class UpstreamEnds:
     """Finds out whether upstreams end while requests run on them."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, quarantine: Quarantine) -> None:
         """Keep the pool that knows which upstreams leave."""
         self._pool = pool
+        self._quarantine = quarantine
 
     async def on_broken(
         self,
@@ -46,6 +48,7 @@
             upstream=upstream.name,
             peer=upstream.member.address,
         )
+        self._quarantine.on_end(fingerprint, upstream.run)
         return True
 
 
