Confirm the ends of upstreams before a request is quarantined for them

Cause: a refused connection was taken for proof.

An end is confirmed now by another run at the same address or under the same name. Until then three ends hold a request back, for 15 seconds at most; upstreams that answer again count no more. Ends at one moment that other requests saw too are one event, for power cuts and many kills at once.

--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -295,7 +295,7 @@
         finally:
             target = self._on_end(run, upstream)
         if result is not None:
-            self._quarantine.on_answer(run.fingerprint)
+            self._quarantine.on_answer(run.fingerprint, upstream.run)
         if result is None:
             run.avoided = upstream.name
             run.state = ItemState.waiting
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -178,7 +178,7 @@
         took = self._clock.elapsed() - began
         self._note(route, outcome, took)
         if outcome.state in ANSWERED:
-            self._quarantine.on_answer(run.scoring_fingerprint)
+            self._quarantine.on_answer(run.scoring_fingerprint, upstream.run)
         if outcome.state is ScoringState.scored:
             log.info(
                 'Item is scored.',
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -46,6 +46,8 @@
 
     :param data_centre: where this daemon stands.
     :param regions: region of each data centre.
+
+    ``run_listeners`` are called with each run of an upstream that registers.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self._services: dict[str, dict[str, Upstream]] = {}
         self._random = random.Random()
         self.cold_starts: ColdStarts = NoColdStarts()
+        self.run_listeners: list[Callable[[Upstream], None]] = []
         self._evacuated: set[str] = set()
         self._are_entries_current: Callable[[], bool] = _always
 
@@ -80,6 +83,8 @@
             self._keep(known)
             self._log(member, 'Upstream registered.')
             self._warm_up(known, member.cold_for)
+            for listener in self.run_listeners:
+                listener(known)
             return
         if known.member.service != member.service:
             self._forget(member.name)
--- a/quetzalcourse/coordination/quarantine/end_updates.py
+++ b/quetzalcourse/coordination/quarantine/end_updates.py
@@ -25,10 +25,12 @@
 
     :param run: run of an upstream that ended under it, ``None`` if an upstream
         answered it.
+    :param address: where the upstream listened.
     """
 
     fingerprint: str
     run: tuple[str, int] | None = None
+    address: str = ''
 
 
 class EndUpdates:
@@ -45,9 +47,11 @@
         quarantine.on_own_answer(self.tell_answer)
         peers.subscribe(Topic.upstream_ends, self.on_message)
 
-    def tell_end(self, fingerprint: str, run: UpstreamRun) -> None:
+    def tell_end(
+        self, fingerprint: str, run: UpstreamRun, address: str
+    ) -> None:
         """Tell that an upstream ended under a request."""
-        self._tell(EndsUpdate(fingerprint, run))
+        self._tell(EndsUpdate(fingerprint, run, address))
 
     def tell_answer(self, fingerprint: str) -> None:
         """Tell that an upstream answered a request."""
@@ -59,7 +63,9 @@
         if update.run is None:
             self._quarantine.lift(update.fingerprint, 'answered elsewhere')
         else:
-            self._quarantine.take_end(update.fingerprint, update.run)
+            self._quarantine.records.on_end(
+                update.fingerprint, update.run, update.address
+            )
 
     def _tell(self, update: EndsUpdate) -> None:
         content = msgspec.msgpack.encode(update)
--- a/quetzalcourse/coordination/quarantine/quarantine.py
+++ b/quetzalcourse/coordination/quarantine/quarantine.py
@@ -12,17 +12,17 @@
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection, Sequence
 
     from quetzalcourse.coordination.quarantine.records import QuarantineRecords
     from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.quarantine import UpstreamRun
 
-    EndListener = Callable[[str, UpstreamRun], None]
+    EndListener = Callable[[str, UpstreamRun, str], None]
     Listener = Callable[[str], None]
 
-# Retry-After of a repeat of a suspect request that runs already.
-SUSPECT_BACKOFF = timedelta(milliseconds=200)
+# Retry-After of a request whose ends of upstreams are not confirmed yet.
+SUSPECT_BACKOFF = timedelta(milliseconds=500)
 log = get_log('quarantine')
 
 
@@ -62,6 +62,7 @@
         self._isolation = Isolation()
         self._end_listeners: list[EndListener] = []
         self._answer_listeners: list[Listener] = []
+        self._quarantine_listeners: list[Listener] = []
         self._allowed: set[str] = set()
 
     def on_own_end(self, listener: EndListener) -> None:
@@ -72,6 +73,10 @@
         """Call a listener when a request with a record is answered here."""
         self._answer_listeners.append(listener)
 
+    def on_quarantine(self, listener: Listener) -> None:
+        """Call a listener with each request that is quarantined here."""
+        self._quarantine_listeners.append(listener)
+
     def may_begin(self, fingerprint: str) -> bool:
         """Tell whether a request may be sent to an upstream now."""
         state = self.records.find_state(fingerprint)
@@ -104,6 +109,8 @@
         if state is RequestState.due and await self.trials.claim(fingerprint):
             log.info('Request is on trial.', fingerprint=fingerprint)
             return
+        if state is RequestState.held:
+            raise RefusedError(_refuse_suspect(may_have_run=may_have_run))
         raise RefusedError(
             Refusal(
                 RefusalCode.quarantined,
@@ -135,29 +142,29 @@
         """Learn that an upstream runs a request no more."""
         self._isolation.on_finish(fingerprint, upstream)
 
-    def on_end(self, fingerprint: str, run: UpstreamRun) -> None:
-        """Learn that an upstream ended while it ran a request sent here."""
+    def on_end(self, fingerprint: str, run: UpstreamRun, address: str) -> None:
+        """Learn that an upstream ended while it ran a request sent here.
+
+        :param address: where the upstream listened.
+        """
         self._counters.add('upstream_ends')
-        if self.take_end(fingerprint, run):
+        if self.records.on_end(fingerprint, run, address):
             for listener in self._end_listeners:
-                listener(fingerprint, run)
-
-    def take_end(self, fingerprint: str, run: UpstreamRun) -> bool:
-        """Count the end of an upstream, seen here or at another daemon.
+                listener(fingerprint, run, address)
 
-        :returns: whether it is new.
-        """
-        known = self._is_quarantined(fingerprint)
-        if not self.records.on_end(fingerprint, run):
-            return False
-        if not known:
+    def on_return(self, run: UpstreamRun, address: str) -> None:
+        """Learn that a run of an upstream has begun at an address."""
+        if not len(self.records):
+            return
+        for fingerprint in self.records.on_return(run, address):
             self._show(fingerprint)
-        return True
+            for listener in self._quarantine_listeners:
+                listener(fingerprint)
 
     def adopt(
         self,
         fingerprint: str,
-        runs: Iterable[UpstreamRun],
+        upstreams: Sequence[str],
         age: timedelta,
         trials: int,
     ) -> None:
@@ -166,16 +173,17 @@
         :param age: how long ago it began, or its last trial.
         :param trials: trials that were begun.
         """
-        known = self._is_quarantined(fingerprint)
+        known = self.records.is_quarantined(fingerprint)
         self.records.quarantine(fingerprint, age, trials)
         if not known:
-            for run in runs:
-                self.records.on_end(fingerprint, run)
-            self._show(fingerprint)
+            self._show(fingerprint, upstreams)
 
-    def on_answer(self, fingerprint: str) -> None:
-        """Learn that an upstream ran a request here and lives."""
-        if not len(self.records) or self.records.find(fingerprint) is None:
+    def on_answer(self, fingerprint: str, run: UpstreamRun) -> None:
+        """Learn that a run of an upstream answered a request sent here."""
+        if not len(self.records):
+            return
+        self.records.on_alive(run)
+        if self.records.find(fingerprint) is None:
             return
         self.lift(fingerprint, 'answered')
         for listener in self._answer_listeners:
@@ -196,19 +204,12 @@
         self._allowed.add(fingerprint)
         log.info('Request is on trial.', fingerprint=fingerprint)
 
-    def _is_quarantined(self, fingerprint: str) -> bool:
-        record = self.records.find(fingerprint)
-        return record is not None and record.quarantined_until is not None
-
-    def _show(self, fingerprint: str) -> None:
-        record = self.records.find(fingerprint)
-        if record is None or record.quarantined_until is None:
-            return
+    def _show(self, fingerprint: str, upstreams: Sequence[str] = ()) -> None:
         self._set_gauge()
         log.warning(
             'Request is quarantined.',
             fingerprint=fingerprint,
-            upstreams=sorted(name for name, _ in record.runs),
+            upstreams=upstreams or self.records.list_upstreams(fingerprint),
         )
 
     def _set_gauge(self) -> None:
--- a/quetzalcourse/coordination/quarantine/quarantine_rows.py
+++ b/quetzalcourse/coordination/quarantine/quarantine_rows.py
@@ -25,7 +25,6 @@
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.clock import Clock
-    from quetzalcourse.state.quarantine import UpstreamRun
     from quetzalcourse.state.rows import Row
 
 TABLE = 'quarantine'
@@ -37,7 +36,6 @@
 # Time for which a row that is lifted may still appear.
 LIFTED_TTL = timedelta(seconds=5)
 MILLISECOND = timedelta(milliseconds=1)
-UNKNOWN_START = 0
 log = get_log('quarantine')
 
 
@@ -78,7 +76,7 @@
         self._wake = asyncio.Event()
         self._tasks = Tasks('quarantine')
         follower.on_rows(self.on_rows)
-        quarantine.on_own_end(self._on_end)
+        quarantine.on_quarantine(self._on_quarantine)
         quarantine.on_own_answer(self._on_answer)
         quarantine.trials = self
 
@@ -104,10 +102,9 @@
                 await self._remove_lifted()
                 await self._clock.sleep(RETRY)
 
-    def _on_end(self, fingerprint: str, _: UpstreamRun) -> None:
-        if fingerprint in self._list_missing():
-            self._lifted.pop(fingerprint, None)
-            self._wake.set()
+    def _on_quarantine(self, fingerprint: str) -> None:
+        self._lifted.pop(fingerprint, None)
+        self._wake.set()
 
     def _on_answer(self, fingerprint: str) -> None:
         # Its row may be on its way to the store.
@@ -155,8 +152,7 @@
             self._lifted[fingerprint] = self._clock.elapsed()
             self._wake.set()
             return
-        runs = [(name, UNKNOWN_START) for name in known.upstreams]
-        self._quarantine.adopt(fingerprint, runs, age, known.trials)
+        self._quarantine.adopt(fingerprint, known.upstreams, age, known.trials)
 
     def _find_age(self, row: QuarantineRow) -> timedelta:
         now = self._store_clock.estimate()
@@ -184,7 +180,7 @@
                 continue
             age = self._clock.elapsed() - record.changed_at
             row = QuarantineRow(
-                sorted(name for name, _ in record.runs),
+                self._records.list_upstreams(fingerprint),
                 (now - age) // MILLISECOND,
                 record.trials,
             )
--- a/quetzalcourse/coordination/quarantine/records.py
+++ b/quetzalcourse/coordination/quarantine/records.py
@@ -3,6 +3,9 @@
 An upstream that ends takes all its requests along, and each of them may be the
 one that ended it. A request that ends whatever runs it never gets an answer, so
 ends count only until the next answer, and each run of an upstream counts once.
+
+A partition that resets connections looks like the end of all upstreams behind
+it, until another run takes the place of those that did end.
 """
 
 from __future__ import annotations
@@ -10,7 +13,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from quetzalcourse.state.quarantine import RequestRecord, RequestState
+from quetzalcourse.coordination.quarantine.event_counts import RecentEnds
+from quetzalcourse.state.quarantine import (
+    RequestRecord,
+    RequestState,
+    UpstreamEnd,
+)
 
 if TYPE_CHECKING:
     from quetzalcourse.state.clock import Clock
@@ -20,6 +28,8 @@
 MAX_ENDS = 3
 # Ends after which a request runs apart from other suspects.
 SUSPECT_ENDS = 2
+# Time in which another run takes the place of an upstream that ended.
+UNCONFIRMED_TTL = timedelta(seconds=15)
 # Age at which ends without an answer in between are forgotten.
 RECORD_TTL = timedelta(minutes=10)
 # Quarantine before the first trial, doubled with each trial.
@@ -39,6 +49,7 @@
         """Begin without a record."""
         self._clock = clock
         self._records: dict[str, RequestRecord] = {}
+        self._recent = RecentEnds()
 
     def __len__(self) -> int:
         """Count the records."""
@@ -47,7 +58,11 @@
     def find(self, fingerprint: str) -> RequestRecord | None:
         """Find the record of a request, ``None`` if it has none."""
         record = self._records.get(fingerprint)
-        if record is None or not self._is_outdated(record):
+        if record is None:
+            return None
+        self._drop_unconfirmed(record)
+        known = record.ends or record.quarantined_until is not None
+        if known and not self._is_outdated(record):
             return record
         self._records.pop(fingerprint)
         return None
@@ -62,7 +77,10 @@
             if due and record.trials < MAX_TRIALS:
                 return RequestState.due
             return RequestState.quarantined
-        if len(record.runs) >= SUSPECT_ENDS:
+        count = self._recent.count_events(record.ends)
+        if count >= MAX_ENDS:
+            return RequestState.held
+        if count >= SUSPECT_ENDS:
             return RequestState.suspect
         return RequestState.sound
 
@@ -82,28 +100,52 @@
         return [
             fingerprint
             for fingerprint in tuple(self._records)
-            if (record := self.find(fingerprint)) is not None
-            and record.quarantined_until is not None
+            if self.is_quarantined(fingerprint)
         ]
 
-    def on_end(self, fingerprint: str, run: UpstreamRun) -> bool:
-        """Learn that an upstream ended while it ran a request.
+    def list_upstreams(self, fingerprint: str) -> list[str]:
+        """Name the upstreams that ended under a request."""
+        record = self.find(fingerprint)
+        return sorted(name for name, _ in record.ends) if record else []
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Tell whether a request is quarantined, on trial or not."""
+        record = self.find(fingerprint)
+        return record is not None and record.quarantined_until is not None
+
+    def on_end(self, fingerprint: str, run: UpstreamRun, address: str) -> bool:
+        """Learn that an upstream seems to have ended under a request.
 
         :returns: whether that is new.
         """
-        record = self.find(fingerprint)
-        if record is None:
-            record = self._add(fingerprint)
-        if run in record.runs:
+        record = self.find(fingerprint) or self._add(fingerprint)
+        if run in record.ends:
             return False
-        record.runs.add(run)
-        if record.quarantined_until is not None:
-            return True
-        record.changed_at = self._clock.elapsed()
-        if len(record.runs) >= MAX_ENDS:
-            record.quarantined_until = record.changed_at + QUARANTINE_TIME
+        now = self._clock.elapsed()
+        record.ends[run] = UpstreamEnd(now, address)
+        self._recent.add(run, now)
+        if record.quarantined_until is None:
+            record.changed_at = now
         return True
 
+    def on_return(self, run: UpstreamRun, address: str) -> list[str]:
+        """Learn that a run of an upstream begins at an address.
+
+        :returns: requests that are quarantined by what that confirms.
+        """
+        return [
+            fingerprint
+            for fingerprint in tuple(self._records)
+            if self._confirm(fingerprint, run, address)
+        ]
+
+    def on_alive(self, run: UpstreamRun) -> None:
+        """Learn that a run of an upstream answers, which had not ended."""
+        if not self._recent.remove(run):
+            return
+        for record in self._records.values():
+            record.ends.pop(run, None)
+
     def quarantine(
         self, fingerprint: str, age: timedelta, trials: int = 0
     ) -> None:
@@ -112,7 +154,7 @@
         :param age: how long ago its quarantine or its last trial began.
         :param trials: trials that were begun.
         """
-        record = self.find(fingerprint) or self._add(fingerprint)
+        record = self._records.get(fingerprint) or self._add(fingerprint)
         record.changed_at = self._clock.elapsed() - age
         record.quarantined_until = record.changed_at + find_duration(trials)
         record.trials = trials
@@ -121,6 +163,34 @@
         """Hold nothing against a request any more."""
         return self._records.pop(fingerprint, None)
 
+    def _confirm(
+        self, fingerprint: str, run: UpstreamRun, address: str
+    ) -> bool:
+        record = self.find(fingerprint)
+        if record is None or record.quarantined_until is not None:
+            return False
+        for ended, end in record.ends.items():
+            same = end.address == address or ended[0] == run[0]
+            end.confirmed = end.confirmed or (same and ended != run)
+        confirmed = {
+            ended: end for ended, end in record.ends.items() if end.confirmed
+        }
+        if self._recent.count_events(confirmed) < MAX_ENDS:
+            return False
+        self.quarantine(fingerprint, timedelta(0))
+        return True
+
+    def _drop_unconfirmed(self, record: RequestRecord) -> None:
+        oldest = self._clock.elapsed() - UNCONFIRMED_TTL
+        outdated = [
+            run
+            for run, end in record.ends.items()
+            if not end.confirmed and end.at < oldest
+        ]
+        if record.quarantined_until is None:
+            for run in outdated:
+                record.ends.pop(run)
+
     def _add(self, fingerprint: str) -> RequestRecord:
         if len(self._records) >= MAX_RECORDS:
             self._records.pop(min(self._records, key=self._rank))
--- a/quetzalcourse/quarantine_parts.py
+++ b/quetzalcourse/quarantine_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.feeds.follower import TableFollower
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.deployment import StoreParts
     from quetzalcourse.lifecycle import Lifecycle
@@ -48,6 +50,7 @@
 ) -> QuarantineParts:
     """Build the parts and connect them."""
     quarantine = Quarantine(QuarantineRecords(clock), counters)
+    pool.run_listeners.append(partial(_on_run, quarantine))
     follower = TableFollower(
         store.feed,
         quarantine_rows.TABLE,
@@ -65,3 +68,7 @@
         EndUpdates(quarantine, members, peers),
         UpstreamEnds(pool, quarantine),
     )
+
+
+def _on_run(quarantine: Quarantine, upstream: Upstream) -> None:
+    quarantine.on_return(upstream.run, upstream.member.address)
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -15,11 +15,15 @@
 from quetzalcourse.transport.web import abort_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from sanic import Request
 
     from quetzalcourse.standins.rollout.store import StoreStandin
     from quetzalcourse.state.calls import RequestHead
 
+    Hook = Callable[[], Awaitable[None]]
+
 OK = 200
 ACCEPTED = 202
 BAD_REQUEST = 400
@@ -50,6 +54,7 @@
     body: bytes
     at: float
     key_seen: bool
+    path: str = ''
 
 
 @dataclass(slots=True)
@@ -141,10 +146,16 @@
     )
 
 
+async def _do_nothing() -> None:
+    """Stand for a hook that nobody set."""
+
+
 class UpstreamStandin:
     """One server of a service.
 
     :param models: models that it holds; none for a plain service.
+
+    ``on_crash`` and ``on_return`` are called when a crash begins and ends.
     """
 
     def __init__(
@@ -166,6 +177,8 @@
         self.cold = ColdStartState()
         self.runs: list[Run] = []
         self.crashes: list[Run] = []
+        self.on_crash: Hook = _do_nothing
+        self.on_return: Hook = _do_nothing
         self.padding = ''
         self.running = 0
         self.leaving = False
@@ -194,12 +207,14 @@
 
     async def crash(self) -> None:
         """End as a process does, and begin anew at the same address."""
+        await self.on_crash()
         await self.server.end()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.sleep(RESTART_SECONDS)
         self.server = StandinServer(self.name, self.serve, self.server.address)
         await self.server.start()
+        await self.on_return()
         self._born += 1
         await self.register()
         self._keep(self._beat())
@@ -336,6 +351,7 @@
                 request.body,
                 time.monotonic(),
                 'x-key' in dict(head.headers),
+                head.path,
             )
         )
         if self.faults.poison and self.faults.poison in request.body:
--- a/quetzalcourse/tests/commands/key_tests.py
+++ b/quetzalcourse/tests/commands/key_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import TYPE_CHECKING
 
 import pytest
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -251,7 +251,7 @@
         answer: aiohttp.ClientResponse,
     ) -> None:
         self._pool.on_success(upstream)
-        self._quarantine.on_answer(forwarding.fingerprint)
+        self._quarantine.on_answer(forwarding.fingerprint, upstream.run)
         self._pool.on_kept(upstream, self._calls.keep_alive)
         log.info(
             'Request answered.',
--- a/quetzalcourse/transport/upstream_ends.py
+++ b/quetzalcourse/transport/upstream_ends.py
@@ -35,7 +35,7 @@
     ) -> bool:
         """Learn that a connection broke after a request was sent on it.
 
-        :returns: whether the upstream has ended unplanned.
+        :returns: whether the upstream seems to have ended unplanned.
         """
         if upstream.member.leaving or self._pool.find(upstream.name) is None:
             return False
@@ -48,7 +48,9 @@
             upstream=upstream.name,
             peer=upstream.member.address,
         )
-        self._quarantine.on_end(fingerprint, upstream.run)
+        self._quarantine.on_end(
+            fingerprint, upstream.run, upstream.member.address
+        )
         return True
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
     check_batches,
     check_cold_starts,
     check_orders,
+    check_poison,
     check_requests,
     check_usage,
 )
@@ -23,6 +24,8 @@
 
 # After the last fault a batch may wait for a takeover, a reload and a retry.
 FINISH_SECONDS = 25.0
+# After that a daemon knows what the others and the store do.
+SETTLE_SECONDS = 3.0
 READERS = 2
 
 
@@ -36,6 +39,7 @@
     :returns: the promises that were broken.
     """
     world = SoakWorld(folder, options.daemons, seed)
+    world.poisoned = options.poison
     series = FaultSeries(world, seed, places=options.places)
     try:
         await play_world(world, series, options.seconds)
@@ -56,11 +60,17 @@
     callers = world.callers
     parts = [callers.look_up(stop), callers.train(stop)]
     parts += [callers.read(stop) for _ in range(READERS)]
+    if world.poisoned:
+        parts.append(callers.send_poison(stop))
     running = asyncio.gather(*parts, series.run(stop))
     await asyncio.sleep(seconds)
     stop.set()
     await running
     await callers.finish(FINISH_SECONDS)
+    if world.poisoned:
+        await asyncio.sleep(SETTLE_SECONDS)
+        world.ends_at_rest = world.count_ends()
+        await callers.probe_poison()
 
 
 def check_world(world: SoakWorld) -> list[str]:
@@ -71,6 +81,11 @@
     faults += check_orders(world.list_servers())
     faults += check_cold_starts(world.list_servers())
     faults += check_usage(world.cloud.reports)
+    faults += check_poison(
+        world.ends_at_rest,
+        world.count_ends(),
+        sum(daemon.starts for daemon in world.daemons),
+    )
     faults += [
         f'{daemon.name} ended by itself with {codes}'
         for daemon in world.daemons
@@ -115,6 +130,11 @@
         action='store_true',
         help='also evacuate data centres and let servers come back cold',
     )
+    parser.add_argument(
+        '--poison',
+        action='store_true',
+        help='also send requests that end the servers which run them',
+    )
     options = parser.parse_args()
     configure_log('error', 'console')
     return run_loop(run(options))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +21,10 @@
 READ_PAUSE = 0.1
 STEP_PAUSE = 0.4
 LOOKUP_PAUSE = 0.15
+# Body that ends the servers which run it.
+POISON = b'poison'
+POISON_PAUSE = 0.3
+POISON_PATHS = (documents.LOOKUP_PREFIX, documents.ONCE_PREFIX)
 
 
 @dataclass(slots=True)
@@ -79,6 +84,7 @@
         self._random = random.Random(seed)
         self._caller = Caller()
         self._count = 0
+        self._poison_count = 0
 
     async def look_up(self, stop: asyncio.Event) -> None:
         """Send lookups, some of which must run once, until told to stop."""
@@ -106,6 +112,33 @@
             self.told.append(told)
             await asyncio.sleep(LOOKUP_PAUSE)
 
+    async def send_poison(self, stop: asyncio.Event) -> None:
+        """Send requests that end servers, over and over."""
+        while not stop.is_set():
+            for path in POISON_PATHS:
+                await self.ask_poison(self._choose(), path)
+            await asyncio.sleep(POISON_PAUSE)
+
+    async def probe_poison(self) -> None:
+        """Send them once more to each daemon."""
+        for address in self._addresses:
+            for path in POISON_PATHS:
+                await self.ask_poison(address, path)
+                await asyncio.sleep(POISON_PAUSE)
+
+    async def ask_poison(self, address: str, path: str) -> None:
+        """Send a request that ends servers, whatever comes of it."""
+        self._poison_count += 1
+        with suppress(aiohttp.ClientError, TimeoutError):
+            await self._caller.call(
+                address,
+                'POST',
+                path,
+                POISON,
+                request_id=f'p-{self._poison_count}',
+                seconds=CALL_SECONDS,
+            )
+
     async def train(self, stop: asyncio.Event) -> None:
         """Submit one batch after another until told to stop."""
         while not stop.is_set():
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,11 +6,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.quarantine.records import MAX_ENDS
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.upstream import write_text
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from quetzalcourse.standins.rollout.cloud import UsageCall
     from quetzalcourse.standins.rollout.upstream import Run, UpstreamStandin
@@ -18,6 +19,7 @@
 
 OK = 200
 UNAVAILABLE = 503
+QUARANTINED = b'"quarantined"'
 
 
 def check_requests(told: Iterable[Told], runs: Iterable[Run]) -> list[str]:
@@ -34,6 +36,8 @@
     faults = []
     if one.status == OK and one.body != b'answer to ' + one.request_id.encode():
         faults.append(f'{one.request_id} got {one.body[:60]!r}')
+    if one.status != OK and QUARANTINED in one.body:
+        faults.append(f'{one.request_id} was quarantined')
     if one.path != documents.ONCE_PREFIX:
         return faults
     if ran > 1:
@@ -43,6 +47,29 @@
     return faults
 
 
+def check_poison(
+    ends: Mapping[str, int],
+    later: Mapping[str, int],
+    starts: int,
+) -> list[str]:
+    """Check requests that end servers.
+
+    A daemon that has just started and reaches nobody may count anew; once all
+    have come to rest, nothing runs such a request.
+
+    :param ends: servers that ended until the last fault, by path.
+    :param later: servers that ended until the end of the soak.
+    :param starts: how often daemons were started.
+    """
+    faults = []
+    for path, count in later.items():
+        if count > MAX_ENDS * starts:
+            faults.append(f'{path}: {count} ends, {starts} starts')
+        if count > max(ends.get(path, 0), MAX_ENDS):
+            faults.append(f'{path}: {count} ends, {ends.get(path, 0)} before')
+    return faults
+
+
 def check_batches(
     batches: Iterable[BatchRecord],
     runs: Iterable[Run],
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -40,8 +40,11 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        """Listen on a free port, or on the port that it had."""
+        port = int(self.address.rpartition(':')[2] or 0)
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from quetzalcourse.standins.rollout import documents
@@ -14,7 +15,7 @@
     UpstreamStandin,
 )
 from quetzalcourse.standins.rollout.world import Caller
-from soak.callers import SoakCallers
+from soak.callers import POISON, SoakCallers
 from soak.daemons import SoakDaemon, build_daemon
 from soak.proxy import FaultProxy
 
@@ -45,6 +46,8 @@
         self.store_links: list[FaultProxy] = []
         self.server_links: dict[str, FaultProxy] = {}
         self.manifest_version = 1
+        self.poisoned = False
+        self.ends_at_rest: Counter[str] = Counter()
         self._folder = folder
         self._count = daemons
         self._seed = seed
@@ -93,6 +96,10 @@
         await proxy.start()
         server.announced = proxy.address
         self.server_links[server.name] = proxy
+        server.on_crash = proxy.stop
+        server.on_return = proxy.start
+        if self.poisoned:
+            server.faults.poison = POISON
         self.servers.append(server)
         for model in models:
             server.state.versions[model] = self._find_version()
@@ -138,6 +145,12 @@
         """List all servers there ever were."""
         return [*self.servers, *self.gone]
 
+    def count_ends(self) -> Counter[str]:
+        """Count the ends of servers under each poisonous request, by path."""
+        return Counter(
+            run.path for server in self.list_servers() for run in server.crashes
+        )
+
     def list_runs(self) -> list[Run]:
         """List all requests that servers began to work on."""
         return [run for server in self.list_servers() for run in server.runs]
