Count no attempt for a connection that was not made

Callers were refused while the last sound upstream of their service was idle: an upstream that ended stays registered for seconds, and each refused connection used up one of the two attempts of a lookup. Cause: attempts were counted when an upstream was chosen. The rule counts upstreams that a request is sent to, and nothing was sent.

An upstream that can't be connected to is remembered for the request and not chosen again, so that a request before dead upstreams alone is refused after one connection to each. The new tests failed before (may_repeat was false after two refused connections) and pass.

--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -39,7 +39,8 @@
     :param allowed_regions: where it may run.
     :param replayable: whether its body can be sent once more.
     :param fingerprint: the same for all requests that are repeats of it.
-    :param attempts: upstreams that it was sent to.
+    :param attempts: upstreams that were chosen for it.
+    :param unreachable: upstreams that could not be connected to.
     :param may_have_run: whether one of them may have begun to run it.
     :param attempt_began: time since boot at which the last one was chosen.
     :param silent: data centres of upstreams that did not answer.
@@ -61,6 +62,7 @@
     waits_for: timedelta = timedelta(0)
     tried: set[str] = field(default_factory=set)
     silent: set[str] = field(default_factory=set)
+    unreachable: set[str] = field(default_factory=set)
 
     @property
     def repeatable(self) -> bool:
@@ -112,7 +114,7 @@
             # asking it again at once would only be refused again.
             upstream = self._pool.choose(
                 forwarding.service,
-                avoided,
+                forwarding.unreachable.union(avoided),
                 allowed=forwarding.allowed_regions,
             )
         if upstream is None:
@@ -142,6 +144,14 @@
         """Learn that an upstream could not be reached, or did not answer."""
         forwarding.silent.add(upstream.member.data_centre)
 
+    def on_not_sent(self, forwarding: Forwarding, upstream: Upstream) -> None:
+        """Learn that no connection was made for the attempt.
+
+        Upstreams that ended are registered for seconds; the few attempts that
+        a request has are for those that live.
+        """
+        forwarding.unreachable.add(upstream.name)
+
     def on_late(self, forwarding: Forwarding) -> None:
         """Learn that the attempt's answer did not come in time."""
         if forwarding.waits_for:
@@ -156,7 +166,8 @@
         """
         if not forwarding.replayable:
             return False
-        if forwarding.attempts >= forwarding.route.max_attempts:
+        sent = forwarding.attempts - len(forwarding.unreachable)
+        if sent >= forwarding.route.max_attempts:
             return False
         if self.measure_left(forwarding) < MIN_TIME_LEFT:
             return False
--- /dev/null
+++ b/quetzalcourse/tests/coordination/forwarding/forwarding_tests.py
@@ -0,0 +1,82 @@
+"""How often a request is sent, and what its caller is told."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.forwarding.forwarding import (
+    Forwarder,
+    Forwarding,
+)
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+from quetzalcourse.coordination.quarantine.records import QuarantineRecords
+from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import PoolMember
+from quetzalcourse.state.routing import Route, RouteKind, Target
+from quetzalcourse.tests.clocks import FakeClock
+
+UPSTREAMS = 4
+MAX_ATTEMPTS = 2
+
+
+def build() -> tuple[Forwarder, Forwarding]:
+    """Build a lookup before four upstreams."""
+    clock = FakeClock()
+    pool = Pool('hall', clock, Counters())
+    for number in range(UPSTREAMS):
+        pool.replace(PoolMember(f'u-{number}', 's', f'u-{number}:1', 'hall', 6))
+    quarantine = Quarantine(QuarantineRecords(clock), Counters())
+    route = Route(
+        'r',
+        'host',
+        '/lookup/',
+        RouteKind.idempotent,
+        timedelta(seconds=1),
+        timedelta(milliseconds=200),
+        1,
+        (Target('s', 1),),
+        MAX_ATTEMPTS,
+    )
+    deadline = clock.elapsed() + timedelta(seconds=1)
+    forwarding = Forwarding('r-1', route, 's', 'desk', deadline)
+    return Forwarder(pool, quarantine, clock), forwarding
+
+
+def test_upstreams_that_refuse_connections_use_up_no_attempt() -> None:
+    """Guards against a refusal while the last sound upstream is left."""
+    forwarder, forwarding = build()
+    tried = set()
+    for _ in range(UPSTREAMS):
+        upstream = forwarder.choose(forwarding)
+        tried.add(upstream.name)
+        forwarder.on_not_sent(forwarding, upstream)
+        assert forwarder.may_repeat(forwarding, not_run=True)
+    assert len(tried) == UPSTREAMS
+    with pytest.raises(RefusedError):
+        forwarder.choose(forwarding)
+
+
+def test_upstreams_that_run_a_request_use_up_its_attempts() -> None:
+    """Guards against a request that runs on more upstreams than allowed."""
+    forwarder, forwarding = build()
+    for left in range(MAX_ATTEMPTS - 1, -1, -1):
+        forwarder.choose(forwarding)
+        may_repeat = forwarder.may_repeat(forwarding, not_run=False)
+        assert may_repeat is bool(left)
+
+
+def test_request_is_refused_once_all_upstreams_are_unreachable() -> None:
+    """Guards against a request that asks dead upstreams until its deadline."""
+    forwarder, forwarding = build()
+    forwarder.choose(forwarding)
+    forwarding.may_have_run = True
+    for _ in range(UPSTREAMS):
+        upstream = forwarder.choose(forwarding)
+        forwarder.on_not_sent(forwarding, upstream)
+    assert forwarding.unreachable == {f'u-{one}' for one in range(UPSTREAMS)}
+    with pytest.raises(RefusedError):
+        forwarder.choose(forwarding)
--- a/quetzalcourse/transport/forward_routes.py
+++ b/quetzalcourse/transport/forward_routes.py
@@ -199,6 +199,8 @@
             not_run = error.state is LostState.not_sent
             if error.state is not LostState.unanswered:
                 self._forwarder.on_silence(forwarding, upstream)
+            if not_run:
+                self._forwarder.on_not_sent(forwarding, upstream)
             if error.state is LostState.late:
                 self._forwarder.on_late(forwarding)
                 self._pool.on_late(upstream)
