Send the ends of one moment together, and ask a broken upstream once

At the size of hundreds of daemons a partition that resets connections breaks hundreds of requests of one coordinator in a moment; each told every daemon and opened a connection of its own to the upstream. Tests: 200 ends make one message, 50 broken requests one connection.

--- a/quetzalcourse/quarantine_parts.py
+++ b/quetzalcourse/quarantine_parts.py
@@ -65,7 +65,7 @@
         quarantine_rows.QuarantineRows(
             quarantine, store.table, follower, store.clock, clock
         ),
-        EndUpdates(quarantine, members, peers),
+        EndUpdates(quarantine, members, peers, clock),
         UpstreamEnds(pool, quarantine),
     )
 
--- a/quetzalcourse/tests/coordination/quarantine/quarantine_tests.py
+++ b/quetzalcourse/tests/coordination/quarantine/quarantine_tests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from datetime import timedelta
 
 import pytest
 
-from quetzalcourse.coordination.quarantine.end_updates import EndUpdates
+from quetzalcourse.coordination.quarantine.end_updates import (
+    SEND_DELAY,
+    EndUpdates,
+)
 from quetzalcourse.coordination.quarantine.quarantine import Quarantine
 from quetzalcourse.coordination.quarantine.records import (
     MAX_ENDS,
@@ -80,18 +82,18 @@
     members = [Member(name, f'{name}-1', 'hall', name) for name in names]
     network = FakeNetwork()
     daemons = []
+    clock = FakeClock()
     for member in members:
         quarantine = build()
         peers = network.join(member)
-        EndUpdates(quarantine, FakeMembers(member, members), peers)
+        EndUpdates(quarantine, FakeMembers(member, members), peers, clock)
         daemons.append(quarantine)
     for number, quarantine in enumerate(daemons[:MAX_ENDS]):
         run = (f'u-{number}', 1)
         quarantine.on_end('f', run, f'a-{number}')
         quarantine.on_end('popular', run, f'a-{number}')
         daemons[3].on_answer('popular', ('sound', 1))
-        await asyncio.sleep(0)
-    await asyncio.sleep(0)
+        await clock.advance(SEND_DELAY)
     for quarantine in daemons:
         state = quarantine.records.find_state('f')
         assert state is RequestState.held
@@ -165,3 +167,22 @@
     assert list(counters.gauges['requests_quarantined'].values()) == [2]
     quarantine.lift('f', 'test')
     assert list(counters.gauges['requests_quarantined'].values()) == [1]
+
+
+async def test_ends_of_one_moment_go_out_together() -> None:
+    """Guards against a message to each daemon for each of hundreds of ends."""
+    own, other = (
+        Member(name, f'{name}-1', 'hall', name) for name in ('vm-0', 'vm-1')
+    )
+    network = FakeNetwork()
+    clock = FakeClock()
+    quarantine = build()
+    far = build()
+    for member, known in ((own, quarantine), (other, far)):
+        members = FakeMembers(member, [own, other])
+        EndUpdates(known, members, network.join(member), clock)
+    for number in range(200):
+        quarantine.on_end(f'f-{number}', ('u', 1), 'a')
+    await clock.advance(SEND_DELAY)
+    assert len(network.sent) == 1
+    assert len(far.records) == 200
--- a/quetzalcourse/tests/transport/upstream_ends_tests.py
+++ b/quetzalcourse/tests/transport/upstream_ends_tests.py
@@ -79,3 +79,26 @@
     upstream = pool.list_service('s')[0]
     pool.remove('u')
     assert not await build_ends(pool).on_broken(upstream, 'r-1', 'f-1')
+
+
+async def test_upstream_is_asked_once_for_many_broken_requests() -> None:
+    """Guards against a burst of connections to an upstream that is back."""
+    accepted = 0
+
+    def count(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal accepted
+        accepted += 1
+        writer.close()
+
+    server = await asyncio.start_server(count, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    pool = build_pool(f'{host}:{port}')
+    upstream = pool.list_service('s')[0]
+    ends = build_ends(pool)
+    found = await asyncio.gather(
+        *(ends.on_broken(upstream, 'r', f'f-{one}') for one in range(50))
+    )
+    await asyncio.sleep(0.05)
+    server.close()
+    assert not any(found)
+    assert accepted == 1
--- a/quetzalcourse/transport/upstream_ends.py
+++ b/quetzalcourse/transport/upstream_ends.py
@@ -13,6 +13,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+    from quetzalcourse.state.quarantine import UpstreamRun
 
 # An upstream whose connection has just broken is a round trip away.
 PROBE_SECONDS = 0.1
@@ -26,6 +27,7 @@
         """Keep the pool that knows which upstreams leave."""
         self._pool = pool
         self._quarantine = quarantine
+        self._probes: dict[UpstreamRun, asyncio.Task[bool]] = {}
 
     async def on_broken(
         self,
@@ -39,7 +41,7 @@
         """
         if upstream.member.leaving or self._pool.find(upstream.name) is None:
             return False
-        if await is_listening(upstream.member.address):
+        if await self._probe(upstream):
             return False
         log.warning(
             'Upstream ended under a request.',
@@ -53,6 +55,16 @@
         )
         return True
 
+    async def _probe(self, upstream: Upstream) -> bool:
+        """Ask an upstream once for all requests that it broke off together."""
+        run = upstream.run
+        probe = self._probes.get(run)
+        if probe is None:
+            probe = asyncio.ensure_future(is_listening(upstream.member.address))
+            self._probes[run] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(run, None))
+        return await asyncio.shield(probe)
+
 
 async def is_listening(address: str) -> bool:
     """Tell whether an upstream that broke a connection may still run.
