Blame the request that ran on every ended upstream, not its bystanders

Cause: each request was judged by itself, and suspects keep apart at one daemon only. Now a request is not blamed for ends that another one met too, if that one met more; while none is ahead, they wait for one end more, apart from each other.

--- a/quetzalcourse/coordination/quarantine/records.py
+++ b/quetzalcourse/coordination/quarantine/records.py
@@ -4,6 +4,9 @@
 one that ended it. A request that ends whatever runs it never gets an answer, so
 ends count only until the next answer, and each run of an upstream counts once.
 
+Of the requests that ran on the same ended upstreams, the one under which more
+ended is the cause; while none is ahead, they wait for one end more.
+
 A partition that resets connections looks like the end of all upstreams behind
 it, until another run takes the place of those that did end.
 """
@@ -21,6 +24,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.quarantine import UpstreamRun
 
@@ -40,6 +45,8 @@
 QUARANTINE_RETENTION = timedelta(days=1)
 # Requests that are remembered; the oldest that are not quarantined go first.
 MAX_RECORDS = 4096
+# Names and addresses of ended upstreams where another run may begin.
+MAX_PLACES = 4096
 
 
 class QuarantineRecords:
@@ -50,6 +57,7 @@
         self._clock = clock
         self._records: dict[str, RequestRecord] = {}
         self._recent = RecentEnds()
+        self._unconfirmed: dict[str, set[str]] = {}
 
     def __len__(self) -> int:
         """Count the records."""
@@ -78,7 +86,8 @@
                 return RequestState.due
             return RequestState.quarantined
         count = self._recent.count_events(record.ends)
-        if count >= MAX_ENDS:
+        unconfirmed = not all(end.confirmed for end in record.ends.values())
+        if count >= MAX_ENDS and unconfirmed:
             return RequestState.held
         if count >= SUSPECT_ENDS:
             return RequestState.suspect
@@ -123,6 +132,10 @@
             return False
         now = self._clock.elapsed()
         record.ends[run] = UpstreamEnd(now, address)
+        for place in (address, run[0]):
+            self._unconfirmed.setdefault(place, set()).add(fingerprint)
+        if len(self._unconfirmed) > MAX_PLACES:
+            self._unconfirmed.pop(next(iter(self._unconfirmed)))
         self._recent.add(run, now)
         if record.quarantined_until is None:
             record.changed_at = now
@@ -133,9 +146,12 @@
 
         :returns: requests that are quarantined by what that confirms.
         """
+        found: set[str] = set()
+        for place in (address, run[0]):
+            found |= self._unconfirmed.pop(place, set())
         return [
             fingerprint
-            for fingerprint in tuple(self._records)
+            for fingerprint in sorted(found & self._records.keys())
             if self._confirm(fingerprint, run, address)
         ]
 
@@ -166,19 +182,51 @@
     def _confirm(
         self, fingerprint: str, run: UpstreamRun, address: str
     ) -> bool:
-        record = self.find(fingerprint)
-        if record is None or record.quarantined_until is not None:
+        record = self._records[fingerprint]
+        ended = [
+            end
+            for known, end in record.ends.items()
+            if known != run and (end.address == address or known[0] == run[0])
+        ]
+        if run in record.ends:
+            # The same run registers again, as after a partition.
+            self._unconfirmed.setdefault(address, set()).add(fingerprint)
+        for end in ended:
+            end.confirmed = True
+        if not ended or not self._is_cause(record):
+            return False
+        self.quarantine(fingerprint, timedelta(0))
+        return True
+
+    def _is_cause(self, record: RequestRecord) -> bool:
+        """Tell whether a request has ended the upstreams that ran it."""
+        if record.quarantined_until is not None:
             return False
-        for ended, end in record.ends.items():
-            same = end.address == address or ended[0] == run[0]
-            end.confirmed = end.confirmed or (same and ended != run)
         confirmed = {
-            ended: end for ended, end in record.ends.items() if end.confirmed
+            run: end for run, end in record.ends.items() if end.confirmed
         }
-        if self._recent.count_events(confirmed) < MAX_ENDS:
+        count = self._recent.count_events(confirmed)
+        if count < MAX_ENDS:
             return False
-        self.quarantine(fingerprint, timedelta(0))
-        return True
+        rivals = self._list_rivals(record, confirmed)
+        if any(len(rival.ends) > len(record.ends) for rival in rivals):
+            return False
+        return count > MAX_ENDS or not rivals
+
+    def _list_rivals(
+        self,
+        record: RequestRecord,
+        confirmed: Mapping[UpstreamRun, UpstreamEnd],
+    ) -> list[RequestRecord]:
+        """List other requests that ran on all upstreams that ended under one.
+
+        The request that ended them is among them, if it is not the one itself.
+        """
+        return [
+            other
+            for other in self._records.values()
+            if other is not record and confirmed.keys() <= other.ends.keys()
+        ]
 
     def _drop_unconfirmed(self, record: RequestRecord) -> None:
         oldest = self._clock.elapsed() - UNCONFIRMED_TTL
@@ -193,14 +241,20 @@
 
     def _add(self, fingerprint: str) -> RequestRecord:
         if len(self._records) >= MAX_RECORDS:
-            self._records.pop(min(self._records, key=self._rank))
+            self._records.pop(self._find_oldest())
         record = RequestRecord(changed_at=self._clock.elapsed())
         self._records[fingerprint] = record
         return record
 
-    def _rank(self, fingerprint: str) -> tuple[bool, timedelta]:
-        record = self._records[fingerprint]
-        return record.quarantined_until is not None, record.changed_at
+    def _find_oldest(self) -> str:
+        return next(
+            (
+                fingerprint
+                for fingerprint, record in self._records.items()
+                if record.quarantined_until is None
+            ),
+            next(iter(self._records)),
+        )
 
     def _is_outdated(self, record: RequestRecord) -> bool:
         age = self._clock.elapsed() - record.changed_at
--- a/quetzalcourse/tests/coordination/quarantine/records_tests.py
+++ b/quetzalcourse/tests/coordination/quarantine/records_tests.py
@@ -173,3 +173,23 @@
         clock.move(SECOND)
         records.on_end('f', (f'w-{number}', 1), f'b-{number}')
     assert records.find_state('f') is RequestState.held
+
+
+def test_bystander_is_not_blamed_for_what_another_request_did() -> None:
+    """Guards against blame for requests that shared all three upstreams."""
+    records, clock = build()
+    for number in range(limits.MAX_ENDS):
+        run = (f'u-{number}', 1)
+        for name in ('bystander', 'f'):
+            records.on_end(name, run, f'a-{number}')
+        records.on_return((f'v-{number}', 2), f'a-{number}')
+        clock.move(SECOND)
+    # Nobody can tell them apart yet: both run, apart from each other.
+    for name in ('bystander', 'f'):
+        assert records.find_state(name) is RequestState.suspect
+    end_one(records, ('w', 1))
+    assert records.find_state('f') is RequestState.quarantined
+    assert records.find_state('bystander') is RequestState.suspect
+    records.on_end('bystander', ('x', 1), 'b')
+    records.on_return(('y', 2), 'b')
+    assert records.find_state('bystander') is RequestState.quarantined
--- a/quetzalcourse/tests/rollout/quarantine_tests.py
+++ b/quetzalcourse/tests/rollout/quarantine_tests.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -202,22 +203,30 @@
     pair: RolloutWorld,
 ) -> None:
     """Guards against blame for requests that ran on the same upstreams."""
+    await await_acquaintance(pair)
+    poison(pair.services, POISON)
+    bodies = [f'salt {number}'.encode() for number in range(6)]
+    for number in range(2):
+        for server in pair.services:
+            server.faults.slow = 20
+        asking = [
+            asyncio.ensure_future(ask(pair, LOOKUP, one, body))
+            for one, body in enumerate(bodies)
+        ]
+        await asyncio.sleep(NOTICED_SECONDS / 6)
+        await ask(pair, LOOKUP, number)
+        await asyncio.gather(*asking)
+        await await_return()
+    assert 2 <= count_ends(pair.services) <= MAX_ENDS
+    runs = [run for server in pair.services for run in server.runs]
+    struck = Counter(run.body for run in runs if run.body in bodies)
+    assert max(struck.values()) >= 2
     for server in pair.services:
-        server.faults.slow = 5
-    asking = [
-        asyncio.ensure_future(
-            ask(pair, LOOKUP, number, f'salt {number}'.encode())
-        )
-        for number in range(6)
-    ]
-    await quarantine_lookup(pair)
-    replies = await asyncio.gather(*asking)
-    again = [
-        await ask(pair, LOOKUP, number, f'salt {number}'.encode())
-        for number in range(6)
-    ]
-    assert len(replies) == 6
-    assert {reply.status for reply in again if reply} == {200}
+        server.faults.slow = 1
+    for one, body in enumerate(bodies):
+        reply = await ask(pair, LOOKUP, one, body)
+        assert reply is not None
+        assert reply.status == 200
 
 
 async def test_servers_that_end_by_themselves_blame_no_request(
