Write a quarantine by the daemons that saw an end of it

All daemons learn of the third end at the same moment, when the upstream registers again, and each wrote the same row: hundreds of conditional writes in one part of the store, which the entries of upstreams and the manifest share. Found by reading the change. Now the few that saw an end themselves write; any daemon writes a row that is still missing five seconds later. Test: eight daemons made eight writes, now one; a quarantine whose witness died is written all the same.

--- a/quetzalcourse/coordination/quarantine/quarantine.py
+++ b/quetzalcourse/coordination/quarantine/quarantine.py
@@ -64,6 +64,7 @@
         self._answer_listeners: list[Listener] = []
         self._quarantine_listeners: list[Listener] = []
         self._allowed: set[str] = set()
+        self._seen_here: set[str] = set()
 
     def on_own_end(self, listener: EndListener) -> None:
         """Call a listener with each end that this daemon sees itself."""
@@ -74,7 +75,11 @@
         self._answer_listeners.append(listener)
 
     def on_quarantine(self, listener: Listener) -> None:
-        """Call a listener with each request that is quarantined here."""
+        """Call a listener with each request that is quarantined.
+
+        Only those count under which this daemon saw an upstream end: one of a
+        few, where all learn of it at the same moment.
+        """
         self._quarantine_listeners.append(listener)
 
     def may_begin(self, fingerprint: str) -> bool:
@@ -149,6 +154,7 @@
         """
         self._counters.add('upstream_ends')
         if self.records.on_end(fingerprint, run, address):
+            self._seen_here.add(fingerprint)
             for listener in self._end_listeners:
                 listener(fingerprint, run, address)
 
@@ -158,8 +164,9 @@
             return
         for fingerprint in self.records.on_return(run, address):
             self._show(fingerprint)
-            for listener in self._quarantine_listeners:
-                listener(fingerprint)
+            if fingerprint in self._seen_here:
+                for listener in self._quarantine_listeners:
+                    listener(fingerprint)
 
     def adopt(
         self,
@@ -193,6 +200,7 @@
         """Hold nothing against a request any more."""
         record = self.records.forget(fingerprint)
         self._allowed.discard(fingerprint)
+        self._seen_here.discard(fingerprint)
         self._set_gauge()
         if record is not None and record.quarantined_until is not None:
             log.info(
--- a/quetzalcourse/coordination/quarantine/quarantine_rows.py
+++ b/quetzalcourse/coordination/quarantine/quarantine_rows.py
@@ -30,6 +30,7 @@
 TABLE = 'quarantine'
 PREFIX = f'{TABLE}//'
 RETRY = timedelta(milliseconds=500)
+# A row that is missing after that time is written by any daemon.
 IDLE = timedelta(seconds=5)
 # Changes of the table are rare, and daemons tell each other beforehand.
 FEED_WAIT = timedelta(seconds=2)
--- a/quetzalcourse/tests/coordination/quarantine/quarantine_rows_tests.py
+++ b/quetzalcourse/tests/coordination/quarantine/quarantine_rows_tests.py
@@ -218,3 +218,36 @@
     await world.pass_time()
     assert daemon.find_state() is RequestState.sound
     assert rows_module.TABLE == KEY.partition('/')[0]
+
+
+async def test_few_daemons_write_what_all_learn(world: World) -> None:
+    """Guards against a write of each daemon at the same moment."""
+    daemons = await world.start(8)
+    for number in range(MAX_ENDS):
+        run = (f'u-{number}', 1)
+        daemons[0].quarantine.on_end('f', run, f'a-{number}')
+        for daemon in daemons[1:]:
+            daemon.quarantine.records.on_end('f', run, f'a-{number}')
+    for daemon in daemons:
+        for number in range(MAX_ENDS):
+            daemon.quarantine.on_return((f'v-{number}', 2), f'a-{number}')
+    await world.pass_time(10 * NOTICED)
+    assert world.has_row
+    assert world.feed.writes == 1
+    assert {one.find_state() for one in daemons} == {RequestState.quarantined}
+
+
+async def test_quarantine_is_written_though_its_witness_died(
+    world: World,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a quarantine that is lost with one daemon."""
+    monkeypatch.setattr(rows_module, 'IDLE', timedelta(milliseconds=20))
+    daemons = await world.start(2)
+    for number in range(MAX_ENDS):
+        run = (f'u-{number}', 1)
+        daemons[1].quarantine.records.on_end('f', run, f'a-{number}')
+        daemons[1].quarantine.on_return((f'v-{number}', 2), f'a-{number}')
+    await asyncio.sleep(0.1)
+    await world.pass_time()
+    assert world.has_row
--- a/quetzalcourse/tests/feeds.py
+++ b/quetzalcourse/tests/feeds.py
@@ -27,13 +27,15 @@
 class FakeFeed:
     """Rows of one table, whose versions come from a single counter.
 
-    ``reads`` counts the answers, ``down`` turns everything away.
+    ``reads`` counts the answers, ``writes`` the transactions that were asked
+    for, ``down`` turns everything away.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Begin empty."""
         self.rows: dict[str, Row] = {}
         self.reads = 0
+        self.writes = 0
         self.down = False
         self._clock = clock
         self._version = 1
@@ -65,6 +67,7 @@
         transaction: Transaction,
     ) -> Result[Commit, StoreFault]:
         """Write rows if every condition holds."""
+        self.writes += 1
         if self.down:
             return Err(StoreFault(FaultKind.not_applied, 'write', ''))
         for condition in transaction.conditions:
