Let the bench start again, and test that every suite loads

The suite takes the module's new name, is called coordinators as the code calls them, and a test loads all suites.

--- a/bench/suites/homes.py
+++ b/bench/suites/coordinators.py
@@ -10,7 +10,7 @@
     SMALL,
     WatchWorld,
 )
-from quetzalcourse.tests.coordination.batches.sharing_tests import (
+from quetzalcourse.tests.coordination.batches.slot_allocation_tests import (
     ITEMS,
     SLOTS,
     UPSTREAMS,
--- a/quetzalcourse/tests/bench_tests.py
+++ b/quetzalcourse/tests/bench_tests.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bench.__main__ import load_suites
 from bench.figure import Bound, Figure, at_least, at_most
 
 DETERMINISTIC = ('prefixes', 'waves', 'fleet')
@@ -22,6 +23,12 @@
     assert [figure.name for figure in figures if not figure.ok] == []
 
 
+def test_every_suite_loads() -> None:
+    """Guards against a bench that ends at a module which was renamed."""
+    names = [name for suite in load_suites() for name in suite.FIGURES]
+    assert len(names) == len(set(names)) > 20
+
+
 @pytest.mark.parametrize(
     ('bound', 'value', 'holds'),
     [
