--- a/quetzalcourse/tests/bench_tests.py
+++ b/quetzalcourse/tests/bench_tests.py
@@ -10,7 +10,7 @@
 from bench.__main__ import load_suites
 from bench.figure import Bound, Figure, at_least, at_most
 
-DETERMINISTIC = ('prefixes', 'waves', 'fleet')
+DETERMINISTIC = ('prefixes', 'waves', 'fleet', 'quarantine')
 
 
 @pytest.mark.parametrize('name', DETERMINISTIC)
