Send to a peer over one connection for each push socket

Callers lost their requests because a daemon ended with SIGSEGV when a peer that it was connected to was killed.

Cause: nng 1.11 may list a connection as ready to send after it was closed, when the completion of a send is handled after the loss of the connection. The next send, in the event loop's thread, accesses the freed connection.

Evidence: faulthandler shows PeerLink.send in each crash.

Change: a push socket carries one connection and is replaced after its loss. nng's callback for the loss, which comes before the connection is freed, waits for a running send and prevents later ones; reconnects of the old socket are rejected. faulthandler is enabled at the start of a daemon, and peer_connections_lost counts the replaced sockets.

--- a/quetzalcourse/daemon.py
+++ b/quetzalcourse/daemon.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import os
 import signal
 import sys
@@ -26,6 +27,7 @@
     from quetzalcourse.transport.activity import Activity
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STDERR_FILENO = 2
 EXIT_REQUESTS_CUT = 1
 # OpenSSL reads the locations of CA certificates from these.
 CERTIFICATE_VARIABLES = ('SSL_CERT_FILE', 'SSL_CERT_DIR')
@@ -207,6 +209,8 @@
 
     :param arguments: command line; defaults to that of the process.
     """
+    # A crash in a native library writes the Python stack to the log.
+    faulthandler.enable(STDERR_FILENO)
     # The platform may send SIGHUP for changed settings while a daemon starts,
     # which takes a second on a busy VM. Until the event loop has its handler,
     # the default action would end the process.
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -22,6 +22,7 @@
     'part_faults': 'Faults of background parts, which were started again.',
     'peer_bytes_received': 'Bytes received from other daemons, by topic.',
     'peer_bytes_sent': 'Bytes sent to other daemons, by topic.',
+    'peer_connections_lost': 'Connections to other daemons that closed.',
     'peer_messages_dropped': 'Messages of others dropped, by reason.',
     'peer_messages_lost': 'Messages to others that could not be sent.',
     'peer_messages_received': 'Messages from other daemons, by topic.',
--- a/quetzalcourse/transport/peer_link.py
+++ b/quetzalcourse/transport/peer_link.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 
 from quetzalcourse.log import get_log
 from quetzalcourse.protocol.peers import EnvelopeCodec
+from quetzalcourse.transport.peer_socket import PeerSocket
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -31,11 +31,8 @@
     ('NNG_INIT_MAX_POLLER_THREADS', 1),
     ('NNG_INIT_NUM_RESOLVER_THREADS', 1),
 )
-SEND_BUFFER_MESSAGES = 32
 RECEIVE_BUFFER_MESSAGES = 512
 MAX_MESSAGE_BYTES = 4_000_000
-RECONNECT_MIN_MS = 200
-RECONNECT_MAX_MS = 5000
 MESSAGES_PER_WAKE = 64
 SOCKET_IDLE_TIMEOUT = timedelta(seconds=60)
 log = get_log('peers')
@@ -51,22 +48,12 @@
         nng.nng_init_set_parameter(getattr(nng, name), count)
 
 
-@dataclass(slots=True)
-class PeerSocket:
-    """Push socket to one peer.
-
-    :param last_used: time of the latest message.
-    """
-
-    socket: pynng.Push0
-    last_used: timedelta
-
-
 class PeerLink:
     """Sends messages to and receives messages from other daemons.
 
     One listening socket receives from all peers. A push socket is opened
-    with the first message to an address and closed when idle.
+    with the first message to an address, closed when idle, and replaced with
+    the next message after its connection was lost.
 
     :param listen: IP address and port; port 0 lets the system choose.
     :param secrets: shared secrets; the first one signs, all are accepted.
@@ -110,7 +97,7 @@
         if self._loop is not None:
             self._loop.remove_reader(self._listener.recv_fd)
         for peer_socket in self._sockets.values():
-            peer_socket.socket.close()
+            peer_socket.close()
         self._sockets.clear()
         self._listener.close()
 
@@ -125,9 +112,7 @@
         message_bytes = self._codec.encode(
             self._own, receiver.address, topic, content
         )
-        try:
-            self._get_socket(receiver.address).send(message_bytes, block=False)
-        except pynng.NNGException:
+        if not self._get_socket(receiver.address).send(message_bytes):
             self._counters.add('peer_messages_lost', topic=topic.value)
             return
         self._counters.add('peer_messages_sent', topic=topic.value)
@@ -152,22 +137,21 @@
             if peer_socket.last_used < oldest
         ]
         for address in idle:
-            self._sockets.pop(address).socket.close()
+            self._sockets.pop(address).close()
         self._counters.set('peer_sockets', len(self._sockets))
 
-    def _get_socket(self, address: str) -> pynng.Push0:
+    def _get_socket(self, address: str) -> PeerSocket:
+        now = self._clock.elapsed()
         peer_socket = self._sockets.get(address)
+        if peer_socket is not None and peer_socket.lost:
+            self._counters.add('peer_connections_lost')
+            peer_socket.close()
+            peer_socket = None
         if peer_socket is None:
-            opened = pynng.Push0(
-                send_buffer_size=SEND_BUFFER_MESSAGES,
-                reconnect_time_min=RECONNECT_MIN_MS,
-                reconnect_time_max=RECONNECT_MAX_MS,
-            )
-            opened.dial(f'tcp://{address}', block=False)
-            peer_socket = PeerSocket(opened, self._clock.elapsed())
+            peer_socket = PeerSocket(address, now)
             self._sockets[address] = peer_socket
-        peer_socket.last_used = self._clock.elapsed()
-        return peer_socket.socket
+        peer_socket.last_used = now
+        return peer_socket
 
     def _on_readable(self) -> None:
         # The descriptor stays readable while messages are queued, so a bounded
