Reserve the ports of test daemons among all processes

Two soak runs side by side failed together with foreign results, and daemons ended with "Address already in use"; each run passes alone. Any test with daemons could fail in this way, since eight workers run side by side.

Cause: allocate_ports asked only whether somebody listened on a port. A port that another process had assigned to a daemon that had not started yet, or was being restarted, was assigned again.

Evidence: both runs had assigned port 21353.

Change: the process that assigns a port binds the UDP port of the same number until it ends, which the kernel refuses to a second process.

--- a/quetzalcourse/standins/rollout/documents.py
+++ b/quetzalcourse/standins/rollout/documents.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-import socket
 from typing import Any
 
+from quetzalcourse.standins.rollout.ports import PortReservations
+
 HOST = 'verse.example'
 # Data centre of the first servers.
 DATA_CENTRE = 'hall-a'
@@ -30,6 +31,7 @@
 PORT_RANGE = (15_000, 32_000)
 # Ports assigned to daemons, which may not listen on them yet.
 ALLOCATED_PORTS: set[int] = set()
+PORT_RESERVATIONS = PortReservations()
 
 
 def build_route(prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
@@ -118,17 +120,16 @@
 
 
 def allocate_ports(count: int) -> list[int]:
-    """Allocate loopback ports that stay free until the daemon listens.
+    """Allocate loopback ports that stay free while the daemon does not listen.
 
-    The kernel gives outgoing connections ephemeral ports; a port of that range
-    could be taken between this check and the daemon's start.
+    Other processes do not allocate them while this one runs. The kernel gives
+    outgoing connections ephemeral ports; a port of that range could be taken
+    between this check and the daemon's start.
     """
     found: list[int] = []
     while len(found) < count:
         port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            taken = probe.connect_ex(('127.0.0.1', port)) == 0
-        if not taken and port not in ALLOCATED_PORTS:
+        if port not in ALLOCATED_PORTS and PORT_RESERVATIONS.reserve(port):
             ALLOCATED_PORTS.add(port)
             found.append(port)
     return found
