Close usage windows only on agreed time and with the counts of all daemons

Cause: the holder of the duty lease closed windows from whatever it had read. 0.24 s after its start it knew no clock but its own, which was 30 s ahead, and no row but its own. The counts of a window are stored once, so its successors repeated them. Likewise a holder with a right clock left out daemons whose rows it had not read, requests were counted in windows of the future, and the first windows after such a start were skipped.

Evidence: the log of the holder (19 windows reported at once, 15 of them in the future, all with 0 requests).

Change: windows wait until three clocks are known, or five seconds. Each row states the window in progress when its counts were taken; a window is closed once the table was read after it settled and each live daemon's row covers it, at the latest ten seconds after the report was due. Requests before the agreement are kept by monotonic time. FakeFeed now refuses all calls while it is down, as its description says.

--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -10,6 +10,11 @@
 import msgspec
 from result import Err
 
+from quetzalcourse.coordination.duties.pending_counts import PendingCounts
+from quetzalcourse.coordination.duties.window_rows import (
+    SETTLE_TIME,
+    WindowRows,
+)
 from quetzalcourse.coordination.feeds.wall_clock import EPOCH
 from quetzalcourse.log import get_log
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
@@ -18,17 +23,14 @@
     from collections.abc import Callable
 
     from quetzalcourse.coordination.feeds.presence import Presence
+    from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.coordination.leases.lease import Lease
     from quetzalcourse.coordination.ports import Table
-    from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
-# Number of windows for which a daemon keeps counts; an older one was reported
-# long ago, or its report would be too late to be of use.
-MAX_WINDOWS = 5
-# Counts are published within a quarter of a second of the request, and a slow
-# write takes another third of a second.
-SETTLE_TIME = timedelta(seconds=1.5)
+# Time for which a daemon keeps the counts of a window: as long as a report may
+# wait for them, and until a daemon has restarted after that.
+KEPT_TIME = timedelta(seconds=30)
 REPORT_INTERVAL = timedelta(milliseconds=250)
 # A report that is overdue by more than this is abandoned.
 MAX_REPORT_DELAY = timedelta(seconds=30)
@@ -61,21 +63,24 @@
 class WindowCounts:
     """Counts of the requests that this daemon served, by window and account.
 
+    :param clock: tells windows apart, once the daemons agree on the time.
     :param length: length of a window.
     :param on_count: called after each change of a count.
     """
 
     def __init__(
         self,
-        clock: Clock,
+        clock: WallClockEstimate,
         length: timedelta,
         on_count: Callable[[], None],
     ) -> None:
         """Initialise without counts."""
         self._clock = clock
         self._length = length
+        self._max_windows = KEPT_TIME // length + 1
         self._on_count = on_count
         self._windows: dict[int, Counter[str]] = {}
+        self._pending = PendingCounts(clock, KEPT_TIME)
 
     def find_current_window(self) -> int:
         """Compute the number of the current window."""
@@ -85,12 +90,18 @@
         """Count a request that an upstream ran."""
         if not client_account:
             return
-        window = self.find_current_window()
-        self._windows.setdefault(window, Counter())[client_account] += 1
-        while len(self._windows) > MAX_WINDOWS:
-            self._windows.pop(min(self._windows))
+        self._pending.add(client_account)
+        if self._clock.agreed:
+            self._assign_pending()
         self._on_count()
 
+    def find_counted_window(self) -> int:
+        """Return the window in progress, 0 while it is not known for certain.
+
+        All requests of earlier windows have been counted.
+        """
+        return self.find_current_window() if self._clock.agreed else 0
+
     def restore(self, usage: dict[str, dict[str, int]]) -> None:
         """Add the counts of the previous run on the same VM."""
         for window, counts in usage.items():
@@ -98,21 +109,45 @@
             kept.update(counts)
 
     def describe(self) -> dict[str, dict[str, int]]:
-        """Return the counts for the presence row of the daemon."""
-        oldest = self.find_current_window() - MAX_WINDOWS
+        """Return the counts for the presence row of the daemon.
+
+        While the daemons do not agree on the time, requests are listed in the
+        windows that this daemon supposes, for its next run to take over.
+        """
+        if self._clock.agreed:
+            self._assign_pending()
+        oldest = self.find_current_window() - self._max_windows
         return {
             str(window): dict(counts)
-            for window, counts in self._windows.items()
-            if window > oldest
+            for window, counts in self._list_windows().items()
+            if window > oldest or not self._clock.agreed
         }
 
+    def _assign_pending(self) -> None:
+        self._windows = self._list_windows()
+        self._pending.clear()
+        while len(self._windows) > self._max_windows:
+            self._windows.pop(min(self._windows))
+
+    def _list_windows(self) -> dict[int, Counter[str]]:
+        """List all counts, with the pending ones in their likely windows."""
+        windows = self._windows.copy()
+        now = self._clock.now() - EPOCH
+        for age, client_account, count in self._pending.list_by_age():
+            window = (now - age) // self._length
+            counts = windows.get(window, Counter())
+            windows[window] = counts + Counter({client_account: count})
+        return windows
+
 
 class WindowReporter:
     """Reports each window after its end, while this daemon holds the lease.
 
     The counts of a window are first written to the table, once and for all.
     Only the stored counts are sent, so that all reports of a window are
-    identical, even if another daemon sends them again.
+    identical, even if another daemon sends them again. They are therefore
+    written only when the daemons agree on the time and the rows of all daemons
+    cover the window.
     """
 
     def __init__(
@@ -121,13 +156,13 @@
         table: Table,
         reports: UsageReportSender,
         lease: Lease,
-        clock: Clock,
+        clock: WallClockEstimate,
         counters: Counters,
         length: timedelta,
         due: timedelta,
     ) -> None:
-        """Start with the oldest window that may be due."""
-        self._presence = presence
+        """Start without a report."""
+        self._rows = WindowRows(presence, clock, counters, length, due)
         self._table = table
         self._reports = reports
         self._lease = lease
@@ -136,9 +171,7 @@
         self._length = length
         self._due = due
         self._sent: set[int] = set()
-        # Windows that ended before this run started may still be unreported:
-        # the former lease holder may have failed.
-        self._first_window = (clock.now() - EPOCH - due) // length
+        self._started_at = clock.elapsed()
 
     async def run(self) -> None:
         """Report windows until the task is cancelled."""
@@ -148,14 +181,29 @@
                 await self._report_ended()
 
     async def _report_ended(self) -> None:
+        if not self._clock.agreed:
+            return
         now = self._clock.now() - EPOCH
         newest = (now - SETTLE_TIME) // self._length - 1
         oldest = (now - self._due - MAX_REPORT_DELAY) // self._length
-        for window in range(max(oldest, self._first_window), newest + 1):
-            if window not in self._sent and self._lease.may_send:
+        first = max(oldest, self._find_first_window(now))
+        for window in range(first, newest + 1):
+            if window not in self._sent and self._may_report(window):
                 await self._report(window)
         self._sent = {window for window in self._sent if window >= oldest}
 
+    def _find_first_window(self, now: timedelta) -> int:
+        """Find the oldest window that may be due.
+
+        Windows that ended before this run started may still be unreported: the
+        former lease holder may have failed.
+        """
+        age = self._clock.elapsed() - self._started_at
+        return (now - age - self._due) // self._length
+
+    def _may_report(self, window: int) -> bool:
+        return self._lease.may_send and self._rows.cover(window)
+
     async def _report(self, window: int) -> None:
         report = await self._freeze(window)
         if report is None or not self._lease.may_send:
@@ -173,7 +221,7 @@
             self._sent.add(window)
 
     async def _freeze(self, window: int) -> WindowReport | None:
-        counts = self._sum(window)
+        counts = self._rows.sum_counts(window)
         key = f'usage/{window}/frozen'
         answer = await self._table.transact(
             Transaction(
@@ -187,9 +235,3 @@
             if row.key == key and row.content:
                 counts = msgspec.json.decode(row.content, type=dict[str, int])
         return WindowReport(window, counts)
-
-    def _sum(self, window: int) -> dict[str, int]:
-        total: Counter[str] = Counter()
-        for record in self._presence.records.values():
-            total.update(record.usage.get(str(window), {}))
-        return dict(total)
--- /dev/null
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -0,0 +1,102 @@
+"""Counts of one usage window in the rows of all daemons."""
+
+from __future__ import annotations
+
+from collections import Counter
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.feeds.wall_clock import EPOCH
+from quetzalcourse.log import get_log
+
+if TYPE_CHECKING:
+    from quetzalcourse.coordination.feeds.presence import (
+        Presence,
+        PresenceRecord,
+    )
+    from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
+    from quetzalcourse.state.counters import Counters
+
+# Counts are published within a quarter of a second of the request, and a slow
+# write takes another third of a second.
+SETTLE_TIME = timedelta(seconds=1.5)
+# A live daemon whose row is older than the window is waited for until a report
+# is overdue by this time. A late report is still right, an early one is not.
+MAX_ROW_DELAY = timedelta(seconds=10)
+MAX_LOGGED_NAMES = 10
+log = get_log('usage')
+
+
+class WindowRows:
+    """Tells whether the known rows cover a window, and sums up its counts.
+
+    :param length: length of a window.
+    :param due: time after the end of a window at which its report is due.
+    """
+
+    def __init__(
+        self,
+        presence: Presence,
+        clock: WallClockEstimate,
+        counters: Counters,
+        length: timedelta,
+        due: timedelta,
+    ) -> None:
+        """Keep the components."""
+        self._presence = presence
+        self._clock = clock
+        self._counters = counters
+        self._length = length
+        self._due = due
+
+    def cover(self, window: int) -> bool:
+        """Return whether the counts of a window are as complete as possible.
+
+        They are once all rows were read after the window had settled, and each
+        live daemon has written its row after the end of the window.
+        """
+        age = self._clock.now() - EPOCH - (window + 1) * self._length
+        settled_at = self._clock.elapsed() - age + SETTLE_TIME
+        read_began_at = self._presence.read_began_at
+        if read_began_at is None or read_began_at < settled_at:
+            return False
+        missing = self._list_missing(window)
+        if missing and age > self._due + MAX_ROW_DELAY:
+            self._counters.add('usage_rows_missing', len(missing))
+            log.warning(
+                'Reporting usage without the counts of some daemons.',
+                window=window,
+                missing=missing[:MAX_LOGGED_NAMES],
+            )
+            return True
+        return not missing
+
+    def sum_counts(self, window: int) -> dict[str, int]:
+        """Sum up the counts of a window by client account."""
+        total: Counter[str] = Counter()
+        for record in self._presence.records.values():
+            total.update(record.usage.get(str(window), {}))
+        return dict(total)
+
+    def _list_missing(self, window: int) -> list[str]:
+        own = self._presence.own
+        missing = [
+            vm
+            for vm, record in self._presence.records.items()
+            if _is_older(record, window)
+            and self._presence.is_live(vm, record.incarnation)
+        ]
+        written = self._presence.records.get(own.vm)
+        if written is None or written.incarnation != own.incarnation:
+            missing.append(own.vm)
+        return missing
+
+
+def _is_older(record: PresenceRecord, window: int) -> bool:
+    """Return whether a row was written before the end of a window.
+
+    Rows of daemons that do not state their window count as newer.
+    """
+    if record.counted_window is None:
+        return False
+    return record.counted_window <= window
--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -45,6 +45,8 @@
         changes in between arrive together.
     :ivar rows: the local copy, by key.
     :ivar loaded: whether the table has been read completely.
+    :ivar read_began_at: monotonic time at which the latest successful read of
+        the changes began; the copy has every row written before.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.table = table
         self.rows: dict[str, Row] = {}
         self.loaded = False
+        self.read_began_at: timedelta | None = None
         self.pause = pause
         self._feed = feed
         self._clock = clock
@@ -143,6 +146,13 @@
         return known is None or known.version < row.version
 
     async def _poll(self) -> StoreFault | None:
+        began = self._clock.elapsed()
+        fault = await self._read_changes()
+        if fault is None and self._version != UNKNOWN_VERSION:
+            self.read_began_at = began
+        return fault
+
+    async def _read_changes(self) -> StoreFault | None:
         if self._version == UNKNOWN_VERSION:
             return await self._load()
         answer = await self._feed.follow(self.table, self._version, self._wait)
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -52,6 +52,8 @@
         store's clock.
     :param cores: processor time that the VM has, in cores.
     :param gap: seconds within which the next heartbeat follows.
+    :param counted_window: usage window in progress when the counts were taken,
+        so that earlier ones are final; 0 if the daemon did not know it yet.
     """
 
     vm: str
@@ -64,6 +66,7 @@
     calendar_offset: float | None = None
     cores: float = 1
     gap: float = 0
+    counted_window: int | None = None
 
 
 def format_row_key(member: Member | PresenceRecord) -> str:
@@ -107,6 +110,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._heartbeats_sent = 0
         self._is_urgent: Callable[[], bool] = _not_urgent
+        self._find_counted_window: Callable[[], int] = _unknown_window
         self._interval = timedelta(0)
         self._watched: dict[str, timedelta] = {}
         self._watch_interval = timedelta(0)
@@ -122,6 +126,20 @@
         """Set the check, made before each heartbeat, for urgent work here."""
         self._is_urgent = ask
 
+    def set_window_source(self, find: Callable[[], int]) -> None:
+        """Set what returns the usage window in progress for each heartbeat."""
+        self._find_counted_window = find
+
+    @property
+    def unwritten(self) -> bool:
+        """Whether the store may not have this daemon's latest state yet."""
+        return self._write_due.is_set() or self._row_version is None
+
+    @property
+    def read_began_at(self) -> timedelta | None:
+        """Monotonic time up to which all written rows are known."""
+        return self._follower.read_began_at
+
     def watch(self, vms: Collection[str], read_interval: timedelta) -> None:
         """Judge the given VMs by rows that the caller reads directly.
 
@@ -270,6 +288,7 @@
             self._find_offset(),
             self.own.cores,
             self._interval.total_seconds(),
+            self._find_counted_window(),
         )
         # The condition rejects delayed writes of the previous run whose answers
         # were lost; applied late, they would show that run as alive.
@@ -368,6 +387,11 @@
     return False
 
 
+def _unknown_window() -> int:
+    """Return that no window is known, until the source of windows is set."""
+    return 0
+
+
 def _decode_record(row: Row) -> PresenceRecord | None:
     if row.removed:
         return None
--- a/quetzalcourse/coordination/feeds/wall_clock.py
+++ b/quetzalcourse/coordination/feeds/wall_clock.py
@@ -11,6 +11,10 @@
     from quetzalcourse.state.clock import Clock
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+# Two correct clocks outvote a third one.
+MIN_CLOCKS = 3
+# Daemons of a new deployment start within seconds of each other.
+FEW_CLOCKS_DELAY = timedelta(seconds=5)
 
 
 class WallClockEstimate:
@@ -33,6 +37,25 @@
         self._offsets: dict[str, timedelta] = {}
         self._median: timedelta | None = None
         self._stale = False
+        self._first_offset_at: timedelta | None = None
+
+    @property
+    def agreed(self) -> bool:
+        """Whether the time no longer depends on this machine's clock alone.
+
+        A daemon that has just started may know no other clock yet. What cannot
+        be revoked, such as a usage report, has to wait until it does, or until
+        the other daemons have had time to report their clocks.
+        """
+        if (
+            self._first_offset_at is None
+            or self._store_clock.estimate() is None
+        ):
+            return False
+        if len(self._offsets) >= MIN_CLOCKS:
+            return True
+        known_for = self._clock.elapsed() - self._first_offset_at
+        return known_for >= FEW_CLOCKS_DELAY
 
     def elapsed(self) -> timedelta:
         """Return this machine's monotonic time."""
@@ -66,6 +89,8 @@
         The offset of a dead daemon keeps counting, since it stays as valid as
         it was.
         """
+        if self._first_offset_at is None:
+            self._first_offset_at = self._clock.elapsed()
         if self._offsets.get(vm) == offset:
             return
         self._offsets[vm] = offset
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -163,6 +163,7 @@
             self.counters,
         )
         self.presence = self.feeds.presence
+        self.presence.set_window_source(self.counts.find_counted_window)
         self.feeds.operators.on_rows(self.on_operator_rows)
         self.peers.start(own)
 
--- a/quetzalcourse/tests/feeds.py
+++ b/quetzalcourse/tests/feeds.py
@@ -86,6 +86,8 @@
 
     async def list_parts(self, table: str) -> Result[list[str], StoreFault]:
         """List the parts of the table."""
+        if self.down:
+            return Err(StoreFault(FaultKind.not_applied, 'list', ''))
         return Ok(sorted({key.split('/')[1] for key in self.rows}))
 
     async def read_part(
@@ -95,6 +97,8 @@
     ) -> Result[RowChanges, StoreFault]:
         """Read the rows of a part."""
         self.reads += 1
+        if self.down:
+            return Err(StoreFault(FaultKind.not_applied, 'read', ''))
         rows = [
             row
             for key, row in self.rows.items()
