Write the usage of the last requests before a daemon stops

Operators were not billed for requests that a daemon answered in the last quarter of a second before a planned stop.

Cause: counts are written in batches, and the task that writes them was cancelled first. Found by reading while early usage reports were traced.

Change: a stop hook writes the row once more after the listeners are closed.

--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -40,6 +40,9 @@
 MAX_LOGGED_NAMES = 10
 # Time since its last sign of life after which a daemon is no longer probed.
 MAX_PROBE_TIME = timedelta(seconds=15)
+# A write of the cancelled task may be applied just before the first attempt,
+# which then fails on its condition.
+MAX_FLUSH_ATTEMPTS = 2
 log = get_log('members')
 
 
@@ -130,11 +133,6 @@
         """Set what returns the usage window in progress for each heartbeat."""
         self._find_counted_window = find
 
-    @property
-    def unwritten(self) -> bool:
-        """Whether the store may not have this daemon's latest state yet."""
-        return self._write_due.is_set() or self._row_version is None
-
     @property
     def read_began_at(self) -> timedelta | None:
         """Monotonic time up to which all written rows are known."""
@@ -259,6 +257,13 @@
         await self._write()
         self._notify()
 
+    async def flush(self) -> None:
+        """Write the latest state, after :meth:`run` was cancelled."""
+        for _ in range(MAX_FLUSH_ATTEMPTS):
+            if not self._write_due.is_set() and self._row_version is not None:
+                break
+            await self._write()
+
     async def run(self) -> None:
         """Write heartbeats until the task is cancelled."""
         while True:
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -187,6 +187,9 @@
             self.counters,
         )
         self.lifecycle.on_stop(self.calls.close)
+        # Runs once no more requests are served, and before the store's
+        # connections are closed.
+        self.lifecycle.on_stop(self._write_last_usage)
 
     def _build_components(self) -> None:
         items = ItemClient(
@@ -320,6 +323,11 @@
         else:
             self.upstreams.evacuations.on_request(data_centre)
 
+    async def _write_last_usage(self) -> None:
+        """Write the usage of requests that ended just before the stop."""
+        if self.counts.describe():
+            await self.presence.flush()
+
     def _on_usage_counted(self) -> None:
         self.presence.announce()
 
--- a/quetzalcourse/tests/rollout/duties_tests.py
+++ b/quetzalcourse/tests/rollout/duties_tests.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.cluster import build_batch
+from quetzalcourse.tests.rollout.calls import await_membership
 
 if TYPE_CHECKING:
     from quetzalcourse.standins.rollout.cluster import RolloutCluster
@@ -142,6 +146,32 @@
     assert list(successor.batches.runner.batches) == ['b-1']
 
 
+async def test_usage_of_the_last_requests_before_a_stop_is_reported(
+    two_daemons: RolloutCluster,
+) -> None:
+    """Guards against usage that a daemon counted but had not written."""
+    await await_membership(two_daemons)
+    other = next(
+        one for one in two_daemons.daemons if not one.duties.lease.held
+    )
+    drain = asyncio.ensure_future(other.on_drain())
+    answered = 0
+    while not drain.done():
+        with contextlib.suppress(aiohttp.ClientError):
+            reply = await two_daemons.caller.call(
+                other.settings.listen.callers,
+                'POST',
+                documents.LOOKUP_PREFIX,
+                b'salt',
+                request_id=f'r-{answered}',
+            )
+            answered += reply.status == 200
+        await asyncio.sleep(0.06)
+    await two_daemons.end_daemon(other)
+    assert answered > 20
+    await await_usage(two_daemons, answered)
+
+
 async def test_usage_of_a_killed_run_is_not_lost(
     cluster: RolloutCluster,
 ) -> None:
