Wait for silent daemons before a usage window is closed

Operators would not be billed for requests of a daemon that was paused or cut off from the store while a window was closed: it is not live to the holder of the duty lease, which then left its counts out for good.

Cause: only live daemons were waited for. A silent daemon may be dead, but may as well return before the report is due.

Change: a silent daemon is waited for until three seconds before a report is due, unless it left or has been silent for longer than a report may take. The soak now checks that reported windows include the answered requests, within the tolerance of usage reports, unless a daemon was stopped or paused near the window.

--- a/quetzalcourse/coordination/duties/window_rows.py
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -23,6 +23,9 @@
 # A live daemon whose row is older than the window is waited for until a report
 # is overdue by this time. A late report is still right, an early one is not.
 MAX_ROW_DELAY = timedelta(seconds=10)
+# A silent daemon may be dead, so it is waited for only until a report can just
+# be sent in time.
+SEND_TIME = timedelta(seconds=3)
 MAX_LOGGED_NAMES = 10
 log = get_log('usage')
 
@@ -53,23 +56,23 @@
         """Return whether the counts of a window are as complete as possible.
 
         They are once all rows were read after the window had settled, and each
-        live daemon has written its row after the end of the window.
+        daemon has written its row after the end of the window, or was given
+        enough time for it.
         """
         age = self._clock.now() - EPOCH - (window + 1) * self._length
         settled_at = self._clock.elapsed() - age + SETTLE_TIME
         read_began_at = self._presence.read_began_at
         if read_began_at is None or read_began_at < settled_at:
             return False
-        missing = self._list_missing(window)
-        if missing and age > self._due + MAX_ROW_DELAY:
-            self._counters.add('usage_rows_missing', len(missing))
-            log.warning(
-                'Reporting usage without the counts of some daemons.',
-                window=window,
-                missing=missing[:MAX_LOGGED_NAMES],
-            )
-            return True
-        return not missing
+        live = self._list_live_missing(window)
+        if live and age < self._due + MAX_ROW_DELAY:
+            return False
+        silent = self._list_silent_missing(window)
+        if silent and age < self._due - SEND_TIME:
+            return False
+        if live or silent:
+            self._on_missing(window, live + silent)
+        return True
 
     def sum_counts(self, window: int) -> dict[str, int]:
         """Sum up the counts of a window by client account."""
@@ -78,19 +81,46 @@
             total.update(record.usage.get(str(window), {}))
         return dict(total)
 
-    def _list_missing(self, window: int) -> list[str]:
+    def _list_live_missing(self, window: int) -> list[str]:
+        """List the live daemons whose rows do not cover a window."""
         own = self._presence.own
         missing = [
-            vm
-            for vm, record in self._presence.records.items()
-            if _is_older(record, window)
-            and self._presence.is_live(vm, record.incarnation)
+            record.vm
+            for record in self._presence.records.values()
+            if _is_older(record, window) and self._is_live(record)
         ]
         written = self._presence.records.get(own.vm)
         if written is None or written.incarnation != own.incarnation:
             missing.append(own.vm)
         return missing
 
+    def _list_silent_missing(self, window: int) -> list[str]:
+        """List the daemons that may have served after their last rows.
+
+        Those that left have written all their counts, and those that have been
+        silent for longer than a report may take are gone.
+        """
+        oldest = window - self._due // self._length
+        return [
+            record.vm
+            for record in self._presence.records.values()
+            if _is_older(record, window)
+            and (record.counted_window or oldest) >= oldest
+            and not record.leaving
+            and not self._is_live(record)
+        ]
+
+    def _is_live(self, record: PresenceRecord) -> bool:
+        return self._presence.is_live(record.vm, record.incarnation)
+
+    def _on_missing(self, window: int, vms: list[str]) -> None:
+        self._counters.add('usage_rows_missing', len(vms))
+        log.warning(
+            'Reporting usage without the counts of some daemons.',
+            window=window,
+            missing=vms[:MAX_LOGGED_NAMES],
+        )
+
 
 def _is_older(record: PresenceRecord, window: int) -> bool:
     """Return whether a row was written before the end of a window.
--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -18,12 +18,14 @@
 from soak.callers import BatchRecord, RequestOutcome
 from soak.checks import (
     check_batches,
+    check_billing,
     check_cold_starts,
     check_fencing_tokens,
     check_poison,
     check_requests,
     check_usage,
 )
+from soak.daemons import Interruption
 
 ONCE = documents.NON_IDEMPOTENT_PREFIX
 LOOKUP = documents.LOOKUP_PREFIX
@@ -160,6 +162,24 @@
     assert bool(violations) is broken
 
 
+@pytest.mark.parametrize(
+    ('reported', 'seconds_until_kill', 'broken'),
+    [(10, 60, False), (9, 60, True), (0, 60, True), (0, 1, False)],
+)
+def test_billing_check_finds_requests_that_were_not_reported(
+    reported: int,
+    seconds_until_kill: float,
+    broken: bool,
+) -> None:
+    """Guards against usage that is billed as nothing."""
+    answered = 7.5 * documents.WINDOW_SECONDS
+    outcomes = [RequestOutcome('r', LOOKUP, 200, b'', answered)] * 10
+    reports = [UsageCall('a', 1, 7, {'desk': reported})]
+    killed = answered + seconds_until_kill
+    interruptions = [Interruption(killed, killed)]
+    assert bool(check_billing(reports, outcomes, interruptions)) is broken
+
+
 @pytest.mark.parametrize('options', [(), ('--places',), ('--poison',)])
 async def test_short_soak_finds_no_fault(options: tuple[str, ...]) -> None:
     # Daemons are killed, stopped and paused, and links, store and servers fail
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -41,7 +41,7 @@
     'store_calls_relayed': 'Calls to the store by way of another daemon.',
     'upstream_ends': 'Requests under which their upstream ended.',
     'upstream_failures': 'Failed attempts that made upstreams rest.',
-    'usage_rows_missing': 'Rows of live daemons that usage reports lack.',
+    'usage_rows_missing': 'Rows of daemons that usage reports lack.',
     'usage_reports': 'Reports of usage sent, by whether they were taken.',
 }
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from quetzalcourse.loop import run_loop
 from soak.checks import (
     check_batches,
+    check_billing,
     check_cold_starts,
     check_fencing_tokens,
     check_poison,
@@ -84,6 +85,11 @@
     violations += check_fencing_tokens(deployment.list_servers())
     violations += check_cold_starts(deployment.list_servers())
     violations += check_usage(deployment.cloud.reports)
+    violations += check_billing(
+        deployment.cloud.reports,
+        deployment.callers.request_outcomes,
+        [one for daemon in deployment.daemons for one in daemon.interruptions],
+    )
     violations += check_poison(
         deployment.crashes_at_rest,
         deployment.count_crashes(),
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,12 +33,14 @@
     """Response to one request.
 
     :param status: HTTP status, or 0 if no response arrived.
+    :param answered: time of the response in seconds since the epoch.
     """
 
     request_id: str
     path: str
     status: int
     body: bytes = b''
+    answered: float = 0
 
 
 @dataclass(slots=True)
@@ -114,6 +117,7 @@
             if reply is not None:
                 outcome.status = reply.status
                 outcome.body = reply.body
+                outcome.answered = time.time()
             self.request_outcomes.append(outcome)
             await asyncio.sleep(LOOKUP_INTERVAL_SECONDS)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,10 +16,19 @@
     from quetzalcourse.standins.rollout.cloud import UsageCall
     from quetzalcourse.standins.rollout.upstream import Run, UpstreamStandin
     from soak.callers import BatchRecord, RequestOutcome
+    from soak.daemons import Interruption
 
 OK = 200
 UNAVAILABLE = 503
 QUARANTINED = b'"quarantined"'
+# Share by which the reported usage may differ from the served requests.
+USAGE_TOLERANCE = 0.05
+# A request that is answered this close to the end of a window may have begun
+# in the one before, or be counted in the one after.
+WINDOW_EDGE_SECONDS = 0.3
+# A daemon that is killed while the store fails may lose the counts of this
+# time; one that was paused writes its counts this late.
+UNWRITTEN_SECONDS = 6.0
 
 
 def check_requests(
@@ -183,3 +192,51 @@
         if later < earlier
     ]
     return violations
+
+
+def check_billing(
+    reports: Iterable[UsageCall],
+    request_outcomes: Iterable[RequestOutcome],
+    interruptions: Iterable[Interruption],
+) -> list[str]:
+    """Check that reported windows include the requests that were answered.
+
+    Windows near a stop or a pause of a daemon may lack some of its counts.
+    """
+    reported = {
+        report.window: sum(report.counts.values()) for report in reports
+    }
+    interrupted = tuple(interruptions)
+    served = Counter(
+        int(outcome.answered // documents.WINDOW_SECONDS)
+        for outcome in request_outcomes
+        if outcome.status == OK and _is_inside_window(outcome.answered)
+    )
+    return [
+        f'window {window} has {reported[window]} of {count} requests'
+        for window, count in served.items()
+        if window in reported
+        and reported[window] < count * (1 - USAGE_TOLERANCE)
+        and not _is_interrupted(window, interrupted)
+    ]
+
+
+def _is_inside_window(answered: float) -> bool:
+    """Return whether a time is not near the start or end of a window."""
+    elapsed = answered % documents.WINDOW_SECONDS
+    remaining = documents.WINDOW_SECONDS - elapsed
+    return min(elapsed, remaining) > WINDOW_EDGE_SECONDS
+
+
+def _is_interrupted(
+    window: int,
+    interruptions: Iterable[Interruption],
+) -> bool:
+    """Return whether a stop or pause may have cost a window some counts."""
+    began = window * documents.WINDOW_SECONDS
+    ended = began + documents.WINDOW_SECONDS
+    return any(
+        one.began - UNWRITTEN_SECONDS < ended
+        and began < one.ended + UNWRITTEN_SECONDS
+        for one in interruptions
+    )
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -7,6 +7,8 @@
 import os
 import signal
 import sys
+import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from quetzalcourse.platform.settings import FILE_VARIABLE
@@ -19,6 +21,18 @@
 RESTART_DELAY_SECONDS = 0.3
 
 
+@dataclass(slots=True)
+class Interruption:
+    """Time in which a daemon was stopped or paused.
+
+    :param began: seconds since the epoch.
+    :param ended: seconds since the epoch.
+    """
+
+    began: float
+    ended: float
+
+
 class SoakDaemon:
     """A daemon that is restarted whenever its process exits.
 
@@ -32,6 +46,7 @@
         self.starts = 0
         self.unexpected_exits: list[int] = []
         self.clock_offset: float = 0
+        self.interruptions: list[Interruption] = []
         self._folder = folder
         self._settings = settings
         self._process: asyncio.subprocess.Process | None = None
@@ -66,12 +81,14 @@
     def pause(self) -> None:
         """Pause the process with SIGSTOP."""
         self._paused = True
+        self._record_interruption()
         self._send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Resume a paused process."""
         if self._paused:
             self._paused = False
+            self.interruptions[-1].ended = time.time()
             self._send_signal(signal.SIGCONT)
 
     def shift_clock(self, seconds: float) -> None:
@@ -82,8 +99,13 @@
     def _send_expected_signal(self, signal_number: signal.Signals) -> None:
         self._exit_expected = True
         self.resume()
+        self._record_interruption()
         self._send_signal(signal_number)
 
+    def _record_interruption(self) -> None:
+        now = time.time()
+        self.interruptions.append(Interruption(now, now))
+
     def _send_signal(self, signal_number: signal.Signals) -> None:
         process = self._process
         if process is not None and process.returncode is None:
