Count unknown daemons as live until the table of members was read

A trainer's step may lose the work in flight because a daemon that has just started takes a batch over from its living owner. Not seen in operation; found while other duties were checked for decisions on state that was not read yet.

Cause: a daemon without a row counted as dead, also before the table of members was read. While the part of the store with the members is away at a start, but not the batches, every owner looks dead after 1.4 s.

Change: until the table was read once, an unknown daemon counts as live.

Result: the new test failed before and passes now.

--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -223,11 +223,16 @@
             self._pong_at[sender.vm] = self._clock.elapsed()
 
     def is_live(self, vm: str, incarnation: str) -> bool:
-        """Return whether a given run of a daemon is alive."""
+        """Return whether a given run of a daemon is alive.
+
+        Before the table has been read, every unknown daemon counts as live.
+        """
         if vm == self.own.vm:
             return incarnation == self.own.incarnation
         record = self.records.get(vm)
-        if record is None or record.incarnation != incarnation:
+        if record is None:
+            return not self._follower.loaded
+        if record.incarnation != incarnation:
             return False
         return self._is_recent(vm)
 
