Bound the times of four load-dependent tests by the time they ran

Developers saw four tests fail once each on an overloaded machine, though nothing was wrong with the daemons.

Cause: the daemons, the stand-ins and the test share one process. While it stood still, the clock by which the tests bound a time or wait for one went on. In test_reused_address_runs_nothing the renamed server went on registering itself, so that it rightly got work under its new name.

Change: bounds are unchanged, but measured in running time: pauses that a separate thread notices, without processor time spent, do not count. The renamed server stops its heartbeats, and the assertion that it runs nothing is unchanged.

--- a/quetzalcourse/tests/rollout/batch_coordinators_tests.py
+++ b/quetzalcourse/tests/rollout/batch_coordinators_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -16,6 +17,7 @@
 from quetzalcourse.tests.rollout.calls import await_membership
 
 if TYPE_CHECKING:
+    from quetzalcourse.tests.running_time import RunningTime
     from quetzalcourse.rollout_application import RolloutApplication
     from quetzalcourse.standins.rollout.cluster import RolloutCluster
 
@@ -78,6 +80,7 @@
     shared_data_centre: RolloutCluster,
     end: str,
     monkeypatch: pytest.MonkeyPatch,
+    running_time: RunningTime,
 ) -> None:
     # Guards against a submission that waits for a coordinator which has just
     # died, can't write or is at its limit while the others don't know yet.
@@ -94,13 +97,12 @@
     else:
         shared_data_centre.store_endpoints[number].faults.mode = 'silent'
     other = (number + 1) % 3
-    loop = asyncio.get_running_loop()
-    began = loop.time()
+    began = time.monotonic()
     reply = await shared_data_centre.caller.submit(
         shared_data_centre.address(other), 'b-1', build_batch(ITEMS)
     )
     assert reply.status == 202
-    assert loop.time() - began < 1
+    assert running_time.measure(began, time.monotonic()) < 1
     results = await shared_data_centre.caller.read_all(
         shared_data_centre.address(other), 'b-1'
     )
--- a/quetzalcourse/tests/rollout/conftest.py
+++ b/quetzalcourse/tests/rollout/conftest.py
@@ -4,12 +4,22 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 import pytest_asyncio
 
 from quetzalcourse.standins.rollout.cluster import RolloutCluster
+from quetzalcourse.tests.running_time import RunningTime
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
+
+
+@pytest.fixture
+def running_time() -> Iterator[RunningTime]:
+    """Measure time without the pauses of an overloaded machine."""
+    measuring = RunningTime()
+    yield measuring
+    measuring.stop()
 
 
 @pytest_asyncio.fixture
--- a/quetzalcourse/tests/rollout/quarantine_tests.py
+++ b/quetzalcourse/tests/rollout/quarantine_tests.py
@@ -19,6 +19,7 @@
 from quetzalcourse.tests.rollout.calls import LOOKUP, await_membership
 
 if TYPE_CHECKING:
+    from quetzalcourse.tests.running_time import RunningTime
     from pathlib import Path
 
     from quetzalcourse.standins.rollout.upstream import UpstreamStandin
@@ -45,9 +46,13 @@
     return sum(len(server.crashes) for server in servers)
 
 
-async def await_restart() -> None:
+async def await_restart(running_time: RunningTime | None = None) -> None:
     """Wait until crashed servers are back and registered."""
-    await asyncio.sleep(RESTART_SECONDS + NOTICED_SECONDS)
+    seconds = RESTART_SECONDS + NOTICED_SECONDS
+    if running_time is None:
+        await asyncio.sleep(seconds)
+    else:
+        await running_time.sleep(seconds)
 
 
 async def ask(
@@ -134,13 +139,15 @@
     ).status == 200
 
 
-async def quarantine_lookup(cluster: RolloutCluster) -> None:
+async def quarantine_lookup(
+    cluster: RolloutCluster, running_time: RunningTime | None = None
+) -> None:
     """Let a lookup crash upstreams until it is quarantined."""
     poison(cluster.services, POISON)
     await await_membership(cluster)
     for number in range(2):
         await ask(cluster, LOOKUP, number)
-        await await_restart()
+        await await_restart(running_time)
     assert count_crashes(cluster.services) == MAX_CRASHES
 
 
@@ -180,9 +187,10 @@
     two_daemons: RolloutCluster,
     tmp_path: Path,
     capsys: pytest.CaptureFixture,
+    running_time: RunningTime,
 ) -> None:
     """Guards against a request that stays refused once its cause is fixed."""
-    await quarantine_lookup(two_daemons)
+    await quarantine_lookup(two_daemons, running_time)
     poison(two_daemons.services, b'')
     path = tmp_path / 'settings.json'
     path.write_text(
@@ -199,7 +207,7 @@
     assert set(listed['upstreams']) == {'s-0', 's-1'}
     options.fingerprint = listed['fingerprint']
     assert await quarantine.run_action(quarantine.lift_request, options) == 0
-    await asyncio.sleep(NOTICED_SECONDS)
+    await running_time.sleep(NOTICED_SECONDS)
     assert await quarantine.run_action(quarantine.lift_request, options) == 1
     for number in range(2):
         reply = await ask(two_daemons, LOOKUP, number)
--- a/quetzalcourse/tests/rollout/requests_tests.py
+++ b/quetzalcourse/tests/rollout/requests_tests.py
@@ -155,6 +155,8 @@
     # is gone and another one has its address while the old registration is
     # still known.
     gone = cluster.services[0]
+    # The server at the address must not register and rightly be used.
+    await gone.stop_heartbeats()
     gone.name = 'somebody-else'
     replies = [await look_up(cluster) for _ in range(4)]
     assert {reply.status for reply in replies} == {200}
--- a/quetzalcourse/tests/rollout/scored_batches_tests.py
+++ b/quetzalcourse/tests/rollout/scored_batches_tests.py
@@ -16,6 +16,7 @@
 from quetzalcourse.standins.rollout.cluster import build_batch
 
 if TYPE_CHECKING:
+    from quetzalcourse.tests.running_time import RunningTime
     from quetzalcourse.standins.rollout.upstream import Run
     from quetzalcourse.standins.rollout.cluster import RolloutCluster
 
@@ -244,24 +245,25 @@
 
 async def test_ended_batch_stops_scoring(
     two_daemons: RolloutCluster,
+    running_time: RunningTime,
 ) -> None:
     # Guards against scoring calls that go on after the trainer has ended its
     # batch: others need their slots.
     for service in two_daemons.services:
         service.faults.slowdown = 60
     await submit(two_daemons)
-    await asyncio.sleep(0.6)
+    await running_time.sleep(0.6)
     assert list_calls(two_daemons)
     reply = await two_daemons.caller.call(
         two_daemons.address(1), 'DELETE', '/quetzalcourse/lots/b-1'
     )
     assert reply.status == 200
     ended = time.monotonic()
-    await asyncio.sleep(1.0)
+    await running_time.sleep(1.0)
     later = [
         run
         for run in list_calls(two_daemons)
-        if run.at > ended + IN_FLIGHT_SECONDS
+        if running_time.measure(ended, run.at) > IN_FLIGHT_SECONDS
     ]
     assert not later
     assert sum(service.running for service in two_daemons.services) == 0
