Log changes of the time that the daemons agree on

Operators could not see why requests were counted in another usage window. Whether two of three clocks were wrong at once could not be told from the logs.

Change: a change of the median offset by half a second or more is logged.

--- a/quetzalcourse/coordination/feeds/wall_clock.py
+++ b/quetzalcourse/coordination/feeds/wall_clock.py
@@ -6,6 +6,8 @@
 from statistics import median_low
 from typing import TYPE_CHECKING
 
+from quetzalcourse.log import get_log
+
 if TYPE_CHECKING:
     from quetzalcourse.coordination.feeds.ports import StoreClock
     from quetzalcourse.state.clock import Clock
@@ -15,6 +17,8 @@
 MIN_CLOCKS = 3
 # Daemons of a new deployment start within seconds of each other.
 FEW_CLOCKS_DELAY = timedelta(seconds=5)
+MIN_LOGGED_CHANGE = timedelta(seconds=0.5)
+log = get_log('clock')
 
 
 class WallClockEstimate:
@@ -100,6 +104,19 @@
         # Hundreds of daemons report offsets with every answer of the store, far
         # more often than the time is read.
         if self._stale:
-            self._median = median_low(self._offsets.values())
+            median = median_low(self._offsets.values())
+            if self._median is not None:
+                _log_change(median - self._median, self._offsets)
+            self._median = median
             self._stale = False
         return self._median
+
+
+def _log_change(change: timedelta, offsets: dict[str, timedelta]) -> None:
+    """Log a change by which requests are counted in other windows."""
+    if abs(change) >= MIN_LOGGED_CHANGE:
+        log.warning(
+            'Agreed time changed.',
+            seconds=change.total_seconds(),
+            clocks=len(offsets),
+        )
