Move the agreed time only with the majority of the clocks

Operators would see requests in the wrong usage window when two of three clocks are wrong at once: one jumps while the correction of another is not written yet, because the store fails.

Cause: the median of three offsets follows the lower of two wrong ones.

Change: a new median is adopted only if more than half of the clocks lie within 0.5 s of it; with fewer than three clocks it is, as before.

Result: the new test failed before.

--- a/quetzalcourse/coordination/feeds/wall_clock.py
+++ b/quetzalcourse/coordination/feeds/wall_clock.py
@@ -17,7 +17,8 @@
 MIN_CLOCKS = 3
 # Daemons of a new deployment start within seconds of each other.
 FEW_CLOCKS_DELAY = timedelta(seconds=5)
-MIN_LOGGED_CHANGE = timedelta(seconds=0.5)
+# Difference of correct clocks, which includes the delay of the store's answers.
+MAX_SPREAD = timedelta(seconds=0.5)
 log = get_log('clock')
 
 
@@ -28,7 +29,7 @@
     Usage windows based on it alone would count requests twice or in the wrong
     window. So each daemon reports the offset of its wall clock from the store's
     clock, and all use the median, which is right as long as more than half of
-    the wall clocks are.
+    the wall clocks are. While no majority agrees, the time stays as it was.
 
     It is a :class:`~quetzalcourse.state.clock.Clock` for users of wall clock
     time; its monotonic time is the machine's own.
@@ -104,19 +105,30 @@
         # Hundreds of daemons report offsets with every answer of the store, far
         # more often than the time is read.
         if self._stale:
-            median = median_low(self._offsets.values())
-            if self._median is not None:
-                _log_change(median - self._median, self._offsets)
-            self._median = median
             self._stale = False
+            median = median_low(self._offsets.values())
+            if self._median is None or self._may_adopt(median):
+                self._adopt(median)
         return self._median
 
+    def _may_adopt(self, offset: timedelta) -> bool:
+        """Return whether most clocks agree on an offset, or are too few for it.
 
-def _log_change(change: timedelta, offsets: dict[str, timedelta]) -> None:
-    """Log a change by which requests are counted in other windows."""
-    if abs(change) >= MIN_LOGGED_CHANGE:
-        log.warning(
-            'Agreed time changed.',
-            seconds=change.total_seconds(),
-            clocks=len(offsets),
+        A daemon that cannot write its row reports a corrected clock late, so a
+        second wrong clock may come to it. Wrong clocks rarely agree.
+        """
+        count = len(self._offsets)
+        agreeing = sum(
+            abs(other - offset) <= MAX_SPREAD
+            for other in self._offsets.values()
         )
+        return count < MIN_CLOCKS or agreeing > count / 2
+
+    def _adopt(self, median: timedelta) -> None:
+        if self._median is not None and abs(median - self._median) > MAX_SPREAD:
+            log.warning(
+                'Agreed time changed.',
+                seconds=(median - self._median).total_seconds(),
+                clocks=len(self._offsets),
+            )
+        self._median = median
--- a/quetzalcourse/tests/coordination/feeds/wall_clock_tests.py
+++ b/quetzalcourse/tests/coordination/feeds/wall_clock_tests.py
@@ -41,6 +41,12 @@
         for vm in VMS:
             self.report_offset(vm)
 
+    def report_wrong_offset(self, vm: str, error: timedelta) -> None:
+        """Report the offset of a VM whose clock is wrong."""
+        self.clock.calendar_error = error
+        self.report_offset(vm)
+        self.clock.calendar_error = timedelta(0)
+
     def report_offset(self, vm: str) -> None:
         """Report this machine's current offset as that of a VM."""
         offset = self.wall_clock.find_offset()
@@ -86,3 +92,12 @@
     for vm in VMS[:2]:
         world.report_offset(vm)
     assert world.wall_clock.now() == world.clock.now()
+
+
+def test_wrong_clocks_that_disagree_do_not_move_the_time() -> None:
+    """Guards against usage in wrong windows when two clocks jump in turn."""
+    world = WallClockWorld()
+    assert world.wall_clock.now() == world.correct_clock.now()
+    world.report_wrong_offset('vm-0', timedelta(seconds=1.5))
+    world.report_wrong_offset('vm-1', timedelta(seconds=5))
+    assert world.wall_clock.now() == world.correct_clock.now()
