--- a/quetzalcourse/tests/running_time_tests.py
+++ b/quetzalcourse/tests/running_time_tests.py
@@ -6,7 +6,6 @@
 import os
 import signal
 import subprocess
-import sys
 import time
 from typing import TYPE_CHECKING
 
