Count missing usage rows once for each closed window

Operators would read a usage_rows_missing that grows with each attempt to store a window's counts while the store fails.

Cause: the rows were counted when a window might be closed, not when it was.

Change: they are counted and logged by the daemon that stored the counts.

--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -231,6 +231,8 @@
         )
         if isinstance(answer, Err):
             return None
+        if answer.ok_value.applied:
+            self._rows.record_missing(window)
         for row in answer.ok_value.conflicts:
             if row.key == key and row.content:
                 counts = msgspec.json.decode(row.content, type=dict[str, int])
--- a/quetzalcourse/coordination/duties/window_rows.py
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -64,15 +64,13 @@
         read_began_at = self._presence.read_began_at
         if read_began_at is None or read_began_at < settled_at:
             return False
-        live = self._list_live_missing(window)
-        if live and age < self._due + MAX_ROW_DELAY:
+        if age >= self._due + MAX_ROW_DELAY:
+            return True
+        if self._list_live_missing(window):
             return False
-        silent = self._list_silent_missing(window)
-        if silent and age < self._due - SEND_TIME:
-            return False
-        if live or silent:
-            self._on_missing(window, live + silent)
-        return True
+        if age >= self._due - SEND_TIME:
+            return True
+        return not self._list_silent_missing(window)
 
     def sum_counts(self, window: int) -> dict[str, int]:
         """Sum up the counts of a window by client account."""
@@ -81,6 +79,20 @@
             total.update(record.usage.get(str(window), {}))
         return dict(total)
 
+    def record_missing(self, window: int) -> None:
+        """Count and log the daemons whose counts a closed window lacks."""
+        missing = [
+            *self._list_live_missing(window),
+            *self._list_silent_missing(window),
+        ]
+        if missing:
+            self._counters.add('usage_rows_missing', len(missing))
+            log.warning(
+                'Reporting usage without the counts of some daemons.',
+                window=window,
+                missing=missing[:MAX_LOGGED_NAMES],
+            )
+
     def _list_live_missing(self, window: int) -> list[str]:
         """List the live daemons whose rows do not cover a window."""
         own = self._presence.own
@@ -113,14 +125,6 @@
     def _is_live(self, record: PresenceRecord) -> bool:
         return self._presence.is_live(record.vm, record.incarnation)
 
-    def _on_missing(self, window: int, vms: list[str]) -> None:
-        self._counters.add('usage_rows_missing', len(vms))
-        log.warning(
-            'Reporting usage without the counts of some daemons.',
-            window=window,
-            missing=vms[:MAX_LOGGED_NAMES],
-        )
-
 
 def _is_older(record: PresenceRecord, window: int) -> bool:
     """Return whether a row was written before the end of a window.
