Run an item again after an unexpected error of its attempt

A trainer got an item back as abandoned after 20 s, though servers were free.

Cause: an attempt that raised an unexpected error released its slot, but the item stayed in the state running, which nobody runs again.

Change: the item waits again, with a back-off; the error is logged as before.

--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -307,6 +307,12 @@
         resumed = run.last_event is not None
         try:
             result = await self._items.run(batch, run, upstream)
+        except Exception:
+            # The item would count as running until it expires.
+            if run.state is ItemState.running:
+                run.state = ItemState.waiting
+                run.back_off(self._clock.elapsed())
+            raise
         finally:
             target = self._on_end(run, upstream)
         if result is not None:
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -365,3 +365,24 @@
     check_results(
         await two_daemons.caller.read_all(two_daemons.address(1), 'b-1')
     )
+
+
+async def test_item_is_run_again_after_an_unexpected_error(
+    cluster: RolloutCluster,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an item that counts as running until it expires."""
+    items = cluster.daemons[0].batches.runner._items
+    run = items.run
+    errors = [RuntimeError('descriptor is in use')]
+
+    async def fail_once(*arguments: Any) -> Any:
+        if errors:
+            raise errors.pop()
+        return await run(*arguments)
+
+    monkeypatch.setattr(items, 'run', fail_once)
+    await cluster.caller.submit(cluster.address(), 'b-1', build_batch(ITEMS))
+    async with asyncio.timeout(5):
+        check_results(await cluster.caller.read_all(cluster.address(), 'b-1'))
+    assert not errors
