Give uvloop a descriptor of its own for each connected socket

Callers may be cut off, and items fail, because another attempt of the same daemon was cancelled while its connection was set up.

Cause: if the setup of a transport is cancelled, uvloop closes the descriptor of the socket that aiohttp connected, but the socket object keeps its number. Closed later, the object closes whatever has got that number since.

Change: the event loop passes a duplicate of the descriptor, and gives up the duplicate's number if the setup fails.

--- a/quetzalcourse/loop.py
+++ b/quetzalcourse/loop.py
@@ -23,4 +23,6 @@
     os.environ['UV_USE_IO_URING'] = '0'
     import uvloop  # noqa: PLC0415, WPS433
 
-    return uvloop.run(main)
+    from quetzalcourse.event_loop import EventLoop  # noqa: PLC0415, WPS433
+
+    return uvloop.run(main, loop_factory=EventLoop)
