Do not wait for a daemon that died before it knew its usage window

Operators would get every report seven seconds late after a daemon died in its first seconds.

Cause: a silent daemon's row that states no window counted as recent for good. Found by reading the change again.

Change: such a row counts as old.

Result: the new test failed before and passes now.

--- a/quetzalcourse/coordination/duties/window_rows.py
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -117,7 +117,7 @@
             record.vm
             for record in self._presence.records.values()
             if _is_older(record, window)
-            and (record.counted_window or oldest) >= oldest
+            and (record.counted_window or 0) >= oldest
             and not record.leaving
             and not self._is_live(record)
         ]
--- a/quetzalcourse/tests/coordination/duties/usage_windows_tests.py
+++ b/quetzalcourse/tests/coordination/duties/usage_windows_tests.py
@@ -287,6 +287,22 @@
     assert world.reports.counts[window] == {ACCOUNT: 8}
 
 
+async def test_daemon_that_died_at_its_start_delays_no_report() -> None:
+    """Guards against late reports for a row that never states its window."""
+    world = World()
+    near, far = PEERS
+    world.write_row(near, world.find_window())
+    world.write_row(far, 0)
+    world.start()
+    await world.advance(timedelta(seconds=8))
+    window = world.find_window()
+    for _ in range((LENGTH + DUE / 2) // timedelta(milliseconds=250)):
+        await world.advance(timedelta(milliseconds=250))
+        world.write_row(near, world.find_window(), {window: 1})
+    world.stop()
+    assert world.reports.counts[window] == {ACCOUNT: 1}
+
+
 async def test_window_waits_for_a_daemon_that_returns(world: World) -> None:
     """Guards against sums without a daemon that was paused or cut off."""
     window = world.find_window()
