Close a usage window without another read once all rows cover it

Cause: the table of members had to be read anew 1.5 s after the window, though rows that cover it are final already.

Change: a read that began after the end of the window is enough; it is there to find daemons that were not known yet.

--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -11,10 +11,7 @@
 from result import Err
 
 from quetzalcourse.coordination.duties.pending_counts import PendingCounts
-from quetzalcourse.coordination.duties.window_rows import (
-    SETTLE_TIME,
-    WindowRows,
-)
+from quetzalcourse.coordination.duties.window_rows import WindowRows
 from quetzalcourse.coordination.feeds.wall_clock import EPOCH
 from quetzalcourse.log import get_log
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
@@ -31,6 +28,9 @@
 # Time for which a daemon keeps the counts of a window: as long as a report may
 # wait for them, and until a daemon has restarted after that.
 KEPT_TIME = timedelta(seconds=30)
+# Counts are published within a quarter of a second of the request, and a slow
+# write takes another third of a second.
+SETTLE_TIME = timedelta(seconds=1.5)
 REPORT_INTERVAL = timedelta(milliseconds=250)
 # A report that is overdue by more than this is abandoned.
 MAX_REPORT_DELAY = timedelta(seconds=30)
--- a/quetzalcourse/coordination/duties/window_rows.py
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -17,9 +17,6 @@
     from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.state.counters import Counters
 
-# Counts are published within a quarter of a second of the request, and a slow
-# write takes another third of a second.
-SETTLE_TIME = timedelta(seconds=1.5)
 # A live daemon whose row is older than the window is waited for until a report
 # is overdue by this time. A late report is still right, an early one is not.
 MAX_ROW_DELAY = timedelta(seconds=10)
@@ -55,14 +52,13 @@
     def cover(self, window: int) -> bool:
         """Return whether the counts of a window are as complete as possible.
 
-        They are once all rows were read after the window had settled, and each
-        daemon has written its row after the end of the window, or was given
-        enough time for it.
+        They are once all rows were read after the end of the window, and each
+        daemon has written its row after it, or was given enough time for it.
         """
         age = self._clock.now() - EPOCH - (window + 1) * self._length
-        settled_at = self._clock.elapsed() - age + SETTLE_TIME
+        ended_at = self._clock.elapsed() - age
         read_began_at = self._presence.read_began_at
-        if read_began_at is None or read_began_at < settled_at:
+        if read_began_at is None or read_began_at < ended_at:
             return False
         if age >= self._due + MAX_ROW_DELAY:
             return True
