Wait for a silent daemon only for the windows around its silence

Cause: the log shows window, which began 7 s after a daemon was removed, held back for that daemon until the store failed.

Change: a silent daemon is waited for only if its last row is at most five seconds older than the window.

Result: the new test failed before.

--- a/quetzalcourse/coordination/duties/window_rows.py
+++ b/quetzalcourse/coordination/duties/window_rows.py
@@ -23,6 +23,7 @@
 # A silent daemon may be dead, so it is waited for only until a report can just
 # be sent in time.
 SEND_TIME = timedelta(seconds=3)
+MAX_SILENCE = timedelta(seconds=5)
 MAX_LOGGED_NAMES = 10
 log = get_log('usage')
 
@@ -105,10 +106,10 @@
     def _list_silent_missing(self, window: int) -> list[str]:
         """List the daemons that may have served after their last rows.
 
-        Those that left have written all their counts, and those that have been
-        silent for longer than a report may take are gone.
+        Those that left have written all their counts, and those that were
+        silent for long before the window are gone.
         """
-        oldest = window - self._due // self._length
+        oldest = window + (-MAX_SILENCE) // self._length
         return [
             record.vm
             for record in self._presence.records.values()
--- a/quetzalcourse/tests/coordination/duties/usage_windows_tests.py
+++ b/quetzalcourse/tests/coordination/duties/usage_windows_tests.py
@@ -303,6 +303,22 @@
     assert world.reports.counts[window] == {ACCOUNT: 1}
 
 
+async def test_daemon_that_died_before_a_window_delays_no_report(
+    world: World,
+) -> None:
+    """Guards against reports that wait for a dead daemon until an outage."""
+    near, far = PEERS
+    for _ in range(timedelta(seconds=8) // timedelta(milliseconds=250)):
+        await world.advance(timedelta(milliseconds=250))
+        world.write_row(near, world.find_window())
+    window = world.find_window()
+    for _ in range((LENGTH + DUE / 2) // timedelta(milliseconds=250)):
+        await world.advance(timedelta(milliseconds=250))
+        world.write_row(near, world.find_window(), {window: 1})
+    assert not world.presence.is_live(far.vm, far.incarnation)
+    assert world.reports.counts[window] == {ACCOUNT: 1}
+
+
 async def test_window_waits_for_a_daemon_that_returns(world: World) -> None:
     """Guards against sums without a daemon that was paused or cut off."""
     window = world.find_window()
