Add settings that switch the parts of the load control on

Operators need to switch behaviour under load on part by part. The settings file may now hold the platform's settings together with a load_control table; all parts are off by default, unknown or mistyped names are refused with the name of the field.

--- /dev/null
+++ b/quetzalcourse/coordination/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of forwarded requests: waiting, ranks, fair shares, rejections."""
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -14,6 +14,7 @@
 from quetzalcourse.settings.rollout import (
     ColdStartTolerance,
     ListenAddresses,
+    LoadControl,
     RolloutSettings,
     ServiceTimings,
 )
@@ -65,10 +66,21 @@
     duties: list[str] = []
 
 
+class LoadControlMessage(msgspec.Struct, forbid_unknown_fields=True):
+    """Parts of the load control that operators switch on."""
+
+    queueing: bool = False
+    shared_slots: bool = False
+    step_triage: bool = False
+    carried_texts: bool = False
+    measured_pace: bool = False
+
+
 class SettingsMessage(msgspec.Struct):
     """Fields of the settings that the adapter reads.
 
-    ``zones`` maps each zone to its region.
+    ``zones`` maps each zone to its region. ``load_control`` is no field of
+    the platform; operators add it in ``deploy/settings.json``.
     """
 
     node_name: str
@@ -82,6 +94,18 @@
     limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
     bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
     cloud: CloudMessage = msgspec.field(default_factory=CloudMessage)
+    load_control: LoadControlMessage = msgspec.field(
+        default_factory=LoadControlMessage
+    )
+
+
+class ExtendedSettingsMessage(msgspec.Struct):
+    """The platform's settings, and those that operators add."""
+
+    platform_settings: SettingsMessage | None = None
+    load_control: LoadControlMessage = msgspec.field(
+        default_factory=LoadControlMessage
+    )
 
 
 def find_file() -> Path | None:
@@ -93,10 +117,12 @@
 def load_file(path: Path) -> Result[SettingsMessage, str]:
     """Read and validate the settings file.
 
+    It holds the platform's settings, alone or together with an operator's.
+
     :returns: the fields, or the first error.
     """
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=SettingsMessage))
+        return Ok(_decode_settings(path.read_bytes()))
     except (OSError, msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(f'{path}: {error}')
 
@@ -127,6 +153,9 @@
         duties=frozenset(message.cloud.duties),
         peer_secret=derive_secret(message),
         cores=message.limits.cpu_share * message.limits.cores,
+        load_control=LoadControl(
+            **msgspec.structs.asdict(message.load_control)
+        ),
     )
 
 
@@ -139,3 +168,12 @@
     """
     shared = message.cloud.address or message.platform.address
     return hashlib.sha256(shared.encode()).digest()
+
+
+def _decode_settings(content: bytes) -> SettingsMessage:
+    extended = msgspec.json.decode(content, type=ExtendedSettingsMessage)
+    if extended.platform_settings is None:
+        return msgspec.json.decode(content, type=SettingsMessage)
+    return msgspec.structs.replace(
+        extended.platform_settings, load_control=extended.load_control
+    )
--- a/quetzalcourse/settings/rollout.py
+++ b/quetzalcourse/settings/rollout.py
@@ -62,6 +62,29 @@
     slack: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LoadControl:
+    """Behaviour under load that operators switch on, part by part.
+
+    :param queueing: requests wait at their daemon for a free slot, and those
+        that would start too late are rejected at once.
+    :param shared_slots: daemons agree on who uses the slots of an upstream
+        that is full.
+    :param step_triage: groups that can be complete in time are run before
+        those that can't.
+    :param carried_texts: texts of an ended batch are used for the same items
+        of a later one.
+    :param measured_pace: upstreams are ranked by the time that work takes
+        there now, where they report it.
+    """
+
+    queueing: bool = False
+    shared_slots: bool = False
+    step_triage: bool = False
+    carried_texts: bool = False
+    measured_pace: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutSettings:
     """All settings of a daemon on a platform.
@@ -72,6 +95,7 @@
     :param cores: CPU capacity of the VM, in cores.
     :param regions: region of each data centre.
     :param cold_start: tolerance on the rate limits of cold upstreams.
+    :param load_control: behaviour under load.
     """
 
     vm: str
@@ -83,3 +107,4 @@
     cores: float = 1
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_start: ColdStartTolerance = ColdStartTolerance()
+    load_control: LoadControl = LoadControl()
