Order upstreams when the items of open batches would start too late

Cause: the platform lets the holder of the duties order upstreams and the manifest gives range and prices, but no code did. Change: the duty holder counts unfinished items of open batches from the rows that it follows, takes the mean time of an item from slots in use and items that ended, and orders what lets every item start in the first third of its time; given back after a minute. Switched on by load_control.scaling, where the deployment has the duty and the service a scaling range.

--- a/quetzalcourse/batch_components.py
+++ b/quetzalcourse/batch_components.py
@@ -53,6 +53,7 @@
 class BatchComponents:
     """Batch components of a daemon."""
 
+    directory: BatchDirectory
     result_reader: ResultReader
     runner: BatchRunner
     takeover: BatchTakeover
@@ -123,6 +124,7 @@
     )
     batch_coordinators.on_offer(service.accept_offer)
     return BatchComponents(
+        directory,
         result_reader,
         runner,
         BatchTakeover(
--- /dev/null
+++ b/quetzalcourse/coordination/scaling/upstream_planner.py
@@ -0,0 +1,133 @@
+"""Plans the number of upstreams from the items that wait for them.
+
+The trainers of several models submit their steps within the same second, with
+more items than the slots finish in time: more work than usual is asked for, or
+a data centre's upstreams crashed, slowed down or are being reclaimed. A step
+ends with its longest items, which take most of its time, so all items have to
+start within the first part of it. Upstreams are added as soon as the backlog
+takes longer than that, and given back when they were not needed for a while.
+"""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from quetzalcourse.state.routing import ScalingRange
+    from quetzalcourse.state.scaling import (
+        BatchDemand,
+        PlaceCapacity,
+        ScalingPlace,
+    )
+
+# Part of the time until results are due in which every item has to start.
+START_SHARE = 1 / 3
+# Growth of a service until what was ordered serves, relative to the number of
+# its upstreams.
+MAX_GROWTH = 1.0
+# Time without need for the added upstreams after which they are given back.
+COOL_DOWN = timedelta(seconds=60)
+# Number of upstreams that a data centre gives back in one round.
+MAX_REDUCTION = 1
+
+
+def count_required_slots(demand: BatchDemand) -> int:
+    """Count the slots that let every waiting item start in time."""
+    window = demand.results_due * START_SHARE
+    if not window or not demand.unfinished:
+        return 0
+    slots = math.ceil(demand.unfinished * demand.item_time / window)
+    return min(slots, demand.unfinished)
+
+
+def plan_growth(
+    scaling: ScalingRange,
+    demand: BatchDemand,
+    places: Sequence[PlaceCapacity],
+    booting: int,
+) -> dict[ScalingPlace, int]:
+    """Plan the data centres that get more upstreams.
+
+    :param booting: upstreams that were ordered and don't serve yet.
+    :returns: desired number of upstreams by place, without unchanged ones.
+    """
+    each = _find_slots_per_upstream(places)
+    if not each:
+        return {}
+    slots = sum(one.slots for one in places)
+    missing = math.ceil((count_required_slots(demand) - slots) / each)
+    settled = sum(one.count for one in places) - booting
+    growth = min(missing, math.ceil(settled * MAX_GROWTH)) - booting
+    added: dict[ScalingPlace, int] = {}
+    for _ in range(growth):
+        chosen = _choose_place(scaling, places, added)
+        if chosen is None:
+            break
+        added[chosen.place] = added.get(chosen.place, 0) + 1
+    return {
+        one.place: one.count + added[one.place]
+        for one in places
+        if one.place in added
+    }
+
+
+def plan_reduction(
+    scaling: ScalingRange,
+    demand: BatchDemand,
+    places: Sequence[PlaceCapacity],
+    since_need: timedelta,
+) -> dict[ScalingPlace, int]:
+    """Plan the data centres that give upstreams back.
+
+    :param since_need: time since all upstreams were needed.
+    :returns: desired number of upstreams by place, without unchanged ones.
+    """
+    if since_need < COOL_DOWN:
+        return {}
+    spare = sum(one.slots for one in places) - count_required_slots(demand)
+    each = math.ceil(_find_slots_per_upstream(places))
+    reduced: dict[ScalingPlace, int] = {}
+    for one in sorted(places, key=_get_price, reverse=True):
+        least = max(one.base, scaling.least)
+        fewer = min(one.count - least, MAX_REDUCTION)
+        if fewer > 0 and spare >= fewer * each:
+            reduced[one.place] = one.count - fewer
+            spare -= fewer * each
+    return reduced
+
+
+def _choose_place(
+    scaling: ScalingRange,
+    places: Sequence[PlaceCapacity],
+    added: dict[ScalingPlace, int],
+) -> PlaceCapacity | None:
+    """Choose the next place, cheap ones more often.
+
+    They are spread, so that the loss of a data centre costs little capacity.
+    """
+    candidates = [
+        one
+        for one in places
+        if one.available and one.count + added.get(one.place, 0) < scaling.most
+    ]
+    return min(
+        candidates,
+        key=lambda one: (
+            (added.get(one.place, 0) + 1) * one.price,
+            one.place,
+        ),
+        default=None,
+    )
+
+
+def _find_slots_per_upstream(places: Sequence[PlaceCapacity]) -> float:
+    serving = sum(one.serving for one in places)
+    return sum(one.slots for one in places) / serving if serving else 0
+
+
+def _get_price(one: PlaceCapacity) -> float:
+    return one.price
--- a/quetzalcourse/deployment.py
+++ b/quetzalcourse/deployment.py
@@ -12,6 +12,9 @@
     )
     from quetzalcourse.coordination.feeds.ports import ChangeFeed, StoreClock
     from quetzalcourse.coordination.ports import Table
+    from quetzalcourse.coordination.scaling.scaling_controller import (
+        ScalingOrders,
+    )
     from quetzalcourse.coordination.versions.load_controller import (
         UpstreamControl,
     )
@@ -108,5 +111,8 @@
     def open_usage_reports(self) -> UsageReportSender:
         """Open connections for usage reports."""
 
+    def open_scaling_orders(self) -> ScalingOrders:
+        """Open connections for orders of upstreams."""
+
     async def close(self) -> None:
         """Close every connection that was opened."""
--- a/quetzalcourse/duty_components.py
+++ b/quetzalcourse/duty_components.py
@@ -10,17 +10,25 @@
 from quetzalcourse.coordination.duties.usage_windows import WindowReporter
 from quetzalcourse.coordination.leases.lease import Lease
 from quetzalcourse.coordination.leases.leader_elector import LeaderElector
+from quetzalcourse.coordination.scaling.batch_demand import BatchDemandMeter
+from quetzalcourse.coordination.scaling.place_capacity import PlaceCapacities
+from quetzalcourse.coordination.scaling.scaling_controller import (
+    ScalingController,
+)
+from quetzalcourse.coordination.scaling.scaling_records import ScalingRecords
 from quetzalcourse.coordination.versions.load_controller import LoadController
 from quetzalcourse.incarnation import read_vm
 from quetzalcourse.state.lease import LeaseTimings
 
 if TYPE_CHECKING:
+    from quetzalcourse.coordination.batches.directory import BatchDirectory
     from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
     from quetzalcourse.coordination.feeds.presence import Presence
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.deployment import Deployment, StoreClients
     from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
 # Both rows change in one transaction, so they are in the same part.
@@ -34,6 +42,7 @@
     order_timeout=timedelta(seconds=0.65),
 )
 USAGE_DUTY = 'usage'
+SCALING_DUTY = 'scaling'
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +59,7 @@
     usage_reporter: WindowReporter
     min_lease_hold: timedelta
     duties: frozenset[str]
+    scaling: ScalingController | None = None
 
     def start(self, lifecycle: Lifecycle) -> None:
         """Run the components in the background."""
@@ -57,6 +67,8 @@
         lifecycle.run('load orders', self.load_controller.run)
         if USAGE_DUTY in self.duties:
             lifecycle.run('usage', self.usage_reporter.run)
+        if self.scaling is not None:
+            lifecycle.run('scaling', self.scaling.run)
 
     async def hand_over(self) -> None:
         """Release the lease, unless it was acquired only recently.
@@ -72,19 +84,19 @@
 def build_duty_components(
     deployment: Deployment,
     store: StoreClients,
-    incarnation: str,
     presence: Presence,
     pool: Pool,
     routes: RouteTable,
+    directory: BatchDirectory,
     wall_clock: WallClockEstimate,
     counters: Counters,
 ) -> DutyComponents:
     """Build the components and connect them.
 
-    :param incarnation: id of this run of the daemon.
     :param wall_clock: gives usage windows and monotonic time.
     """
     settings = deployment.settings
+    incarnation = presence.own.incarnation
     lease = Lease(
         store.table,
         wall_clock,
@@ -121,6 +133,42 @@
         ),
         settings.timings.min_lease_hold,
         settings.duties,
+        _build_scaling(
+            deployment,
+            store,
+            lease,
+            pool,
+            routes,
+            directory,
+            wall_clock,
+            counters,
+        ),
+    )
+
+
+def _build_scaling(
+    deployment: Deployment,
+    store: StoreClients,
+    lease: Lease,
+    pool: Pool,
+    routes: RouteTable,
+    directory: BatchDirectory,
+    clock: Clock,
+    counters: Counters,
+) -> ScalingController | None:
+    """Build the scaling of upstreams, ``None`` where it is not asked for."""
+    settings = deployment.settings
+    if not settings.load_control.scaling or SCALING_DUTY not in settings.duties:
+        return None
+    return ScalingController(
+        deployment.open_scaling_orders(),
+        ScalingRecords(store.table, lease),
+        lease,
+        BatchDemandMeter(directory, routes, pool, clock),
+        PlaceCapacities(pool, clock),
+        routes,
+        clock,
+        counters,
     )
 
 
--- a/quetzalcourse/platform/deployment.py
+++ b/quetzalcourse/platform/deployment.py
@@ -7,7 +7,11 @@
 
 from quetzalcourse.platform import documents
 from quetzalcourse.platform.callers import READY_PATH, PlatformCallerDialect
-from quetzalcourse.platform.duties import ServerControl, UsageReportClient
+from quetzalcourse.platform.duties import (
+    ScalingOrderClient,
+    ServerControl,
+    UsageReportClient,
+)
 from quetzalcourse.platform.settings import translate_settings
 from quetzalcourse.platform.store import StoreClient
 from quetzalcourse.platform.upstreams import PlatformUpstreamDialect
@@ -93,6 +97,12 @@
         self._connections.append(channel)
         return UsageReportClient(channel, self.settings.vm)
 
+    def open_scaling_orders(self) -> ScalingOrderClient:
+        """Open connections for orders of servers."""
+        channel = Channel(self._message.cloud.address)
+        self._connections.append(channel)
+        return ScalingOrderClient(channel, self.settings.vm)
+
     async def close(self) -> None:
         """Close every connection that was opened."""
         for connection in self._connections:
--- a/quetzalcourse/platform/documents.py
+++ b/quetzalcourse/platform/documents.py
@@ -86,6 +86,7 @@
     min: int
     max: int
     boot_s: float = 0
+    zone_prices: dict[str, float] = {}
 
 
 class ServiceMessage(msgspec.Struct):
@@ -258,6 +259,7 @@
             message.scaling.min,
             message.scaling.max,
             timedelta(seconds=message.scaling.boot_s),
+            message.scaling.zone_prices,
         )
     cold_start = None
     if message.cold_start_s > 0 and message.cold_per_s > 0:
--- a/quetzalcourse/platform/duties.py
+++ b/quetzalcourse/platform/duties.py
@@ -13,6 +13,7 @@
 )
 from quetzalcourse.log import get_log
 from quetzalcourse.state.rows import FaultKind
+from quetzalcourse.state.scaling import ScalingOutcome
 from quetzalcourse.transport.channel import Channel
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     from quetzalcourse.coordination.duties.usage_windows import WindowReport
     from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.versions.load_controller import LoadOrder
+    from quetzalcourse.state.scaling import ScalingOrder
 
 OK = 200
 # A server may act on an order that times out; the lease outlasts the timeout.
@@ -34,6 +36,11 @@
     409: OrderOutcome.conflict,
     412: OrderOutcome.fenced,
 }
+SCALING_OUTCOMES: Mapping[int, ScalingOutcome] = {
+    OK: ScalingOutcome.accepted,
+    202: ScalingOutcome.accepted,
+    409: ScalingOutcome.unavailable,
+}
 log = get_log('duties')
 
 
@@ -71,6 +78,14 @@
     counts: dict[str, int]
 
 
+class ScaleMessage(msgspec.Struct):
+    """Number of servers of a service that a zone is to have."""
+
+    service: str
+    zone: str
+    desired_count: int
+
+
 class ServerControl:
     """Sends orders to servers and reads their state."""
 
@@ -163,6 +178,37 @@
         return answer.is_ok() and answer.unwrap().status == OK
 
 
+class ScalingOrderClient:
+    """Orders servers from the platform.
+
+    :param holder: name of this machine, sent with the fencing token.
+    """
+
+    def __init__(self, channel: Channel, holder: str) -> None:
+        """Store the connections."""
+        self._channel = channel
+        self._holder = holder
+
+    async def send(self, order: ScalingOrder) -> ScalingOutcome:
+        """Send an order; repeating it has no further effect."""
+        message = ScaleMessage(
+            order.place.service, order.place.data_centre, order.count
+        )
+        answer = await self._channel.request(
+            'POST',
+            '/scale',
+            msgspec.json.encode(message),
+            headers=CALL_HEADERS
+            | _build_fence_headers(self._holder, order.token),
+            seconds=ORDER_TIMEOUT_SECONDS,
+        )
+        if isinstance(answer, Err):
+            return ScalingOutcome.failed
+        return SCALING_OUTCOMES.get(
+            answer.ok_value.status, ScalingOutcome.failed
+        )
+
+
 def _build_instance_headers(upstream: Upstream) -> dict[str, str]:
     return {'X-Expect-Instance': upstream.name}
 
--- a/quetzalcourse/platform/settings.py
+++ b/quetzalcourse/platform/settings.py
@@ -6,7 +6,8 @@
 import os
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -19,10 +20,15 @@
     ServiceTimings,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 FILE_VARIABLE = 'QUETZALCOURSE_NODE_FILE'
 # Port for metrics in ``deploy/system.toml``. The platform's settings file has
 # none, but a second daemon on the same IP address needs another.
 METRICS_PORT = 9464
+# Duties that the daemon knows by another name.
+DUTY_NAMES: Mapping[str, str] = MappingProxyType({'autoscale': 'scaling'})
 
 
 class ListenMessage(msgspec.Struct):
@@ -74,6 +80,7 @@
     step_triage: bool = False
     carried_texts: bool = False
     measured_pace: bool = False
+    scaling: bool = False
 
 
 class SettingsMessage(msgspec.Struct):
@@ -150,7 +157,9 @@
         ),
         regions=message.zones,
         cold_start=ColdStartTolerance(bounds.cold_overage, bounds.cold_slack),
-        duties=frozenset(message.cloud.duties),
+        duties=frozenset(
+            DUTY_NAMES.get(name, name) for name in message.cloud.duties
+        ),
         peer_secret=derive_secret(message),
         cores=message.limits.cpu_share * message.limits.cores,
         load_control=LoadControl(
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -230,10 +230,10 @@
         self.duties = build_duty_components(
             self._deployment,
             self.store,
-            self.incarnation,
             self.presence,
             self.pool,
             self.routes,
+            self.batches.directory,
             self.wall_clock,
             self.counters,
         )
--- a/quetzalcourse/settings/rollout.py
+++ b/quetzalcourse/settings/rollout.py
@@ -76,6 +76,8 @@
         of a later one.
     :param measured_pace: upstreams are ranked by the time that work takes
         there now, where they report it.
+    :param scaling: upstreams are ordered when the items of open batches need
+        more of them, in a deployment with that duty.
     """
 
     queueing: bool = False
@@ -83,6 +85,7 @@
     step_triage: bool = False
     carried_texts: bool = False
     measured_pace: bool = False
+    scaling: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/state/routing.py
+++ b/quetzalcourse/state/routing.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 # ``None`` allows every region.
@@ -72,11 +76,13 @@
     """Number of upstreams of a service that may be ordered per data centre.
 
     :param start: time from an order until its upstream serves requests.
+    :param prices: price of an upstream by data centre, relative to others.
     """
 
     least: int
     most: int
     start: timedelta
+    prices: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
