Order upstreams only when the backlog takes half of the time

Now the unfinished items should be done in half of the time until results are due, and the mean is used only after four seconds with items running.

--- a/quetzalcourse/coordination/scaling/item_times.py
+++ b/quetzalcourse/coordination/scaling/item_times.py
@@ -13,8 +13,10 @@
 
 # Time after which an observation counts half.
 HALF_LIFE = timedelta(seconds=10)
-# Ended items that are needed for an estimate.
+# Ended items, and time with items running, that are needed for an estimate.
+# Long items of a step start first, so that a shorter time would show no others.
 MIN_ITEMS = 20
+MIN_RUNNING_TIME = timedelta(seconds=4)
 
 
 class ItemTimeEstimator:
@@ -24,6 +26,7 @@
         """Start without observations."""
         self._busy_seconds = 0.0
         self._ended = 0.0
+        self._running_time = timedelta(0)
         self._mean: timedelta | None = None
 
     def observe(self, elapsed: timedelta, busy: int, ended: int) -> None:
@@ -37,7 +40,10 @@
             self._busy_seconds * kept + busy * elapsed.total_seconds()
         )
         self._ended = self._ended * kept + ended
-        if self._ended >= MIN_ITEMS:
+        if busy:
+            self._running_time += elapsed
+        known = self._running_time >= MIN_RUNNING_TIME
+        if known and self._ended >= MIN_ITEMS:
             self._mean = timedelta(seconds=self._busy_seconds / self._ended)
 
     @property
--- a/quetzalcourse/coordination/scaling/upstream_planner.py
+++ b/quetzalcourse/coordination/scaling/upstream_planner.py
@@ -3,9 +3,9 @@
 The trainers of several models submit their steps within the same second, with
 more items than the slots finish in time: more work than usual is asked for, or
 a data centre's upstreams crashed, slowed down or are being reclaimed. A step
-ends with its longest items, which take most of its time, so all items have to
-start within the first part of it. Upstreams are added as soon as the backlog
-takes longer than that, and given back when they were not needed for a while.
+that takes all of its time has none left for a retry, and makes the next one
+late. So upstreams are added as soon as the backlog takes more than a part of
+that time, and given back when they were not needed for a while.
 """
 
 from __future__ import annotations
@@ -24,8 +24,9 @@
         ScalingPlace,
     )
 
-# Part of the time until results are due in which every item has to start.
-START_SHARE = 1 / 3
+# Part of the time until results are due in which the items should be done; the
+# rest is for retries and for upstreams that turn slow.
+RUN_SHARE = 1 / 2
 # Growth of a service until what was ordered serves, relative to the number of
 # its upstreams.
 MAX_GROWTH = 1.0
@@ -36,8 +37,8 @@
 
 
 def count_required_slots(demand: BatchDemand) -> int:
-    """Count the slots that let every waiting item start in time."""
-    window = demand.results_due * START_SHARE
+    """Count the slots that run all unfinished items in time."""
+    window = demand.results_due * RUN_SHARE
     if not window or not demand.unfinished:
         return 0
     slots = math.ceil(demand.unfinished * demand.item_time / window)
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -43,7 +43,7 @@
     'upstream_failures': 'Failed attempts that made upstreams rest.',
     'usage_rows_missing': 'Rows of daemons that usage reports lack.',
     'scaling_orders': 'Orders for upstreams, by what the platform said.',
-    'slots_required': 'Slots that let all waiting items start in time.',
+    'slots_required': 'Slots that run all unfinished items in time.',
     'usage_reports': 'Reports of usage sent, by whether they were taken.',
 }
 
