Use the texts of ended batches for items that come again

Callers saw: under a shortage of upstreams trainers end most batches with incomplete groups. These come again in a later batch under the same item ids, and all their work was done anew.

Cause: a batch that ended was dropped with the texts of its items.

Change: with `load_control.carried_texts` the daemon that ran the batch keeps the texts in memory, bounded in number, bytes and age. When a later batch of the same client account, route and model starts there, an unfinished text of the same item is resumed after its last event and a complete one is a result at once, or is scored again. A text is used only if all its versions fit the new batch. Off, nothing is kept and batches start as before. Counters tell the texts used, the events saved and why others were not used; one log line a batch tells the same.

--- a/quetzalcourse/batch_components.py
+++ b/quetzalcourse/batch_components.py
@@ -9,6 +9,7 @@
 from quetzalcourse.coordination.batches.batch_rows import BatchRows
 from quetzalcourse.coordination.batches.batch_writer import BatchWriter
 from quetzalcourse.coordination.batches.batch_service import BatchService
+from quetzalcourse.coordination.batches.carried_texts import CarriedTexts
 from quetzalcourse.coordination.batches.directory import BatchDirectory
 from quetzalcourse.coordination.batches.coordinator_list import CoordinatorList
 from quetzalcourse.coordination.batches.slot_usage_updates import (
@@ -33,9 +34,11 @@
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.feed_components import FeedComponents
     from quetzalcourse.lifecycle import Lifecycle
+    from quetzalcourse.settings.rollout import RolloutSettings
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
 
@@ -139,6 +142,19 @@
     )
 
 
+def carry_texts(
+    batches: BatchComponents,
+    settings: RolloutSettings,
+    pool: Pool,
+    routes: RouteTable,
+    clock: Clock,
+    counters: Counters,
+) -> None:
+    """Let later batches use the texts of ended ones, if switched on."""
+    if settings.load_control.carried_texts:
+        batches.runner.ended_texts = CarriedTexts(pool, routes, clock, counters)
+
+
 def _connect_coordinators(
     runner: BatchRunner, updates: SlotUsageUpdates
 ) -> None:
--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -13,6 +13,8 @@
     compute_fingerprint,
 )
 
+from quetzalcourse.state.batches import ResultState
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -65,6 +67,7 @@
         if run.state is ItemState.finished:
             return
         run.state = ItemState.finished
+        run.completed = result.state is ResultState.completed
         self.uncommitted.append(result)
         self.wake.set()
 
@@ -113,6 +116,15 @@
         for partial in partials:
             runs[partial.item].restore(partial)
 
+    def restore_item(self, run: ItemRun, partial: PartialText) -> None:
+        """Continue an item from a text of another batch.
+
+        A complete text without a scoring call is its result at once.
+        """
+        run.restore(partial)
+        if partial.whole and run.item.scoring is None:
+            self.finish(run, run.build_completed_result())
+
     def stop(self) -> None:
         """Cancel all tasks; uncommitted items run again at the next owner."""
         for run in self.items:
--- a/quetzalcourse/coordination/batches/batch_service.py
+++ b/quetzalcourse/coordination/batches/batch_service.py
@@ -19,6 +19,7 @@
     MAX_OPEN_ITEMS,
     OfferOutcome,
 )
+from quetzalcourse.coordination.batches.runner import ENDED
 from quetzalcourse.exceptions import QuetzalcourseError, RefusedError
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import (
@@ -235,7 +236,7 @@
             raise RefusedError(_refuse_store())
         view.ended = True
         log.info('Batch ended by its caller.', batch=batch_id)
-        self._runner.drop(batch_id, 'ended')
+        self._runner.drop(batch_id, ENDED)
 
     async def _list_items(self, batch_id: str) -> list[BatchItem]:
         run = self._runner.batches.get(batch_id)
--- a/quetzalcourse/coordination/batches/batch_takeover.py
+++ b/quetzalcourse/coordination/batches/batch_takeover.py
@@ -15,6 +15,7 @@
 )
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
 from quetzalcourse.coordination.batches.failover import rank_successors
+from quetzalcourse.coordination.batches.runner import ENDED
 from quetzalcourse.coordination.slots.ownership import rank_members
 from quetzalcourse.coordination.tasks import BackgroundTasks, wait_event
 from quetzalcourse.log import get_log
@@ -88,7 +89,7 @@
         if run is None:
             return
         if view.ended:
-            self._runner.drop(view.id, 'ended')
+            self._runner.drop(view.id, ENDED)
         elif view.owner_version > run.owner_version:
             self._runner.drop(view.id, 'deposed')
 
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -51,6 +51,7 @@
     :param last_event: number of the last event, ``None`` before the first.
     :param saved_event: last event of the text that was last saved.
     :param saved_complete: whether the saved text was complete.
+    :param completed: whether it has a result with its complete text.
     :param migration_target: upstream to continue at, where a slot is reserved
         for it; ``None`` to stay.
     """
@@ -67,6 +68,7 @@
     last_event: int | None = None
     saved_event: int | None = None
     saved_complete: bool = False
+    completed: bool = False
     upstream: str = ''
     avoided: str = ''
     started_at: timedelta = timedelta(0)
@@ -81,6 +83,11 @@
         """Whether the text is complete and only the score is missing."""
         return self.state in {ItemState.unscored, ItemState.scoring}
 
+    @property
+    def is_untouched(self) -> bool:
+        """Whether it waits and has no text yet."""
+        return self.state is ItemState.waiting and self.last_event is None
+
     @property
     def resume_after(self) -> str:
         """Number of the event after which an upstream has to continue."""
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
+from quetzalcourse.coordination.batches.carried_texts import NoCarriedTexts
 from quetzalcourse.coordination.batches.item_run import ItemRun, ItemState
 from quetzalcourse.coordination.batches.duration_predictor import (
     DurationPredictor,
@@ -19,7 +20,7 @@
 from quetzalcourse.state.batches import ResultState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Sequence
+    from collections.abc import Callable, Collection, Iterable, Sequence
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.batch_writer import BatchWriter
@@ -42,9 +43,24 @@
 SAVE_INTERVAL = timedelta(milliseconds=350)
 # Without a batch there is nothing to dispatch; a new one wakes the loop.
 IDLE_INTERVAL = timedelta(seconds=1)
+# Reason to stop running a batch that its caller ended.
+ENDED = 'ended'
 log = get_log('batches')
 
 
+class TextKeeper(Protocol):
+    """Keeps the texts of ended batches for later ones."""
+
+    def keep(self, batch: BatchRun) -> None:
+        """Keep the texts of a batch that ended."""
+
+    def restore(self, batch: BatchRun, others: Iterable[BatchRun]) -> None:
+        """Continue a batch that starts from the texts of ended ones.
+
+        :param others: batches that still run here.
+        """
+
+
 class ItemRunner(Protocol):
     """Runs one attempt of an item at an upstream."""
 
@@ -65,7 +81,7 @@
 
     ``accepting`` holds the ids of batches that are being accepted here. They
     run here once they are written, so takeover must not treat them as
-    orphaned.
+    orphaned. ``ended_texts`` keeps the texts of ended batches for later ones.
     """
 
     def __init__(
@@ -84,6 +100,7 @@
         self.batches: dict[str, BatchRun] = {}
         self.accepting: set[str] = set()
         self.paused = False
+        self.ended_texts: TextKeeper = NoCarriedTexts()
         self._items = items
         self._scoring = scoring
         self._placement = placement
@@ -134,6 +151,7 @@
         if batch.head.id in self.batches:
             log.warning('Batch is already running here.', batch=batch.head.id)
             return
+        self.ended_texts.restore(batch, self.batches.values())
         self.batches[batch.head.id] = batch
         batch.commit_task = self._tasks.start(self._commit(batch))
         self._wake.set()
@@ -148,6 +166,8 @@
         batch = self.batches.pop(batch_id, None)
         if batch is not None:
             batch.stop()
+            if reason == ENDED:
+                self.ended_texts.keep(batch)
             log.info(
                 'Stopped running a batch.',
                 batch=batch_id,
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -7,7 +7,11 @@
 
 from result import Err
 
-from quetzalcourse.batch_components import BatchCalls, build_batch_components
+from quetzalcourse.batch_components import (
+    BatchCalls,
+    build_batch_components,
+    carry_texts,
+)
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
@@ -224,6 +228,14 @@
             self.routes,
             self.clock,
         )
+        carry_texts(
+            self.batches,
+            self.settings,
+            self.pool,
+            self.routes,
+            self.clock,
+            self.counters,
+        )
         self.batches.takeover.result_retention = (
             self.settings.timings.batch_retention
         )
--- a/quetzalcourse/standins/rollout/cluster.py
+++ b/quetzalcourse/standins/rollout/cluster.py
@@ -218,6 +218,7 @@
             for number in range(2)
         ]
         self.regions: dict[str, str] = {}
+        self.load_control: dict[str, bool] = {}
         self.daemons: list[RolloutApplication] = []
         self.store_endpoints: list[StoreEndpoint] = []
         self._ended: list[RolloutApplication] = []
@@ -246,6 +247,7 @@
             zone,
             self.regions,
         )
+        settings['load_control'] = self.load_control
         message = msgspec.convert(settings, SettingsMessage)
         daemon = RolloutApplication(PlatformDeployment(message))
         self.daemons.append(daemon)
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -386,3 +386,34 @@
     async with asyncio.timeout(5):
         check_results(await cluster.caller.read_all(cluster.address(), 'b-1'))
     assert not errors
+
+
+@pytest.mark.parametrize('owner', ['lives', 'is killed'])
+async def test_next_batch_uses_the_texts_of_an_ended_one(
+    carrying_daemons: RolloutCluster,
+    owner: str,
+) -> None:
+    # Guards against items that start over when a trainer submits them again,
+    # and against a batch that is not run whole if the texts died with a daemon.
+    daemons = carrying_daemons
+    for engine in daemons.engines:
+        engine.faults.slowdown = 20
+    await daemons.caller.submit(daemons.address(0), 'b-1', build_batch(ITEMS))
+    await asyncio.sleep(1.2)
+    await daemons.caller.call(
+        daemons.address(1), 'DELETE', '/quetzalcourse/lots/b-1'
+    )
+    await asyncio.sleep(0.5)
+    ended = [run for engine in daemons.engines for run in engine.runs]
+    if owner == 'is killed':
+        await daemons.end_daemon(daemons.daemons[0])
+    number = int(owner == 'is killed')
+    await daemons.caller.submit(
+        daemons.address(number), 'b-2', build_batch(ITEMS, step=1)
+    )
+    check_results(await daemons.caller.read_all(daemons.address(1), 'b-2'))
+    runs = [run for engine in daemons.engines for run in engine.runs]
+    resumed = [run for run in runs if run.resumed_after]
+    assert bool(resumed) is (owner == 'lives')
+    if owner == 'lives':
+        assert len(runs) - len(ended) < len(ITEMS)
--- a/quetzalcourse/tests/rollout/conftest.py
+++ b/quetzalcourse/tests/rollout/conftest.py
@@ -40,6 +40,16 @@
     await running.stop()
 
 
+@pytest_asyncio.fixture
+async def carrying_daemons() -> AsyncIterator[RolloutCluster]:
+    """Start two daemons that use the texts of ended batches."""
+    running = RolloutCluster(daemons=2)
+    running.load_control['carried_texts'] = True
+    await running.start()
+    yield running
+    await running.stop()
+
+
 @pytest_asyncio.fixture
 async def shared_data_centre() -> AsyncIterator[RolloutCluster]:
     """Start three daemons in one data centre with their platform."""
