--- a/quetzalcourse/coordination/batches/batch_run.py
+++ b/quetzalcourse/coordination/batches/batch_run.py
@@ -12,7 +12,6 @@
 from quetzalcourse.coordination.forwarding.fingerprint import (
     compute_fingerprint,
 )
-
 from quetzalcourse.state.batches import ResultState
 
 if TYPE_CHECKING:
