Mend the orders for upstreams after their review

A review by a second reader reproduced faults in tests: an order that failed or was never sent counted as capacity, and later orders started from it; upstreams gone for over 10 s no longer counted, so that an order could take some away; upstreams that operators added were given back; with two services the second gave nothing back; a holder that acquired or regained the lease ordered from wrong numbers; one batch with a short time or none decided for all; a route with several services was charged to its first one. Change: an order is accepted, refused (forgotten), unavailable (asked again after 10 s) or unanswered (the same number is sent again); all daemons track the upstreams of the last minute; demand is a rate of items over all batches; the range covers spot instances; what operators add stays.

--- a/quetzalcourse/coordination/scaling/item_times.py
+++ b/quetzalcourse/coordination/scaling/item_times.py
@@ -29,7 +29,7 @@
         self._running_time = timedelta(0)
         self._mean: timedelta | None = None
 
-    def observe(self, elapsed: timedelta, busy: int, ended: int) -> None:
+    def observe(self, elapsed: timedelta, busy: float, ended: float) -> None:
         """Record an interval.
 
         :param busy: slots in use during it.
--- a/quetzalcourse/coordination/scaling/upstream_planner.py
+++ b/quetzalcourse/coordination/scaling/upstream_planner.py
@@ -12,6 +12,7 @@
 
 import math
 from datetime import timedelta
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -38,31 +39,27 @@
 
 def count_required_slots(demand: BatchDemand) -> int:
     """Count the slots that run all unfinished items in time."""
-    window = demand.results_due * RUN_SHARE
-    if not window or not demand.unfinished:
-        return 0
-    slots = math.ceil(demand.unfinished * demand.item_time / window)
-    return min(slots, demand.unfinished)
+    seconds = demand.item_time.total_seconds()
+    return min(math.ceil(demand.rate * seconds / RUN_SHARE), demand.unfinished)
 
 
 def plan_growth(
     scaling: ScalingRange,
     demand: BatchDemand,
     places: Sequence[PlaceCapacity],
-    booting: int,
 ) -> dict[ScalingPlace, int]:
     """Plan the data centres that get more upstreams.
 
-    :param booting: upstreams that were ordered and don't serve yet.
     :returns: desired number of upstreams by place, without unchanged ones.
     """
     each = _find_slots_per_upstream(places)
     if not each:
         return {}
     slots = sum(one.slots for one in places)
+    booting = sum(one.booting for one in places)
     missing = math.ceil((count_required_slots(demand) - slots) / each)
-    settled = sum(one.count for one in places) - booting
-    growth = min(missing, math.ceil(settled * MAX_GROWTH)) - booting
+    before = sum(one.count for one in places) - booting
+    growth = min(missing, math.ceil(before * MAX_GROWTH)) - booting
     added: dict[ScalingPlace, int] = {}
     for _ in range(growth):
         chosen = _choose_place(scaling, places, added)
@@ -84,6 +81,9 @@
 ) -> dict[ScalingPlace, int]:
     """Plan the data centres that give upstreams back.
 
+    Only registered upstreams are given back: an order that was not carried out
+    would otherwise add some.
+
     :param since_need: time since all upstreams were needed.
     :returns: desired number of upstreams by place, without unchanged ones.
     """
@@ -92,11 +92,11 @@
     spare = sum(one.slots for one in places) - count_required_slots(demand)
     each = math.ceil(_find_slots_per_upstream(places))
     reduced: dict[ScalingPlace, int] = {}
-    for one in sorted(places, key=_get_price, reverse=True):
-        least = max(one.base, scaling.least)
-        fewer = min(one.count - least, MAX_REDUCTION)
+    for one in sorted(places, key=attrgetter('price'), reverse=True):
+        least = min(max(one.base, scaling.least), scaling.most)
+        fewer = min(one.registered - least, MAX_REDUCTION)
         if fewer > 0 and spare >= fewer * each:
-            reduced[one.place] = one.count - fewer
+            reduced[one.place] = one.registered - fewer
             spare -= fewer * each
     return reduced
 
@@ -113,7 +113,8 @@
     candidates = [
         one
         for one in places
-        if one.available and one.count + added.get(one.place, 0) < scaling.most
+        if one.available
+        and one.count + one.spot + added.get(one.place, 0) < scaling.most
     ]
     return min(
         candidates,
@@ -128,7 +129,3 @@
 def _find_slots_per_upstream(places: Sequence[PlaceCapacity]) -> float:
     serving = sum(one.serving for one in places)
     return sum(one.slots for one in places) / serving if serving else 0
-
-
-def _get_price(one: PlaceCapacity) -> float:
-    return one.price
--- a/quetzalcourse/platform/duties.py
+++ b/quetzalcourse/platform/duties.py
@@ -39,7 +39,11 @@
 SCALING_OUTCOMES: Mapping[int, ScalingOutcome] = {
     OK: ScalingOutcome.accepted,
     202: ScalingOutcome.accepted,
+    400: ScalingOutcome.refused,
+    404: ScalingOutcome.refused,
     409: ScalingOutcome.unavailable,
+    429: ScalingOutcome.refused,
+    503: ScalingOutcome.refused,
 }
 log = get_log('duties')
 
@@ -203,9 +207,11 @@
             seconds=ORDER_TIMEOUT_SECONDS,
         )
         if isinstance(answer, Err):
-            return ScalingOutcome.failed
+            if answer.err_value.kind is FaultKind.not_applied:
+                return ScalingOutcome.refused
+            return ScalingOutcome.unanswered
         return SCALING_OUTCOMES.get(
-            answer.ok_value.status, ScalingOutcome.failed
+            answer.ok_value.status, ScalingOutcome.unanswered
         )
 
 
--- a/quetzalcourse/tests/rollout/duties_tests.py
+++ b/quetzalcourse/tests/rollout/duties_tests.py
@@ -191,3 +191,10 @@
     await asyncio.sleep(2.5)
     await cluster.add_daemon('vm-0')
     await await_usage(cluster, 5)
+
+
+async def test_upstreams_are_ordered_only_where_operators_ask(
+    two_daemons: RolloutCluster,
+) -> None:
+    assert all(daemon.duties.scaling is None for daemon in two_daemons.daemons)
+    assert not two_daemons.cloud.orders
