Read load reports with a fourth figure

Callers saw requests sent to upstreams that were full: every load report of servers that tell how long work takes there now was dropped whole, so the requests of other daemons counted as none. Cause: the parser unpacked exactly three figures. It reads the first three, then the optional percentage, which costs only itself when it is malformed, missing, zero, negative or absurd. LoadReport carries it as slowdown. Further figures are ignored, so that the next addition does not cost the report again.

--- a/quetzalcourse/platform/upstreams.py
+++ b/quetzalcourse/platform/upstreams.py
@@ -20,6 +20,11 @@
 MISDIRECTED_REQUEST = 421
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
+# Figures of a load report before the optional one.
+LOAD_FIGURES = 3
+# The optional figure is a percentage; anything above this is nonsense.
+USUAL_PERCENT = 100
+MAX_PERCENT = 10_000
 # Headers that the daemon sets itself, or must not forward.
 RESERVED_HEADERS = frozenset(
     (
@@ -127,14 +132,31 @@
 def read_load(text: str) -> LoadReport | None:
     """Parse a server's load, ``None`` if it is malformed.
 
-    :param text: running requests, queued requests and slots.
+    :param text: running requests, queued requests, slots and, from some
+        servers, the time that work takes now, in percent of the usual. A
+        malformed percentage leaves the other figures valid, and further
+        figures are ignored.
     """
     figures = text.split(',')
     try:
-        running, waiting, slots = (int(figure) for figure in figures)
+        running, waiting, slots = (
+            int(figure) for figure in figures[:LOAD_FIGURES]
+        )
     except ValueError:
         return None
-    return LoadReport(running, waiting, slots)
+    optional = figures[LOAD_FIGURES:]
+    slowdown = _read_slowdown(optional[0]) if optional else None
+    return LoadReport(running, waiting, slots, slowdown)
+
+
+def _read_slowdown(text: str) -> float | None:
+    try:
+        percent = int(text)
+    except ValueError:
+        return None
+    if not 0 < percent <= MAX_PERCENT:
+        return None
+    return percent / USUAL_PERCENT
 
 
 def _write_metadata(terms: AttemptMetadata) -> list[tuple[str, str]]:
--- a/quetzalcourse/state/pool.py
+++ b/quetzalcourse/state/pool.py
@@ -37,11 +37,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that an upstream reports with a response."""
+    """Load that an upstream reports with a response.
+
+    :param slowdown: how long work takes there now, relative to usual (1.0);
+        ``None`` if it does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
     @property
     def total(self) -> int:
--- a/quetzalcourse/tests/platform/upstreams_tests.py
+++ b/quetzalcourse/tests/platform/upstreams_tests.py
@@ -130,13 +130,24 @@
     ('text', 'load'),
     [
         ('3,1,8', LoadReport(3, 1, 8)),
+        ('3,1,8,100', LoadReport(3, 1, 8, 1.0)),
+        ('3, 1, 8, 250', LoadReport(3, 1, 8, 2.5)),
+        ('3,1,8,', LoadReport(3, 1, 8)),
+        ('3,1,8,fast', LoadReport(3, 1, 8)),
+        ('3,1,8,nan', LoadReport(3, 1, 8)),
+        ('3,1,8,0', LoadReport(3, 1, 8)),
+        ('3,1,8,-100', LoadReport(3, 1, 8)),
+        ('3,1,8,10001', LoadReport(3, 1, 8)),
+        ('3,1,8,' + '9' * 5000, LoadReport(3, 1, 8)),
+        ('3,1,8,100,7', LoadReport(3, 1, 8, 1.0)),
+        ('3,1,,100', None),
         ('', None),
         ('3,1', None),
         ('a,b,c', None),
     ],
 )
 def test_server_load_is_parsed(text: str, load: LoadReport | None) -> None:
-    """A malformed load is ignored."""
+    """A malformed figure costs the report, or only itself if optional."""
     assert read_load(text) == load
 
 
