Rank upstreams by when they finish, where they report their pace

Callers saw long items run at upstreams that take more than twice as long, and items move after a slowness that lasts half a second. Cause: one mean of the token latency with the same weight for all times, and a rank by load alone. With load_control.measured_pace, a service whose upstreams report how long work takes there is ranked by expected time: forwarded requests by the wait for a slot, the work at the pace now, the connection and the distance; items by their latency now, and long ones wait for fast slots while shorter ones fill the slow ones. The long-run speed is the median of short windows, so that only a lasting slowness moves items, and only if the rest of the item is long enough. Without the switch, or without such reports, the ranking is as before.

--- /dev/null
+++ b/quetzalcourse/coordination/batches/item_completion.py
@@ -0,0 +1,128 @@
+"""Decides which items leave the slots of slow upstreams to shorter ones.
+
+Under steps with more items than slots, a third of the upstreams takes more than
+twice as long as the rest, and the fast ones are full first. A long item in a
+slow slot ends seconds later than one that waits a moment for a fast slot, or it
+has to move, with another connection and prefill. A short item loses little
+there. So an item waits if the time that it would lose at the best free upstream
+is longer than its wait for a fast slot, which grows with the items that wait
+already.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
+
+# Ratio of the latencies of two upstreams that are ranked apart.
+RANK_RATIO = 1.25
+# Multiple of the expected wait that waiting has to gain: estimates of lengths
+# are off by such factors.
+GAIN_MARGIN = 2.0
+# Shortest gain that is worth a wait, in seconds.
+MIN_GAIN = 0.1
+# Weight of an item in the running mean of the lengths of placed items.
+LENGTH_WEIGHT = 1 / 32
+
+
+@dataclass(frozen=True, slots=True)
+class SlotChoice:
+    """Choice between a free slot and a wait for a faster one.
+
+    :param latency: seconds between two events at the best free upstream.
+    :param fast_latency: seconds between two events at the fast upstreams.
+    :param fast_slots: slots of the fast upstreams.
+    """
+
+    latency: float
+    fast_latency: float
+    fast_slots: int
+
+    def estimate_gain(self, events: int) -> float:
+        """Estimate the seconds that an item gains at a fast upstream."""
+        return events * (self.latency - self.fast_latency)
+
+
+class FastSlotQueue:
+    """Items that wait for the slots of fast upstreams."""
+
+    def __init__(self) -> None:
+        """Start without items."""
+        self._mean_events = 0.0
+        self.waiting = 0
+
+    def start_round(self) -> None:
+        """Forget the items that waited at the last dispatch."""
+        self.waiting = 0
+
+    def on_placed(self, events: int) -> None:
+        """Record the length of an item that got a slot."""
+        mean = self._mean_events or events
+        self._mean_events = mean + (events - mean) * LENGTH_WEIGHT
+
+    def should_wait(
+        self, events: int, choice: SlotChoice, sharers: int
+    ) -> bool:
+        """Decide whether an item waits for a fast slot, and count it if so.
+
+        :param events: its expected further events, 0 if unknown.
+        :param sharers: daemons that use the fast slots.
+        """
+        if not events or not choice.fast_slots:
+            return False
+        slot_time = self._mean_events * choice.fast_latency
+        wait = (self.waiting + 1) * sharers * slot_time / choice.fast_slots
+        waits = choice.estimate_gain(events) > max(GAIN_MARGIN * wait, MIN_GAIN)
+        self.waiting += waits
+        return waits
+
+
+def estimate_latency(
+    upstream: Upstream, median: float, events: int, now: timedelta
+) -> float:
+    """Estimate the time between two events of an item that starts now.
+
+    :param median: latency that is assumed of an unknown upstream, in seconds.
+    :param events: expected number of its events.
+    :returns: seconds.
+    """
+    latency = upstream.token_latency or median
+    if upstream.pace is None:
+        return latency
+    duration = timedelta(seconds=latency * max(events, 1))
+    return latency * upstream.pace.estimate_slowdown(now, duration)
+
+
+def rank_estimate(latency: float, fastest: float) -> int:
+    """Rank an upstream by its estimated latency: 0 is about the fastest."""
+    if not fastest:
+        return 0
+    return round(math.log(latency / fastest, RANK_RATIO))
+
+
+def find_choice(
+    chosen: Upstream, usable: Collection[Upstream], median: float
+) -> SlotChoice:
+    """Compare the best free upstream with the fast ones in the long run.
+
+    :param usable: upstreams that the item may use, full ones included.
+    """
+    latency = chosen.token_latency or median
+    fast = [
+        one
+        for one in usable
+        if (one.token_latency or median) * RANK_RATIO < latency
+        and not one.consecutive_failures
+    ]
+    slots = sum(one.member.slots for one in fast)
+    total = sum(
+        (one.token_latency or median) * one.member.slots for one in fast
+    )
+    return SlotChoice(latency, total / slots if slots else latency, slots)
--- a/quetzalcourse/coordination/batches/migration.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -8,7 +8,8 @@
 that another item got would go back again and again, without progress. And it
 assumes no better latency than the median: among many similar upstreams one
 always looks faster for a moment, and items that followed it would move dozens
-of times, with a new connection each.
+of times, with a new connection each. Where upstreams report how long work takes
+there, only their long-run speed counts, and an item with few events left stays.
 """
 
 from __future__ import annotations
@@ -29,6 +30,10 @@
 MIN_GAIN = timedelta(milliseconds=500)
 # Lower bound of the expected further events of an item.
 MIN_REMAINING_EVENTS = 12
+# Minimum gain of a paced service's item, as a share of its remaining time.
+MIN_GAIN_SHARE = 0.3
+# Slowdown above which an upstream is no target for now.
+MAX_TARGET_SLOWDOWN = 1.5
 # Slots that migrations leave to waiting items.
 SPARE_SLOTS = 1
 
@@ -56,7 +61,7 @@
         if one.name != current.name
         and one.token_latency
         and not one.consecutive_failures
-        and one.count_load(now) + SPARE_SLOTS < one.member.slots
+        and _has_room(one, now)
     ]
     best = min(
         free,
@@ -65,7 +70,21 @@
     )
     if best is None:
         return None
-    events = max(remaining_events, MIN_REMAINING_EVENTS)
     expected = max(best.token_latency, median)
+    share = 1 - expected / current.token_latency
+    if current.pace is None:
+        events = max(remaining_events, MIN_REMAINING_EVENTS)
+    elif share >= MIN_GAIN_SHARE:
+        events = remaining_events
+    else:
+        return None
     gain = timedelta(seconds=(current.token_latency - expected) * events)
     return best if gain >= MIN_GAIN else None
+
+
+def _has_room(upstream: Upstream, now: timedelta) -> bool:
+    if upstream.count_load(now) + SPARE_SLOTS >= upstream.member.slots:
+        return False
+    if upstream.pace is None:
+        return True
+    return upstream.pace.estimate_slowdown(now) <= MAX_TARGET_SLOWDOWN
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -4,7 +4,8 @@
 than half of the slots, while some upstreams load new weights and one is
 several times slower than the rest. An item in an upstream's queue can't be
 moved or reordered, so items wait here until a slot is free, and slow upstreams
-are filled last.
+are filled last. Where upstreams report how long work takes there, the longest
+items wait for fast slots and shorter ones fill the slow ones.
 """
 
 from __future__ import annotations
@@ -13,6 +14,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.batches.item_completion import (
+    FastSlotQueue,
+    SlotChoice,
+    estimate_latency,
+    find_choice,
+    rank_estimate,
+)
 from quetzalcourse.coordination.batches.migration import choose_migration_target
 from quetzalcourse.coordination.batches.token_latencies import (
     find_median_latency,
@@ -42,6 +50,8 @@
         complete in time.
     :param allowed_regions: regions where it may run, ``None`` for any.
     :param excluded: upstreams where it must not run for now.
+    :param remaining_events: expected number of its further events, 0 if
+        unknown.
     """
 
     service: str
@@ -51,6 +61,7 @@
     latest_start: timedelta = timedelta(0)
     allowed_regions: AllowedRegions = None
     excluded: Collection[str] = ()
+    remaining_events: int = 0
 
     @property
     def key(self) -> PlacementKey:
@@ -71,12 +82,30 @@
         self._allocator = allocator
         self._clock = clock
         self._medians: dict[str, tuple[timedelta, float]] = {}
+        self._fast_slots: dict[str, FastSlotQueue] = {}
+        self._choices: dict[PlacementKey, SlotChoice] = {}
+        self._held: PlacementRequest | None = None
+
+    def start_round(self) -> None:
+        """Start a dispatch; items that waited for fast slots ask again."""
+        self._choices.clear()
+        for queue in self._fast_slots.values():
+            queue.start_round()
+
+    def holds(self, request: PlacementRequest) -> bool:
+        """Tell whether the last item got no slot as it waits for a fast one."""
+        return self._held is request
 
     def choose(self, request: PlacementRequest) -> Upstream | None:
         """Choose the upstream for an item.
 
-        :returns: ``None`` if no eligible upstream has a free slot.
+        :returns: ``None`` if no eligible upstream has a free slot, or the item
+            is to wait for a faster one.
         """
+        self._held = None
+        known = self._choices.get(request.key)
+        if known is not None and self._should_wait(request, known):
+            return None
         now = self._clock.elapsed()
         usable = self.list_eligible(request)
         fit = [
@@ -89,7 +118,18 @@
         if not fit:
             return None
         median = find_median_latency(usable)
-        return min(fit, key=lambda one: self._rank(one, request, now, median))
+        if not median or all(one.pace is None for one in usable):
+            return min(
+                fit, key=lambda one: self._rank(one, request, now, median)
+            )
+        chosen = self._choose_fastest(fit, request, now, median)
+        choice = find_choice(chosen, usable, median)
+        if self._should_wait(request, choice):
+            self._choices[request.key] = choice
+            return None
+        self._choices.pop(request.key, None)
+        self._find_queue(request.service).on_placed(request.remaining_events)
+        return chosen
 
     def list_eligible(self, request: PlacementRequest) -> list[Upstream]:
         """List the upstreams that may run an item now."""
@@ -139,6 +179,48 @@
             self._medians[service] = (now, median)
         return median
 
+    def _choose_fastest(
+        self,
+        fit: list[Upstream],
+        request: PlacementRequest,
+        now: timedelta,
+        median: float,
+    ) -> Upstream:
+        latencies = {
+            one.name: estimate_latency(
+                one, median, request.remaining_events, now
+            )
+            for one in fit
+        }
+        fastest = min(latencies.values())
+        return min(
+            fit,
+            key=lambda one: (
+                one.name == request.avoided,
+                self._rank_health(one),
+                rank_estimate(latencies[one.name], fastest),
+                _compute_utilisation(one, now),
+                -one.find_version(request.model),
+            ),
+        )
+
+    def _should_wait(
+        self, request: PlacementRequest, choice: SlotChoice
+    ) -> bool:
+        queue = self._find_queue(request.service)
+        sharers = 1 + len(self._allocator.list_others())
+        waits = queue.should_wait(request.remaining_events, choice, sharers)
+        if waits:
+            self._held = request
+        return waits
+
+    def _find_queue(self, service: str) -> FastSlotQueue:
+        return self._fast_slots.setdefault(service, FastSlotQueue())
+
+    def _rank_health(self, upstream: Upstream) -> int:
+        cold = self._pool.cold_starts.is_cold(upstream)
+        return 2 * (upstream.consecutive_failures > 0) + cold
+
     def _rank(
         self,
         upstream: Upstream,
@@ -146,10 +228,9 @@
         now: timedelta,
         median: float,
     ) -> tuple[bool, int, int, float, int]:
-        cold = self._pool.cold_starts.is_cold(upstream)
         return (
             upstream.name == request.avoided,
-            2 * (upstream.consecutive_failures > 0) + cold,
+            self._rank_health(upstream),
             rank_latency(upstream, median),
             _compute_utilisation(upstream, now),
             -upstream.find_version(request.model),
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -200,7 +200,10 @@
         self,
         waiting: Sequence[tuple[BatchRun, ItemRun]],
     ) -> None:
-        # Once an item finds no slot, further items with the same key find none.
+        # Once an item finds no slot, further items with the same key find none,
+        # unless it waits for a faster one.
+        self._placement.start_round()
+        held: dict[PlacementKey, SlotDemand] = {}
         full: dict[PlacementKey, SlotDemand] = {}
         for batch, run in self._durations.sort_by_urgency(waiting):
             if not self._quarantine.may_begin(run.fingerprint):
@@ -215,12 +218,13 @@
             elif request.key not in full and not self._begin(
                 batch, run, request
             ):
-                full[request.key] = SlotDemand(
-                    request.key, request.latest_start
-                )
-        self._any_unplaced = bool(full)
+                demand = SlotDemand(request.key, request.latest_start)
+                waits = self._placement.holds(request)
+                (held if waits else full).setdefault(request.key, demand)
+        demands = full | held
+        self._any_unplaced = bool(demands)
         for listener in self._placed_listeners:
-            listener(full.values())
+            listener(demands.values())
 
     def _on_missing_route(self, batch: BatchRun, run: ItemRun) -> None:
         # An unknown route is a removed one only if the manifest here is new
@@ -273,6 +277,9 @@
             self._durations.compute_latest_start(batch, run),
             self._residency.find_batch_regions(batch.head),
             self._quarantine.list_avoided(run.fingerprint),
+            self._durations.predict_remaining_events(
+                batch.head.model, run.item.length_estimate, len(run.texts)
+            ),
         )
 
     def _consider_migration(self, batch: BatchRun, run: ItemRun) -> None:
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -139,10 +139,11 @@
         request.attempt_timeout = wait
         return wait
 
-    def on_answer(self, request: ForwardedRequest) -> None:
-        """Record the response time of the current attempt."""
+    def on_answer(self, request: ForwardedRequest) -> timedelta:
+        """Record the response time of the current attempt, and return it."""
         took = self._clock.elapsed() - request.attempt_began
         self._timeouts.on_answer(request.route.name, took)
+        return took
 
     def on_no_response(
         self, request: ForwardedRequest, upstream: Upstream
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -8,6 +8,10 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.forwarding.cold_start import NoColdStartLimits
+from quetzalcourse.coordination.forwarding.measured_pace import MeasuredPace
+from quetzalcourse.coordination.forwarding.response_estimate import (
+    choose_fastest,
+)
 from quetzalcourse.coordination.forwarding.upstream import ZERO, Upstream
 from quetzalcourse.log import get_log
 
@@ -48,6 +52,8 @@
 
     :param data_centre: data centre of this daemon.
     :param regions: region of each data centre.
+    :param measured_pace: whether upstreams of services that report how long
+        work takes there are ranked by it.
     """
 
     def __init__(
@@ -56,6 +62,8 @@
         clock: Clock,
         counters: Counters,
         regions: Mapping[str, str] = NO_REGIONS,
+        *,
+        measured_pace: bool = False,
     ) -> None:
         """Start without upstreams."""
         self._regions = regions
@@ -65,6 +73,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._services: dict[str, dict[str, Upstream]] = {}
         self._random = random.Random()
+        self.pace = MeasuredPace(enabled=measured_pace)
         self.cold_starts: ColdStartPolicy = NoColdStartLimits()
         self.registration_listeners: list[Callable[[Upstream], None]] = []
         self._evacuated: set[str] = set()
@@ -148,7 +157,7 @@
         unresponsive: Collection[str] = (),
         allowed: AllowedRegions = None,
     ) -> Upstream | None:
-        """Choose the least loaded upstream for a request.
+        """Choose the least loaded upstream for a request, or the fastest.
 
         Ejected upstreams are tried only if all are ejected: refusing every
         caller would be worse than an attempt that may fail.
@@ -178,13 +187,24 @@
                 key=lambda upstream: upstream.ejected_until,
                 default=None,
             )
-        return min(
-            available,
-            key=lambda upstream: (
+        if not self.pace.is_known(service):
+            return min(
+                available,
+                key=lambda upstream: (
+                    _rank_distance(upstream, self._data_centre, unresponsive),
+                    self._rank(upstream, now),
+                ),
+            )
+        ranks = {
+            upstream.name: (
                 _rank_distance(upstream, self._data_centre, unresponsive),
-                self._rank(upstream, now),
-            ),
-        )
+                _rank_health(upstream, self.cold_starts),
+            )
+            for upstream in available
+        }
+        best = min(ranks.values())
+        equal = [one for one in available if ranks[one.name] == best]
+        return choose_fastest(equal, self._data_centre, now, self._random)
 
     def _rank(
         self,
@@ -194,10 +214,13 @@
         load = upstream.count_load(now) / upstream.member.slots
         local = upstream.member.data_centre == self._data_centre
         connected = now < upstream.keepalive_until and load < KEEPALIVE_MAX_LOAD
-        penalty = 2 * (
-            upstream.consecutive_failures > 0
-        ) + self.cold_starts.is_cold(upstream)
-        return (penalty, not connected, load, not local, self._random.random())
+        return (
+            _rank_health(upstream, self.cold_starts),
+            not connected,
+            load,
+            not local,
+            self._random.random(),
+        )
 
     def on_start(self, upstream: Upstream) -> None:
         """Count a request that is sent, or a slot reserved for one."""
@@ -222,9 +245,14 @@
 
     def on_load(self, upstream: Upstream, load: LoadReport | None) -> None:
         """Record the load report of a response, if it has one."""
-        if load is not None:
-            upstream.other_requests = max(0, load.total - upstream.running)
-            upstream.other_requests_at = self._clock.elapsed()
+        if load is None:
+            return
+        now = self._clock.elapsed()
+        upstream.other_requests = max(0, load.total - upstream.running)
+        upstream.other_requests_at = now
+        if load.slowdown is not None:
+            peers = self.list_service(upstream.member.service)
+            self.pace.on_report(upstream, load.slowdown, peers, now)
 
     def on_success(self, upstream: Upstream) -> None:
         """Record that an upstream served a request, and end its ejection."""
@@ -299,6 +327,8 @@
     def on_token_latency(self, upstream: Upstream, seconds: float) -> None:
         """Record the time between two events of a stream."""
         upstream.latency_samples += 1
+        if upstream.pace is not None:
+            upstream.pace.on_token_latency(seconds, self._clock.elapsed())
         mean = upstream.mean_token_latency or seconds
         upstream.mean_token_latency = mean + (seconds - mean) * LATENCY_WEIGHT
 
@@ -332,6 +362,7 @@
         member = upstream.member
         self._update_location(upstream)
         self._upstreams[member.name] = upstream
+        self.pace.on_registration(upstream)
         self._services.setdefault(member.service, {})[member.name] = upstream
 
     def _discard(self, name: str) -> Upstream | None:
@@ -355,6 +386,11 @@
     return previous != (member.address, member.started)
 
 
+def _rank_health(upstream: Upstream, cold_starts: ColdStartPolicy) -> int:
+    failing = upstream.consecutive_failures > 0
+    return 2 * failing + cold_starts.is_cold(upstream)
+
+
 def _always() -> bool:
     """Return ``True``, for a pool that gets no registration entries."""
     return True
--- a/quetzalcourse/coordination/forwarding/upstream.py
+++ b/quetzalcourse/coordination/forwarding/upstream.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from quetzalcourse.coordination.forwarding.pace import UpstreamPace
     from quetzalcourse.state.pool import PoolMember
     from quetzalcourse.state.routing import AllowedRegions
 
@@ -51,6 +52,8 @@
     :param cold_until: end of its cold start, during which its rate is limited.
     :param recent_sends: times of this daemon's last requests to it, oldest
         first.
+    :param pace: how long work takes there; ``None`` if its service does not
+        report that, or the daemon is not to rank by it.
     """
 
     member: PoolMember
@@ -71,6 +74,7 @@
     evacuated: bool = False
     cold_until: timedelta = ZERO
     recent_sends: deque[timedelta] = field(default_factory=_build_history)
+    pace: UpstreamPace | None = None
 
     @property
     def name(self) -> str:
@@ -79,7 +83,9 @@
 
     @property
     def token_latency(self) -> float:
-        """Mean time between two events in seconds, 0 with too few samples."""
+        """Time between two events in seconds, 0 with too few samples."""
+        if self.pace is not None:
+            return self.pace.token_latency
         if self.latency_samples < MIN_LATENCY_SAMPLES:
             return 0
         return self.mean_token_latency
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -362,3 +362,6 @@
                 table=feed.table,
             )
         self.batches.runner.report_metrics(self.counters)
+        self.pool.pace.report_metrics(
+            self.pool.list_service, self.clock.elapsed(), self.counters
+        )
--- /dev/null
+++ b/quetzalcourse/tests/coordination/batches/item_completion_tests.py
@@ -0,0 +1,188 @@
+"""Items of a step on upstreams of which a third is much slower."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.batches.migration import (
+    choose_migration_target,
+)
+from quetzalcourse.coordination.batches.placement import (
+    Placement,
+    PlacementRequest,
+)
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.upstream import Upstream
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import LoadReport, PoolMember
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.coordinators import build_allocator
+
+SLOTS = 8
+FAST = 0.03
+SLOW = 0.075
+UPSTREAMS = 9
+LONG = 120
+DISPATCH = timedelta(milliseconds=10)
+WINDOW = timedelta(milliseconds=110)
+
+
+class World:
+    """Upstreams that report their pace, each third of them a slow one."""
+
+    def __init__(self, *, measured: bool = True) -> None:
+        """Start with idle upstreams whose latencies are known."""
+        self.clock = FakeClock()
+        self.pool = Pool(
+            'hall-a', self.clock, Counters(), measured_pace=measured
+        )
+        allocator, _ = build_allocator(self.pool, self.clock)
+        self.placement = Placement(self.pool, allocator, self.clock)
+        for number in range(UPSTREAMS):
+            member = PoolMember(
+                f'e-{number}',
+                'engines',
+                f'10.0.0.{number}:80',
+                'hall-a',
+                SLOTS,
+                versions={'verse': 1},
+            )
+            self.pool.replace(member)
+        for upstream in self.pool.list_service('engines'):
+            self.pool.on_load(upstream, LoadReport(0, 0, SLOTS, 1.0))
+        self.stream(timedelta(seconds=2))
+
+    def find(self, number: int) -> Upstream:
+        """Find an upstream."""
+        upstream = self.pool.find(f'e-{number}')
+        assert upstream is not None
+        return upstream
+
+    def stream(self, duration: timedelta, slowed: int = -1) -> None:
+        """Let all upstreams bring events for some time.
+
+        :param slowed: number of one that takes 2.5 times longer.
+        """
+        end = self.clock.elapsed() + duration
+        while self.clock.elapsed() < end:
+            for number in range(UPSTREAMS):
+                seconds = find_latency(f'e-{number}')
+                seconds *= 2.5 if number == slowed else 1
+                self.pool.on_token_latency(self.find(number), seconds)
+            self.clock.move(timedelta(milliseconds=25))
+
+    def run_step(self, lengths: list[int]) -> float:
+        """Run a step, the longest items first, and return its duration."""
+        waiting = sorted(lengths, reverse=True)
+        running: list[tuple[timedelta, int]] = []
+        start = self.clock.elapsed()
+        while waiting or running:
+            now = self.clock.elapsed()
+            while running and running[0][0] <= now:
+                _, number = heapq.heappop(running)
+                self.pool.on_end(self.find(number))
+            waiting = self._dispatch(waiting, running)
+            self.clock.move(DISPATCH)
+        return (self.clock.elapsed() - start).total_seconds()
+
+    def _dispatch(
+        self, waiting: list[int], running: list[tuple[timedelta, int]]
+    ) -> list[int]:
+        self.placement.start_round()
+        left: list[int] = []
+        for events in waiting:
+            request = PlacementRequest(
+                'engines', 'verse', 1, remaining_events=events
+            )
+            upstream = self.placement.choose(request)
+            if upstream is None:
+                left.append(events)
+                continue
+            self.pool.on_start(upstream)
+            seconds = events * find_latency(upstream.name)
+            end = self.clock.elapsed() + timedelta(seconds=seconds)
+            number = int(upstream.name.removeprefix('e-'))
+            heapq.heappush(running, (end, number))
+        return left
+
+
+def find_latency(name: str) -> float:
+    """Return the time between two events at an upstream."""
+    return SLOW if int(name.removeprefix('e-')) % 3 == 2 else FAST
+
+
+def test_step_ends_sooner_if_long_items_wait_for_fast_upstreams() -> None:
+    # A step arrives with twice as many items as slots, every other one long.
+    # Placed by speed class alone, long items run at slow upstreams as soon as
+    # the fast ones are full, while short ones wait.
+    source = random.Random(3)
+    lengths = [
+        int(source.uniform(LONG - 20, LONG + 20))
+        if number % 2 == 0
+        else int(source.uniform(3, 20))
+        for number in range(2 * SLOTS * UPSTREAMS)
+    ]
+    by_class, by_time = (
+        World(measured=measured).run_step(lengths) for measured in (False, True)
+    )
+    assert by_time < 0.85 * by_class
+
+
+def test_item_of_unknown_length_takes_a_slow_slot() -> None:
+    # Callers give no estimate, and the fast upstreams are full.
+    world = World()
+    for number in range(UPSTREAMS):
+        if find_latency(f'e-{number}') == FAST:
+            world.find(number).running = SLOTS
+    request = PlacementRequest('engines', 'verse', 1)
+    assert world.placement.choose(request) is not None
+
+
+@pytest.mark.parametrize(
+    ('events', 'moves'), [(5, False), (8, False), (100, True)]
+)
+def test_short_rest_of_an_item_stays_at_a_slow_upstream(
+    events: int, moves: bool
+) -> None:
+    """Moving costs a connection and another prefill."""
+    world = World()
+    target = choose_migration_target(
+        world.find(2),
+        world.pool.list_service('engines'),
+        events,
+        world.clock.elapsed(),
+    )
+    assert (target is not None) == moves
+
+
+@pytest.mark.parametrize(('duration', 'moves'), [(0.6, False), (1.2, True)])
+def test_items_leave_only_an_upstream_that_is_slow_for_longer(
+    duration: float, moves: bool
+) -> None:
+    # A neighbour slows an upstream for half a second at a time. Items that
+    # left would cost a new connection each, and find the next one slowed.
+    world = World()
+    world.stream(timedelta(seconds=duration), slowed=0)
+    target = choose_migration_target(
+        world.find(0),
+        world.pool.list_service('engines'),
+        LONG,
+        world.clock.elapsed(),
+    )
+    assert (target is not None) == moves
+
+
+def test_new_items_avoid_an_upstream_that_is_slowed_now() -> None:
+    # An upstream reports 250 %, and items of half a second start.
+    world = World()
+    world.clock.move(WINDOW)
+    world.pool.on_load(world.find(0), LoadReport(0, 0, SLOTS, 2.5))
+    request = PlacementRequest('engines', 'verse', 1, remaining_events=16)
+    chosen = world.placement.choose(request)
+    assert chosen is not None
+    assert chosen is not world.find(0)
+    assert find_latency(chosen.name) == FAST
--- /dev/null
+++ b/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
@@ -0,0 +1,172 @@
+"""Choice of an upstream by dozens of daemons that know old reports."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+
+from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.response_estimate import (
+    estimate_wait,
+)
+from quetzalcourse.state.counters import Counters
+from quetzalcourse.state.pool import LoadReport, PoolMember
+from quetzalcourse.tests.clocks import FakeClock
+
+DAEMONS = 67
+UPSTREAMS = 4
+SLOTS = 6
+WORK = 0.03
+PULSE = 0.6
+SLOWED_SHARE = 0.15
+SLOWED = 2.5
+KEEP_ALIVE = timedelta(seconds=1)
+
+
+class Replay:
+    """Requests of many daemons at a few upstreams, in virtual time.
+
+    :param lies: slowdowns that upstreams report whatever their pace.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        measured: bool,
+        lies: dict[str, float] | None = None,
+    ) -> None:
+        """Start with idle upstreams."""
+        self.clock = FakeClock()
+        self.source = random.Random(seed)
+        self.machines = random.Random(f'machines {seed}')
+        self.lies = lies or {}
+        self.pools = [
+            self._build_pool(number, measured=measured)
+            for number in range(DAEMONS)
+        ]
+        self.names = [f's-{number}' for number in range(UPSTREAMS)]
+        self.running: Counter[str] = Counter()
+        self.queues: dict[str, list[tuple[timedelta, Pool]]] = {
+            name: [] for name in self.names
+        }
+        self.slowdowns = dict.fromkeys(self.names, 1.0)
+        self.ends: list[tuple[timedelta, int, str, Pool, timedelta]] = []
+        self.sent: Counter[str] = Counter()
+        self.overfilled = 0
+        self.took: list[float] = []
+
+    def run(self, rate: float, seconds: float) -> None:
+        """Send requests at random times until they have all ended."""
+        now = self.clock.elapsed()
+        end = now + timedelta(seconds=seconds)
+        pulse = now
+        while now < end:
+            now += timedelta(seconds=self.source.expovariate(rate))
+            self._end_until(now)
+            if now >= pulse:
+                pulse += timedelta(seconds=PULSE)
+                self._draw_slowdowns()
+            self.clock.move(now - self.clock.elapsed())
+            self._send(self.source.choice(self.pools))
+        self._end_until(now + timedelta(minutes=1))
+
+    def find_percentile(self, share: float) -> float:
+        """Return the response time that a share of the requests keeps."""
+        return sorted(self.took)[int(len(self.took) * share)]
+
+    def _build_pool(self, seed: int, *, measured: bool) -> Pool:
+        pool = Pool('hall-a', self.clock, Counters(), measured_pace=measured)
+        pool._random.seed(seed)  # noqa: SLF001
+        for number in range(UPSTREAMS):
+            pool.replace(
+                PoolMember(
+                    f's-{number}', 'app', f'10.0.0.{number}:80', 'hall-a', SLOTS
+                )
+            )
+        return pool
+
+    def _draw_slowdowns(self) -> None:
+        for name in self.names:
+            slowed = self.machines.random() < SLOWED_SHARE
+            self.slowdowns[name] = SLOWED if slowed else 1.0
+
+    def _send(self, pool: Pool) -> None:
+        upstream = pool.choose('app')
+        assert upstream is not None
+        pool.on_start(upstream)
+        self.sent[upstream.name] += 1
+        now = self.clock.elapsed()
+        if self.running[upstream.name] < SLOTS:
+            self._start(upstream.name, pool, now, now)
+        else:
+            self.overfilled += 1
+            self.queues[upstream.name].append((now, pool))
+
+    def _start(
+        self, name: str, pool: Pool, sent: timedelta, now: timedelta
+    ) -> None:
+        self.running[name] += 1
+        work = self.source.expovariate(1 / WORK) * self.slowdowns[name]
+        end = now + timedelta(seconds=work)
+        entry = (end, self.source.getrandbits(60), name, pool, sent)
+        heapq.heappush(self.ends, entry)
+
+    def _end_until(self, until: timedelta) -> None:
+        while self.ends and self.ends[0][0] <= until:
+            now, _, name, pool, sent = heapq.heappop(self.ends)
+            self.clock.move(now - self.clock.elapsed())
+            self.running[name] -= 1
+            self.took.append((now - sent).total_seconds())
+            self._respond(name, pool, now - sent)
+            if self.queues[name]:
+                waited_since, other = self.queues[name].pop(0)
+                self._start(name, other, waited_since, now)
+
+    def _respond(self, name: str, pool: Pool, took: timedelta) -> None:
+        upstream = pool.find(name)
+        assert upstream is not None
+        slowdown = self.lies.get(name, self.slowdowns[name])
+        load = LoadReport(
+            self.running[name], len(self.queues[name]), SLOTS, slowdown
+        )
+        pool.on_load(upstream, load)
+        pool.pace.on_response(upstream, took)
+        pool.on_end(upstream)
+        pool.on_idle_connection(upstream, KEEP_ALIVE)
+
+
+def test_daemons_with_old_reports_do_not_follow_each_other() -> None:
+    # 67 daemons send 550 requests a second, each of them eight, so that what
+    # it knows of an upstream is mostly older than the work that ran there.
+    slowest = {False: 0.0, True: 0.0}
+    for seed in range(6):
+        for measured in (False, True):
+            replay = Replay(seed, measured=measured)
+            replay.run(rate=550, seconds=6)
+            slowest[measured] += replay.find_percentile(0.95)
+            most = 1.3 * len(replay.took) / UPSTREAMS
+            assert max(replay.sent.values()) < most
+    assert slowest[True] < 0.8 * slowest[False]
+
+
+def test_upstream_that_reports_to_be_fast_does_not_draw_all_work() -> None:
+    # A load report lies: an upstream reports 1 % for ever, and is like others.
+    replay = Replay(1, measured=True, lies={'s-0': 0.01})
+    replay.run(rate=400, seconds=5)
+    assert replay.sent['s-0'] < 1.5 * len(replay.took) / UPSTREAMS
+
+
+@pytest.mark.parametrize(
+    ('load', 'least', 'most'),
+    [(0, 0, 0), (3, 0, 0.1), (5, 0.1, 1), (12, 1, 5), (60, 9, 15)],
+)
+def test_wait_for_a_slot_grows_with_the_load(
+    load: int, least: float, most: float
+) -> None:
+    """The wait is given in multiples of the work."""
+    assert least <= estimate_wait(load, SLOTS, 1) <= most
--- a/quetzalcourse/transport/request_proxy.py
+++ b/quetzalcourse/transport/request_proxy.py
@@ -237,7 +237,8 @@
         if metadata.state is ResponseOutcome.foreign:
             self._pool.on_failure(upstream, 'foreign answer')
             raise AttemptFailedError('foreign answer', not_run=False)
-        self._forwarder.on_answer(forwarding)
+        took = self._forwarder.on_answer(forwarding)
+        self._pool.pace.on_response(upstream, took)
         failed = response.status >= HTTP_SERVER_ERROR
         if caller.started and metadata.state is not ResponseOutcome.served:
             raise AttemptFailedError(f'status {response.status}', not_run=False)
--- a/quetzalcourse/upstream_components.py
+++ b/quetzalcourse/upstream_components.py
@@ -41,7 +41,13 @@
     counters: Counters,
 ) -> UpstreamComponents:
     """Build the components and connect them."""
-    pool = Pool(settings.data_centre, clock, counters, settings.regions)
+    pool = Pool(
+        settings.data_centre,
+        clock,
+        counters,
+        settings.regions,
+        measured_pace=settings.load_control.measured_pace,
+    )
     residency = Residency(settings.regions, routes)
     feeds.relay_peers.restrict(partial(residency.may_relay, feeds.presence.own))
     return UpstreamComponents(
