--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -96,6 +96,10 @@
         """Tell whether the last item got no slot as it waits for a fast one."""
         return self._held is request
 
+    def count_held(self) -> int:
+        """Count the items that wait for fast slots since the last dispatch."""
+        return sum(queue.waiting for queue in self._fast_slots.values())
+
     def choose(self, request: PlacementRequest) -> Upstream | None:
         """Choose the upstream for an item.
 
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -163,6 +163,7 @@
             run.state for batch in self.batches.values() for run in batch.items
         )
         counters.set('batches_owned', len(self.batches))
+        counters.set('items_held', self._placement.count_held())
         counters.set('items_running', states[ItemState.running])
         counters.set('items_waiting', states[ItemState.waiting])
         counters.set('items_unscored', states[ItemState.unscored])
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -9,6 +9,7 @@
     'batch_texts_saved': 'Saves of the texts of long items, by success.',
     'batches_owned': 'Batches that this daemon runs.',
     'evacuated_data_centres': 'Data centres that get no new work.',
+    'items_held': 'Items that wait for a fast upstream while another is free.',
     'items_running': 'Items of batches that upstreams work on for this daemon.',
     'items_unscored': 'Items whose text is whole and has no score yet.',
     'items_waiting': 'Items of batches that wait for a slot here.',
