Judge upstreams without own timings by what they report

A daemon that starts to run a batch knows no token latency, so its first items went to slow upstreams as to fast ones. An upstream that was not measured is as slow as it reports, but no faster than the fastest that was, and a few long requests do not make it a slow one.

--- a/quetzalcourse/coordination/batches/item_completion.py
+++ b/quetzalcourse/coordination/batches/item_completion.py
@@ -14,10 +14,15 @@
 import math
 from dataclasses import dataclass
 from datetime import timedelta
+from statistics import median_low
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.batches.token_latencies import (
+    find_median_latency,
+)
+
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from quetzalcourse.coordination.forwarding.upstream import Upstream
 
@@ -28,6 +33,8 @@
 GAIN_MARGIN = 2.0
 # Shortest gain that is worth a wait, in seconds.
 MIN_GAIN = 0.1
+# Time between two events that is assumed before any is measured, in seconds.
+DEFAULT_LATENCY = 0.04
 # Weight of an item in the running mean of the lengths of placed items.
 LENGTH_WEIGHT = 1 / 32
 
@@ -84,45 +91,72 @@
         return waits
 
 
-def estimate_latency(
-    upstream: Upstream, median: float, events: int, now: timedelta
+def estimate_latencies(upstreams: Collection[Upstream]) -> dict[str, float]:
+    """Estimate the long-run token latency of each upstream.
+
+    One that has not been measured is as slow as it reports, but not faster than
+    the fastest that has, so that a false report draws no more than its share.
+
+    :returns: seconds by name; the median where nothing is known.
+    """
+    measured = [one for one in upstreams if one.token_latency]
+    median = find_median_latency(measured) or DEFAULT_LATENCY
+    fastest = min((one.token_latency for one in measured), default=median)
+    usual = _find_median_report(measured) or _find_median_report(upstreams)
+    return {
+        one.name: one.token_latency
+        or max(median * (_find_report(one) or usual) / (usual or 1), fastest)
+        for one in upstreams
+    }
+
+
+def estimate_duration(
+    upstream: Upstream, latency: float, events: int, now: timedelta
 ) -> float:
-    """Estimate the time between two events of an item that starts now.
+    """Estimate how long an item that starts now takes at an upstream.
 
-    :param median: latency that is assumed of an unknown upstream, in seconds.
+    :param latency: long-run time between two events, in seconds.
     :param events: expected number of its events.
     :returns: seconds.
     """
-    latency = upstream.token_latency or median
+    usual = latency * max(events, 1)
     if upstream.pace is None:
-        return latency
-    duration = timedelta(seconds=latency * max(events, 1))
-    return latency * upstream.pace.estimate_slowdown(now, duration)
+        return usual
+    duration = timedelta(seconds=usual)
+    return usual * upstream.pace.estimate_slowdown(now, duration)
 
 
-def rank_estimate(latency: float, fastest: float) -> int:
-    """Rank an upstream by its estimated latency: 0 is about the fastest."""
-    if not fastest:
-        return 0
-    return round(math.log(latency / fastest, RANK_RATIO))
+def rank_duration(seconds: float, fastest: float) -> int:
+    """Rank an upstream by an item's duration there: 0 is about the fastest."""
+    return round(math.log(seconds / fastest, RANK_RATIO))
 
 
 def find_choice(
-    chosen: Upstream, usable: Collection[Upstream], median: float
+    chosen: Upstream,
+    usable: Collection[Upstream],
+    latencies: Mapping[str, float],
 ) -> SlotChoice:
     """Compare the best free upstream with the fast ones in the long run.
 
     :param usable: upstreams that the item may use, full ones included.
+    :param latencies: long-run token latency of each, in seconds.
     """
-    latency = chosen.token_latency or median
+    latency = latencies[chosen.name]
     fast = [
         one
         for one in usable
-        if (one.token_latency or median) * RANK_RATIO < latency
+        if latencies[one.name] * RANK_RATIO < latency
         and not one.consecutive_failures
     ]
     slots = sum(one.member.slots for one in fast)
-    total = sum(
-        (one.token_latency or median) * one.member.slots for one in fast
-    )
+    total = sum(latencies[one.name] * one.member.slots for one in fast)
     return SlotChoice(latency, total / slots if slots else latency, slots)
+
+
+def _find_report(upstream: Upstream) -> float:
+    return upstream.pace.usual_report if upstream.pace is not None else 0
+
+
+def _find_median_report(upstreams: Collection[Upstream]) -> float:
+    reports = [report for one in upstreams if (report := _find_report(one))]
+    return median_low(reports) if reports else 0
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -17,9 +17,10 @@
 from quetzalcourse.coordination.batches.item_completion import (
     FastSlotQueue,
     SlotChoice,
-    estimate_latency,
+    estimate_duration,
+    estimate_latencies,
     find_choice,
-    rank_estimate,
+    rank_duration,
 )
 from quetzalcourse.coordination.batches.migration import choose_migration_target
 from quetzalcourse.coordination.batches.token_latencies import (
@@ -29,7 +30,7 @@
 from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool
@@ -121,13 +122,14 @@
         ]
         if not fit:
             return None
-        median = find_median_latency(usable)
-        if not median or all(one.pace is None for one in usable):
+        if all(one.pace is None for one in usable):
+            median = find_median_latency(usable)
             return min(
                 fit, key=lambda one: self._rank(one, request, now, median)
             )
-        chosen = self._choose_fastest(fit, request, now, median)
-        choice = find_choice(chosen, usable, median)
+        latencies = estimate_latencies(usable)
+        chosen = self._choose_fastest(fit, request, now, latencies)
+        choice = find_choice(chosen, usable, latencies)
         if self._should_wait(request, choice):
             self._choices[request.key] = choice
             return None
@@ -188,21 +190,21 @@
         fit: list[Upstream],
         request: PlacementRequest,
         now: timedelta,
-        median: float,
+        latencies: Mapping[str, float],
     ) -> Upstream:
-        latencies = {
-            one.name: estimate_latency(
-                one, median, request.remaining_events, now
+        durations = {
+            one.name: estimate_duration(
+                one, latencies[one.name], request.remaining_events, now
             )
             for one in fit
         }
-        fastest = min(latencies.values())
+        fastest = min(durations.values())
         return min(
             fit,
             key=lambda one: (
                 one.name == request.avoided,
                 self._rank_health(one),
-                rank_estimate(latencies[one.name], fastest),
+                rank_duration(durations[one.name], fastest),
                 _compute_utilisation(one, now),
                 -one.find_version(request.model),
             ),
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -139,11 +139,12 @@
         request.attempt_timeout = wait
         return wait
 
-    def on_answer(self, request: ForwardedRequest) -> timedelta:
-        """Record the response time of the current attempt, and return it."""
-        took = self._clock.elapsed() - request.attempt_began
+    def on_answer(self, request: ForwardedRequest, upstream: Upstream) -> None:
+        """Record the response time of the current attempt."""
+        now = self._clock.elapsed()
+        took = now - request.attempt_began
         self._timeouts.on_answer(request.route.name, took)
-        return took
+        self._pool.pace.on_response(upstream, took, now)
 
     def on_no_response(
         self, request: ForwardedRequest, upstream: Upstream
--- a/quetzalcourse/coordination/forwarding/pace.py
+++ b/quetzalcourse/coordination/forwarding/pace.py
@@ -13,31 +13,65 @@
 import math
 from datetime import timedelta
 
-from quetzalcourse.coordination.forwarding.sustained_latency import (
-    SustainedLatency,
+from quetzalcourse.coordination.forwarding.windowed_median import (
+    WindowedMedian,
 )
 
 # Time in which a reported slowdown loses most of its weight: it changes
 # several times a second.
 SLOWDOWN_LIFETIME = timedelta(milliseconds=300)
-# Weight of a report in the running mean of an upstream's reports.
-REPORT_WEIGHT = 1 / 16
-# Weight of a response in the running mean of the response times.
-RESPONSE_WEIGHT = 1 / 16
+# Windows of token latencies needed before their median is used.
+MIN_LATENCY_WINDOWS = 4
+# Responses that the expected response time counts for.
+EXPECTED_WEIGHT = 8
+# Time in which a response loses most of its weight, as upstreams recover.
+RESPONSE_LIFETIME = timedelta(seconds=10)
 # Bounds of a momentary slowdown relative to the usual one: no report makes an
 # upstream look more than this much faster or slower than its own timings.
 MIN_SLOWDOWN = 0.5
 MAX_SLOWDOWN = 10.0
 
 
+class FadingMean:
+    """Mean of readings that lose their weight with time."""
+
+    def __init__(self) -> None:
+        """Start without readings."""
+        self._total = 0.0
+        self._weight = 0.0
+        self._added_at = timedelta(0)
+
+    @property
+    def mean(self) -> float:
+        """Mean of the readings, 0 without any."""
+        return self._total / self._weight if self._weight else 0
+
+    def add(self, reading: float, now: timedelta) -> None:
+        """Add a reading."""
+        left = self._find_share(now)
+        self._total = self._total * left + reading
+        self._weight = self._weight * left + 1
+        self._added_at = now
+
+    def estimate(self, expected: float, now: timedelta) -> float:
+        """Return the mean of the readings and of what was expected."""
+        left = self._find_share(now)
+        total = self._total * left + expected * EXPECTED_WEIGHT
+        return total / (self._weight * left + EXPECTED_WEIGHT)
+
+    def _find_share(self, now: timedelta) -> float:
+        return math.exp(-((now - self._added_at) / RESPONSE_LIFETIME))
+
+
 class UpstreamPace:
     """Long-run speed and momentary slowdown of an upstream."""
 
     def __init__(self) -> None:
         """Start without reports and timings."""
-        self._tokens = SustainedLatency()
-        self._response_time = 0.0
-        self._usual_report = 1.0
+        self._tokens = WindowedMedian(MIN_LATENCY_WINDOWS)
+        self._reports = WindowedMedian(1)
+        self._last_report = 0.0
+        self._responses = FadingMean()
         self._slowdown = 1.0
         self._observed_at: timedelta | None = None
 
@@ -49,12 +83,18 @@
     @property
     def response_time(self) -> float:
         """Mean time until a response in seconds, 0 if unknown."""
-        return self._response_time
+        return self._responses.mean
+
+    @property
+    def usual_report(self) -> float:
+        """Slowdown that it usually reports, 0 if it has reported none."""
+        return self._reports.median or self._last_report
 
     def on_report(self, slowdown: float, now: timedelta) -> None:
         """Record a reported slowdown."""
-        self._observe(slowdown / self._usual_report, now)
-        self._usual_report += (slowdown - self._usual_report) * REPORT_WEIGHT
+        self._reports.add(slowdown, now)
+        self._last_report = slowdown
+        self._observe(slowdown / self.usual_report, now)
 
     def on_token_latency(self, seconds: float, now: timedelta) -> None:
         """Record the time between two events of a stream."""
@@ -62,11 +102,18 @@
         if latest and self._tokens.median:
             self._observe(latest / self._tokens.median, now)
 
-    def on_response(self, took: timedelta) -> None:
+    def on_response(self, took: timedelta, now: timedelta) -> None:
         """Record the time until the response to a forwarded request."""
-        seconds = took.total_seconds()
-        mean = self._response_time or seconds
-        self._response_time = mean + (seconds - mean) * RESPONSE_WEIGHT
+        self._responses.add(took.total_seconds(), now)
+
+    def estimate_response_time(self, expected: float, now: timedelta) -> float:
+        """Estimate the long-run time until a response.
+
+        :param expected: seconds that are expected without own timings; a few
+            long requests do not make an upstream a slow one.
+        :returns: seconds.
+        """
+        return self._responses.estimate(expected, now)
 
     def estimate_slowdown(
         self, now: timedelta, duration: timedelta = timedelta(0)
--- a/quetzalcourse/coordination/forwarding/response_estimate.py
+++ b/quetzalcourse/coordination/forwarding/response_estimate.py
@@ -12,6 +12,7 @@
 import math
 from dataclasses import dataclass
 from datetime import timedelta
+from statistics import median_low
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -38,26 +39,30 @@
 
     :param response_time: seconds until a response.
     :param other_requests: requests of other daemons at an upstream.
+    :param report: usual slowdown that an upstream reports, 0 if none does.
     """
 
     response_time: float
     other_requests: float
+    report: float = 0
 
 
 def compute_means(
     upstreams: Collection[Upstream], now: timedelta
 ) -> ServiceMeans:
     """Compute the means over some upstreams."""
-    measured = [
-        one.pace.response_time
-        for one in upstreams
-        if one.pace is not None and one.pace.response_time
-    ]
+    paces = [one.pace for one in upstreams if one.pace is not None]
+    measured = [pace.response_time for pace in paces if pace.response_time]
+    reports = [pace.usual_report for pace in paces if pace.usual_report]
     others = sum(one.count_load(now) - one.running for one in upstreams)
     response_time = (
         sum(measured) / len(measured) if measured else DEFAULT_RESPONSE_TIME
     )
-    return ServiceMeans(response_time, others / max(len(upstreams), 1))
+    return ServiceMeans(
+        response_time,
+        others / max(len(upstreams), 1),
+        median_low(reports) if reports else 0,
+    )
 
 
 def estimate_response(
@@ -70,7 +75,10 @@
     """
     work = means.response_time
     if upstream.pace is not None:
-        work = upstream.pace.response_time or work
+        # A report makes an upstream slower than most, but never faster.
+        if means.report:
+            work *= max(upstream.pace.usual_report / means.report, 1)
+        work = upstream.pace.estimate_response_time(work, now)
         work *= upstream.pace.estimate_slowdown(now, timedelta(seconds=work))
     load = _estimate_load(upstream, means, now)
     seconds = work + estimate_wait(load, upstream.member.slots, work)
--- a/quetzalcourse/coordination/forwarding/sustained_latency.py
+++ b/quetzalcourse/coordination/forwarding/windowed_median.py
@@ -1,4 +1,4 @@
-"""Tells a lasting change of an upstream's token latency from a passing one.
+"""Tells a lasting change of a figure of an upstream from a passing one.
 
 Under steady load on shared machines, an upstream is slowed several times over
 for some hundred milliseconds, a few times a minute, and its streams bring
@@ -12,30 +12,31 @@
 from datetime import timedelta
 
 WINDOW = timedelta(milliseconds=100)
-# Windows of which the median is taken; a slowdown counts as lasting after half
-# of them.
+# Windows of which the median is taken; a change counts as lasting after half of
+# them.
 MAX_WINDOWS = 15
-# Windows needed before the median is used.
-MIN_WINDOWS = 4
 
 
-class SustainedLatency:
-    """Median of the mean token latencies of the last windows.
+class WindowedMedian:
+    """Median of the means of the last windows.
 
-    Windows without an event are left out, so that the long-run speed stays
+    Windows without a reading are left out, so that the long-run figure stays
     known while an upstream is idle.
+
+    :param min_windows: ended windows before which the median is not told.
     """
 
-    def __init__(self) -> None:
-        """Start without timings."""
+    def __init__(self, min_windows: int) -> None:
+        """Start without readings."""
         self.median = 0.0
+        self._min_windows = min_windows
         self._means: deque[float] = deque(maxlen=MAX_WINDOWS)
         self._began: timedelta | None = None
         self._total = 0.0
         self._count = 0
 
-    def add(self, seconds: float, now: timedelta) -> float:
-        """Add the time between two events.
+    def add(self, reading: float, now: timedelta) -> float:
+        """Add a reading.
 
         :returns: mean of the window that has just ended, 0 if none has.
         """
@@ -45,7 +46,7 @@
         elif now - self._began >= WINDOW:
             ended = self._end_window()
             self._began = now
-        self._total += seconds
+        self._total += reading
         self._count += 1
         return ended
 
@@ -54,6 +55,6 @@
         self._means.append(mean)
         self._total = 0.0
         self._count = 0
-        if len(self._means) >= MIN_WINDOWS:
+        if len(self._means) >= self._min_windows:
             self.median = sorted(self._means)[(len(self._means) - 1) // 2]
         return mean
--- a/quetzalcourse/tests/coordination/batches/item_completion_tests.py
+++ b/quetzalcourse/tests/coordination/batches/item_completion_tests.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from quetzalcourse.coordination.batches.item_completion import (
+    estimate_latencies,
+)
 from quetzalcourse.coordination.batches.migration import (
     choose_migration_target,
 )
@@ -186,3 +189,20 @@
     assert chosen is not None
     assert chosen is not world.find(0)
     assert find_latency(chosen.name) == FAST
+
+
+@pytest.mark.parametrize(
+    ('report', 'expected'), [(1.7, 1.7 * FAST), (0.01, FAST)]
+)
+def test_unknown_upstream_is_as_slow_as_it_reports_but_never_faster(
+    report: float, expected: float
+) -> None:
+    # An upstream that has just started reports its pace; it may be false.
+    world = World()
+    world.pool.replace(
+        PoolMember('e-99', 'engines', '10.0.0.99:80', 'hall-a', SLOTS)
+    )
+    upstream = world.find(99)
+    world.pool.on_load(upstream, LoadReport(0, 0, SLOTS, report))
+    latencies = estimate_latencies(world.pool.list_service('engines'))
+    assert latencies['e-99'] == pytest.approx(expected)
--- a/quetzalcourse/transport/request_proxy.py
+++ b/quetzalcourse/transport/request_proxy.py
@@ -237,8 +237,7 @@
         if metadata.state is ResponseOutcome.foreign:
             self._pool.on_failure(upstream, 'foreign answer')
             raise AttemptFailedError('foreign answer', not_run=False)
-        took = self._forwarder.on_answer(forwarding)
-        self._pool.pace.on_response(upstream, took)
+        self._forwarder.on_answer(forwarding, upstream)
         failed = response.status >= HTTP_SERVER_ERROR
         if caller.started and metadata.state is not ResponseOutcome.served:
             raise AttemptFailedError(f'status {response.status}', not_run=False)
