--- a/quetzalcourse/coordination/batches/item_completion.py
+++ b/quetzalcourse/coordination/batches/item_completion.py
@@ -30,7 +30,7 @@
 RANK_RATIO = 1.25
 # Multiple of the expected wait that waiting has to gain: estimates of lengths
 # are off by such factors.
-GAIN_MARGIN = 2.0
+GAIN_MARGIN = 1.5
 # Shortest gain that is worth a wait, in seconds.
 MIN_GAIN = 0.1
 # Time between two events that is assumed before any is measured, in seconds.
--- a/quetzalcourse/coordination/batches/migration.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -30,7 +30,9 @@
 MIN_GAIN = timedelta(milliseconds=500)
 # Lower bound of the expected further events of an item.
 MIN_REMAINING_EVENTS = 12
-# Minimum gain of a paced service's item, as a share of its remaining time.
+# The same where upstreams report how long work takes there: the long-run speeds
+# are known well, but only a share of the remaining time is worth a move.
+MIN_SUSTAINED_GAIN = timedelta(milliseconds=350)
 MIN_GAIN_SHARE = 0.3
 # Slowdown above which an upstream is no target for now.
 MAX_TARGET_SLOWDOWN = 1.5
@@ -71,15 +73,23 @@
     if best is None:
         return None
     expected = max(best.token_latency, median)
-    share = 1 - expected / current.token_latency
+    return best if _is_worth(current, expected, remaining_events) else None
+
+
+def _is_worth(
+    current: Upstream, expected: float, remaining_events: int
+) -> bool:
+    """Tell whether an item gains enough by a move.
+
+    :param expected: time between two events at the target, in seconds.
+    """
+    lost = current.token_latency - expected
     if current.pace is None:
         events = max(remaining_events, MIN_REMAINING_EVENTS)
-    elif share >= MIN_GAIN_SHARE:
-        events = remaining_events
-    else:
-        return None
-    gain = timedelta(seconds=(current.token_latency - expected) * events)
-    return best if gain >= MIN_GAIN else None
+        return timedelta(seconds=lost * events) >= MIN_GAIN
+    if lost < MIN_GAIN_SHARE * current.token_latency:
+        return False
+    return timedelta(seconds=lost * remaining_events) >= MIN_SUSTAINED_GAIN
 
 
 def _has_room(upstream: Upstream, now: timedelta) -> bool:
