--- a/quetzalcourse/coordination/batches/item_completion.py
+++ b/quetzalcourse/coordination/batches/item_completion.py
@@ -33,6 +33,11 @@
 GAIN_MARGIN = 1.5
 # Shortest gain that is worth a wait, in seconds.
 MIN_GAIN = 0.1
+# Time without a free fast slot after which no item waits for one, as their
+# streams may hang: as a multiple of the time that items take there, and at
+# least, in seconds.
+STALL_FACTOR = 1.5
+MIN_STALL = 0.5
 # Time between two events that is assumed before any is measured, in seconds.
 DEFAULT_LATENCY = 0.04
 # Weight of an item in the running mean of the lengths of placed items.
@@ -45,7 +50,7 @@
 
     :param latency: seconds between two events at the best free upstream.
     :param fast_latency: seconds between two events at the fast upstreams.
-    :param fast_slots: slots of the fast upstreams.
+    :param fast_slots: slots of the fast upstreams, 0 if it is one of them.
     """
 
     latency: float
@@ -63,19 +68,24 @@
     def __init__(self) -> None:
         """Start without items."""
         self._mean_events = 0.0
+        self._stalled_since: timedelta | None = None
         self.waiting = 0
 
     def start_round(self) -> None:
         """Forget the items that waited at the last dispatch."""
+        if not self.waiting:
+            self._stalled_since = None
         self.waiting = 0
 
-    def on_placed(self, events: int) -> None:
+    def on_placed(self, events: int, choice: SlotChoice) -> None:
         """Record the length of an item that got a slot."""
+        if not choice.fast_slots:
+            self._stalled_since = None
         mean = self._mean_events or events
         self._mean_events = mean + (events - mean) * LENGTH_WEIGHT
 
     def should_wait(
-        self, events: int, choice: SlotChoice, sharers: int
+        self, events: int, choice: SlotChoice, sharers: int, now: timedelta
     ) -> bool:
         """Decide whether an item waits for a fast slot, and count it if so.
 
@@ -86,9 +96,15 @@
             return False
         slot_time = self._mean_events * choice.fast_latency
         wait = (self.waiting + 1) * sharers * slot_time / choice.fast_slots
-        waits = choice.estimate_gain(events) > max(GAIN_MARGIN * wait, MIN_GAIN)
-        self.waiting += waits
-        return waits
+        if choice.estimate_gain(events) <= max(GAIN_MARGIN * wait, MIN_GAIN):
+            return False
+        if self._stalled_since is None:
+            self._stalled_since = now
+        stall = max(STALL_FACTOR * slot_time, MIN_STALL)
+        if now - self._stalled_since > timedelta(seconds=stall):
+            return False
+        self.waiting += 1
+        return True
 
 
 def estimate_latencies(upstreams: Collection[Upstream]) -> dict[str, float]:
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -108,10 +108,10 @@
             is to wait for a faster one.
         """
         self._held = None
+        now = self._clock.elapsed()
         known = self._choices.get(request.key)
-        if known is not None and self._should_wait(request, known):
+        if known is not None and self._should_wait(request, known, now):
             return None
-        now = self._clock.elapsed()
         usable = self.list_eligible(request)
         fit = [
             upstream
@@ -130,11 +130,13 @@
         latencies = estimate_latencies(usable)
         chosen = self._choose_fastest(fit, request, now, latencies)
         choice = find_choice(chosen, usable, latencies)
-        if self._should_wait(request, choice):
+        if self._should_wait(request, choice, now):
             self._choices[request.key] = choice
             return None
         self._choices.pop(request.key, None)
-        self._find_queue(request.service).on_placed(request.remaining_events)
+        self._find_queue(request.service).on_placed(
+            request.remaining_events, choice
+        )
         return chosen
 
     def list_eligible(self, request: PlacementRequest) -> list[Upstream]:
@@ -211,11 +213,13 @@
         )
 
     def _should_wait(
-        self, request: PlacementRequest, choice: SlotChoice
+        self, request: PlacementRequest, choice: SlotChoice, now: timedelta
     ) -> bool:
         queue = self._find_queue(request.service)
         sharers = 1 + len(self._allocator.list_others())
-        waits = queue.should_wait(request.remaining_events, choice, sharers)
+        waits = queue.should_wait(
+            request.remaining_events, choice, sharers, now
+        )
         if waits:
             self._held = request
         return waits
--- a/quetzalcourse/tests/coordination/batches/item_completion_tests.py
+++ b/quetzalcourse/tests/coordination/batches/item_completion_tests.py
@@ -78,6 +78,17 @@
                 self.pool.on_token_latency(self.find(number), seconds)
             self.clock.move(timedelta(milliseconds=25))
 
+    def place(self, events: int) -> None:
+        """Fill the fast upstreams with items of a length."""
+        request = PlacementRequest(
+            'engines', 'verse', 1, remaining_events=events
+        )
+        while True:
+            upstream = self.placement.choose(request)
+            if upstream is None:
+                return
+            self.pool.on_start(upstream)
+
     def run_step(self, lengths: list[int]) -> float:
         """Run a step, the longest items first, and return its duration."""
         waiting = sorted(lengths, reverse=True)
@@ -135,6 +146,22 @@
     assert by_time < 0.85 * by_class
 
 
+def test_long_items_do_not_wait_for_fast_upstreams_that_hang() -> None:
+    # The streams of all fast upstreams hang, so that none of their slots
+    # becomes free.
+    world = World()
+    world.place(10)
+    request = PlacementRequest('engines', 'verse', 1, remaining_events=LONG)
+    assert world.placement.choose(request) is None
+    assert world.placement.holds(request)
+    for _ in range(6):
+        world.clock.move(timedelta(milliseconds=100))
+        world.placement.start_round()
+        chosen = world.placement.choose(request)
+    assert chosen is not None
+    assert find_latency(chosen.name) == SLOW
+
+
 def test_item_of_unknown_length_takes_a_slow_slot() -> None:
     # Callers give no estimate, and the fast upstreams are full.
     world = World()
--- a/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
@@ -170,3 +170,19 @@
 ) -> None:
     """The wait is given in multiples of the work."""
     assert least <= estimate_wait(load, SLOTS, 1) <= most
+
+
+@pytest.mark.parametrize(
+    ('measured', 'slowdown', 'ranked_by_time'),
+    [(True, 1.0, True), (True, None, False), (False, 1.0, False)],
+)
+def test_service_is_ranked_by_time_only_if_switched_on_and_reported(
+    measured: bool, slowdown: float | None, ranked_by_time: bool
+) -> None:
+    """Other services keep the ranking by load."""
+    pool = Replay(1, measured=measured).pools[0]
+    upstreams = pool.list_service('app')
+    pool.on_load(upstreams[0], LoadReport(0, 0, SLOTS, slowdown))
+    assert pool.pace.is_known('app') == ranked_by_time
+    for upstream in upstreams:
+        assert (upstream.pace is not None) == ranked_by_time
