--- a/quetzalcourse/coordination/batches/item_completion.py
+++ b/quetzalcourse/coordination/batches/item_completion.py
@@ -40,7 +40,7 @@
 MIN_STALL = 0.5
 # Time between two events that is assumed before any is measured, in seconds.
 DEFAULT_LATENCY = 0.04
-# Weight of an item in the running mean of the lengths of placed items.
+# Weight of an item in the running mean of the lengths at fast upstreams.
 LENGTH_WEIGHT = 1 / 32
 
 
@@ -77,10 +77,9 @@
             self._stalled_since = None
         self.waiting = 0
 
-    def on_placed(self, events: int, choice: SlotChoice) -> None:
-        """Record the length of an item that got a slot."""
-        if not choice.fast_slots:
-            self._stalled_since = None
+    def on_fast_slot(self, events: int) -> None:
+        """Record the length of an item that got a fast slot."""
+        self._stalled_since = None
         mean = self._mean_events or events
         self._mean_events = mean + (events - mean) * LENGTH_WEIGHT
 
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -134,9 +134,9 @@
             self._choices[request.key] = choice
             return None
         self._choices.pop(request.key, None)
-        self._find_queue(request.service).on_placed(
-            request.remaining_events, choice
-        )
+        if not choice.fast_slots:
+            queue = self._find_queue(request.service)
+            queue.on_fast_slot(request.remaining_events)
         return chosen
 
     def list_eligible(self, request: PlacementRequest) -> list[Upstream]:
