--- a/quetzalcourse/coordination/forwarding/response_estimate.py
+++ b/quetzalcourse/coordination/forwarding/response_estimate.py
@@ -81,7 +81,9 @@
         work = upstream.pace.estimate_response_time(work, now)
         work *= upstream.pace.estimate_slowdown(now, timedelta(seconds=work))
     load = _estimate_load(upstream, means, now)
-    seconds = work + estimate_wait(load, upstream.member.slots, work)
+    slots = upstream.member.slots
+    # Requests in progress slow each other, or are there as the upstream hangs.
+    seconds = work * (1 + load / slots) + estimate_wait(load, slots, work)
     if now >= upstream.keepalive_until:
         seconds += CONNECT_TIME
     if upstream.member.data_centre != data_centre:
--- a/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
@@ -186,3 +186,22 @@
     assert pool.pace.is_known('app') == ranked_by_time
     for upstream in upstreams:
         assert (upstream.pace is not None) == ranked_by_time
+
+
+def test_request_in_progress_sends_the_next_one_elsewhere() -> None:
+    # An upstream with an open connection, which is usually the faster one,
+    # hangs with a request. It is not known to fail yet.
+    replay = Replay(1, measured=True)
+    pool = replay.pools[0]
+    hanging, *others = pool.list_service('app')
+    for upstream in (hanging, *others):
+        pool.on_load(upstream, LoadReport(0, 0, SLOTS, 1.0))
+        for _ in range(5):
+            took = timedelta(
+                seconds=0.95 * WORK if upstream is hanging else WORK
+            )
+            pool.pace.on_response(upstream, took, replay.clock.elapsed())
+        pool.on_idle_connection(upstream, KEEP_ALIVE)
+    assert pool.choose('app') is hanging
+    pool.on_start(hanging)
+    assert pool.choose('app') in others
