--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -28,6 +28,7 @@
     rank_latency,
 )
 from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
+from quetzalcourse.coordination.forwarding.pool import rank_health
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -205,7 +206,7 @@
             fit,
             key=lambda one: (
                 one.name == request.avoided,
-                self._rank_health(one),
+                rank_health(one, self._pool.cold_starts),
                 rank_duration(durations[one.name], fastest),
                 _compute_utilisation(one, now),
                 -one.find_version(request.model),
@@ -227,10 +228,6 @@
     def _find_queue(self, service: str) -> FastSlotQueue:
         return self._fast_slots.setdefault(service, FastSlotQueue())
 
-    def _rank_health(self, upstream: Upstream) -> int:
-        cold = self._pool.cold_starts.is_cold(upstream)
-        return 2 * (upstream.consecutive_failures > 0) + cold
-
     def _rank(
         self,
         upstream: Upstream,
@@ -240,7 +237,7 @@
     ) -> tuple[bool, int, int, float, int]:
         return (
             upstream.name == request.avoided,
-            self._rank_health(upstream),
+            rank_health(upstream, self._pool.cold_starts),
             rank_latency(upstream, median),
             _compute_utilisation(upstream, now),
             -upstream.find_version(request.model),
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -198,7 +198,7 @@
         ranks = {
             upstream.name: (
                 _rank_distance(upstream, self._data_centre, unresponsive),
-                _rank_health(upstream, self.cold_starts),
+                rank_health(upstream, self.cold_starts),
             )
             for upstream in available
         }
@@ -215,7 +215,7 @@
         local = upstream.member.data_centre == self._data_centre
         connected = now < upstream.keepalive_until and load < KEEPALIVE_MAX_LOAD
         return (
-            _rank_health(upstream, self.cold_starts),
+            rank_health(upstream, self.cold_starts),
             not connected,
             load,
             not local,
@@ -386,7 +386,8 @@
     return previous != (member.address, member.started)
 
 
-def _rank_health(upstream: Upstream, cold_starts: ColdStartPolicy) -> int:
+def rank_health(upstream: Upstream, cold_starts: ColdStartPolicy) -> int:
+    """Rank an upstream by its health: 0 is healthy, failing ones are last."""
     failing = upstream.consecutive_failures > 0
     return 2 * failing + cold_starts.is_cold(upstream)
 
