--- a/quetzalcourse/coordination/batches/migration.py
+++ b/quetzalcourse/coordination/batches/migration.py
@@ -8,7 +8,8 @@
 that another item got would go back again and again, without progress. And it
 assumes no better latency than the median: among many similar upstreams one
 always looks faster for a moment, and items that followed it would move dozens
-of times, with a new connection each.
+of times, with a new connection each. Where upstreams report how long work takes
+there, only their long-run speed counts, and an item with few events left stays.
 """
 
 from __future__ import annotations
@@ -29,6 +30,12 @@
 MIN_GAIN = timedelta(milliseconds=500)
 # Lower bound of the expected further events of an item.
 MIN_REMAINING_EVENTS = 12
+# The same where upstreams report how long work takes there: the long-run speeds
+# are known well, but only a share of the remaining time is worth a move.
+MIN_SUSTAINED_GAIN = timedelta(milliseconds=350)
+MIN_GAIN_SHARE = 0.3
+# Slowdown above which an upstream is no target for now.
+MAX_TARGET_SLOWDOWN = 1.5
 # Slots that migrations leave to waiting items.
 SPARE_SLOTS = 1
 
@@ -56,7 +63,7 @@
         if one.name != current.name
         and one.token_latency
         and not one.consecutive_failures
-        and one.count_load(now) + SPARE_SLOTS < one.member.slots
+        and _has_room(one, now)
     ]
     best = min(
         free,
@@ -65,7 +72,29 @@
     )
     if best is None:
         return None
-    events = max(remaining_events, MIN_REMAINING_EVENTS)
     expected = max(best.token_latency, median)
-    gain = timedelta(seconds=(current.token_latency - expected) * events)
-    return best if gain >= MIN_GAIN else None
+    return best if _is_worth(current, expected, remaining_events) else None
+
+
+def _is_worth(
+    current: Upstream, expected: float, remaining_events: int
+) -> bool:
+    """Tell whether an item gains enough by a move.
+
+    :param expected: time between two events at the target, in seconds.
+    """
+    lost = current.token_latency - expected
+    if current.pace is None:
+        events = max(remaining_events, MIN_REMAINING_EVENTS)
+        return timedelta(seconds=lost * events) >= MIN_GAIN
+    if lost < MIN_GAIN_SHARE * current.token_latency:
+        return False
+    return timedelta(seconds=lost * remaining_events) >= MIN_SUSTAINED_GAIN
+
+
+def _has_room(upstream: Upstream, now: timedelta) -> bool:
+    if upstream.count_load(now) + SPARE_SLOTS >= upstream.member.slots:
+        return False
+    if upstream.pace is None:
+        return True
+    return upstream.pace.estimate_slowdown(now) <= MAX_TARGET_SLOWDOWN
