--- a/quetzalcourse/batch_components.py
+++ b/quetzalcourse/batch_components.py
@@ -24,6 +24,8 @@
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
 from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
+from quetzalcourse.coordination.batches.slot_supply import SlotSupply
+from quetzalcourse.coordination.batches.step_triage import StepTriage
 from quetzalcourse.coordination.versions.load_updates import LoadUpdates
 
 if TYPE_CHECKING:
@@ -33,6 +35,7 @@
     from quetzalcourse.coordination.ports import Peers
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
+    from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.feed_components import FeedComponents
     from quetzalcourse.lifecycle import Lifecycle
@@ -60,6 +63,7 @@
     load_updates: LoadUpdates
     allocator: SlotAllocator
     service: BatchService
+    supply: SlotSupply
 
     def start(self, lifecycle: Lifecycle) -> None:
         """Run the components in the background."""
@@ -134,6 +138,17 @@
         LoadUpdates(coordinators, pool, calls.peers),
         allocator,
         service,
+        SlotSupply(pool, allocator, clock),
+    )
+
+
+def use_step_triage(
+    batches: BatchComponents, routes: RouteTable, clock: Clock
+) -> None:
+    """Run whole groups first while the slots don't suffice for all."""
+    runner = batches.runner
+    runner.set_order(
+        StepTriage(runner.durations, batches.supply, routes, clock)
     )
 
 
--- /dev/null
+++ b/quetzalcourse/coordination/batches/group_progress.py
@@ -0,0 +1,148 @@
+"""Measures what the groups of the open batches still need.
+
+Under a shortage of slots, all groups of all steps that advance together are
+late together, although the slots would be enough to complete some of them. To
+choose among them, a coordinator has to know for each group whether it has
+begun, how much slot time it still needs, and when its longest item can end.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from quetzalcourse.coordination.batches.item_run import ItemState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quetzalcourse.coordination.batches.batch_run import BatchRun
+    from quetzalcourse.coordination.batches.duration_predictor import (
+        DurationPredictor,
+    )
+    from quetzalcourse.coordination.batches.item_run import ItemRun
+
+    GroupKey = tuple[str, str]
+
+ZERO = timedelta(0)
+
+
+@dataclass(slots=True)
+class GroupProgress:
+    """What a group of items still needs.
+
+    :param key: ids of its batch and of the group.
+    :param index: index of its first item in the batch.
+    :param waiting: slot time that its waiting items need.
+    :param running: remaining times of its running items.
+    :param longest: remaining time of its longest item.
+    :param begun: whether any of its items has a text or a result.
+    :param complete: whether all its items have a text.
+    """
+
+    key: GroupKey
+    index: int
+    waiting: timedelta = ZERO
+    running: list[timedelta] = field(default_factory=list)
+    longest: timedelta = ZERO
+    begun: bool = False
+    complete: bool = True
+
+    @property
+    def remaining(self) -> timedelta:
+        """Slot time that all its items need."""
+        return sum(self.running, self.waiting)
+
+    def add(self, state: ItemState, remaining: timedelta) -> None:
+        """Add an item that still has to run.
+
+        :param remaining: predicted time that it runs.
+        """
+        self.complete = False
+        self.longest = max(self.longest, remaining)
+        if state is ItemState.running:
+            self.running.append(remaining)
+            self.begun = True
+        else:
+            self.waiting += remaining
+
+
+@dataclass(frozen=True, slots=True)
+class StepProgress:
+    """What a batch still needs.
+
+    :param trainer: client account, route and model; the same for all steps of
+        a trainer.
+    :param rank: 0 is the most urgent.
+    :param due: time since boot at which its results are due.
+    :param wanted: number of complete groups that its caller waits for.
+    """
+
+    trainer: tuple[str, str, str]
+    rank: int
+    due: timedelta
+    wanted: int
+    groups: list[GroupProgress]
+
+    def rank_groups(self) -> list[GroupProgress]:
+        """Sort its groups by the order in which they are run.
+
+        Groups that come again from an earlier step are at the front, at most
+        half of those that the caller waits for, and it waits for them in any
+        case. After them come the groups that are complete first.
+        """
+        certain = self.wanted // 2
+        by_need = sorted(self.groups, key=_rank_need)
+        first = [one for one in self.groups[:certain] if not one.complete]
+        complete = sum(one.complete for one in self.groups[:certain])
+        others = [one for one in by_need if one not in self.groups[:certain]]
+        needed = max(self.wanted - complete - len(first), 0)
+        return sorted(first + others[:needed], key=_rank_need) + others[needed:]
+
+
+def _rank_need(group: GroupProgress) -> tuple[bool, bool, timedelta]:
+    return not group.complete, not group.begun, group.remaining
+
+
+def measure_groups(
+    batch: BatchRun, durations: DurationPredictor
+) -> list[GroupProgress]:
+    """Measure the groups of a batch, in the order of the batch.
+
+    An item without a group is measured as a group of its own.
+    """
+    groups: dict[str, GroupProgress] = {}
+    for run in batch.items:
+        name = run.item.group or run.item.id
+        group = groups.get(name)
+        if group is None:
+            group = GroupProgress((batch.head.id, name), run.index)
+            groups[name] = group
+        _add_item(group, batch, run, durations)
+    return list(groups.values())
+
+
+def _add_item(
+    group: GroupProgress,
+    batch: BatchRun,
+    run: ItemRun,
+    durations: DurationPredictor,
+) -> None:
+    if run.state is ItemState.finished or run.text_complete:
+        group.begun = True
+        return
+    group.begun |= run.last_event is not None
+    group.add(
+        run.state,
+        durations.predict_remaining(
+            batch.head.model, run.item.length_estimate, len(run.texts)
+        ),
+    )
+
+
+def sum_remaining(steps: Iterable[StepProgress]) -> timedelta:
+    """Sum the slot time that the unfinished items of steps need."""
+    return sum(
+        (group.remaining for step in steps for group in step.groups), ZERO
+    )
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -11,6 +11,7 @@
 from quetzalcourse.coordination.batches.duration_predictor import (
     DurationPredictor,
 )
+from quetzalcourse.coordination.batches.item_order import UrgencyOrder
 from quetzalcourse.coordination.batches.placement import PlacementRequest
 from quetzalcourse.coordination.batches.slot_allocation import SlotDemand
 from quetzalcourse.coordination.forwarding.route_table import choose_service
@@ -23,6 +24,7 @@
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.batch_writer import BatchWriter
+    from quetzalcourse.coordination.batches.item_order import ItemOrder
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
     from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
@@ -91,7 +93,8 @@
         self._routes = residency.routes
         self._quarantine = quarantine
         self._clock = clock
-        self._durations = DurationPredictor()
+        self.durations = DurationPredictor()
+        self._order: ItemOrder = UrgencyOrder(self.durations)
         self._writer = writer
         self._wake = asyncio.Event()
         self._tasks = BackgroundTasks('batches')
@@ -100,6 +103,10 @@
         self._any_unplaced = False
         scoring.on_end(self._wake.set)
 
+    def set_order(self, order: ItemOrder) -> None:
+        """Set the order in which waiting items start."""
+        self._order = order
+
     def on_batch_start(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever a batch starts."""
         self._begin_listeners.append(listener)
@@ -166,6 +173,7 @@
         counters.set('items_running', states[ItemState.running])
         counters.set('items_waiting', states[ItemState.waiting])
         counters.set('items_unscored', states[ItemState.unscored])
+        self._order.report_metrics(counters)
 
     async def run(self) -> None:
         """Start items as slots become free, until the task is cancelled."""
@@ -179,6 +187,7 @@
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
+        self._order.update(self.batches.values())
         waiting: list[tuple[BatchRun, ItemRun]] = []
         for batch in sorted(self.batches.values(), key=lambda one: one.due):
             if now >= batch.expires_at:
@@ -202,7 +211,7 @@
     ) -> None:
         # Once an item finds no slot, further items with the same key find none.
         full: dict[PlacementKey, SlotDemand] = {}
-        for batch, run in self._durations.sort_by_urgency(waiting):
+        for batch, run in self._order.sort(waiting):
             if not self._quarantine.may_begin(run.fingerprint):
                 continue
             request = self._build_request(batch, run)
@@ -216,7 +225,9 @@
                 batch, run, request
             ):
                 full[request.key] = SlotDemand(
-                    request.key, request.latest_start
+                    request.key,
+                    request.latest_start,
+                    self._order.find_open_work(batch),
                 )
         self._any_unplaced = bool(full)
         for listener in self._placed_listeners:
@@ -270,7 +281,7 @@
             batch.head.model,
             batch.head.min_version,
             run.avoided,
-            self._durations.compute_latest_start(batch, run),
+            self._order.compute_latest_start(batch, run),
             self._residency.find_batch_regions(batch.head),
             self._quarantine.list_avoided(run.fingerprint),
         )
@@ -286,7 +297,7 @@
         request = self._build_request(batch, run)
         if request is None:
             return
-        remaining_events = self._durations.predict_remaining_events(
+        remaining_events = self.durations.predict_remaining_events(
             batch.head.model, run.item.length_estimate, len(run.texts)
         )
         target = self._placement.choose_migration_target(
@@ -325,7 +336,7 @@
                 self._start(batch, run, target)
             return
         if result.state is ResultState.completed and not resumed:
-            self._durations.observe(
+            self.durations.observe(
                 batch.head.model,
                 run.item.length_estimate,
                 len(run.texts),
--- a/quetzalcourse/coordination/batches/slot_allocation.py
+++ b/quetzalcourse/coordination/batches/slot_allocation.py
@@ -66,10 +66,13 @@
 
     :param latest_start: time since boot at which the most urgent of them has
         to start to be complete in time.
+    :param work: slot time in seconds that all unfinished items with these
+        requirements need, 0 if unknown.
     """
 
     key: PlacementKey
     latest_start: timedelta
+    work: float = 0
 
 
 @dataclass(slots=True)
@@ -212,6 +215,20 @@
         self._expire_coordinators()
         return self._find_preferred(upstream.name) == self._members.own.vm
 
+    def sum_peer_work(self, service: str) -> float:
+        """Sum the slot time in seconds that items of other daemons need.
+
+        Only daemons whose items wait for slots of the service count.
+        """
+        oldest = self._clock.elapsed() - UPDATE_TTL
+        return sum(
+            demand.work
+            for coordinator in self._coordinators.values()
+            if coordinator.updated_at >= oldest
+            for demand in coordinator.demands
+            if demand.key.service == service
+        )
+
     def _has_priority(
         self,
         vm: str,
--- a/quetzalcourse/coordination/batches/slot_usage_updates.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -31,15 +31,17 @@
 FULL_UPDATE_INTERVAL = timedelta(seconds=1)
 
 
-class SlotDemandUpdate(msgspec.Struct, frozen=True):
+class SlotDemandUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
     """Items with the same requirements that wait at the sender.
 
     :param seconds: time until the most urgent of them has to start, negative
         if it is late. It is relative since the clocks of daemons differ.
+    :param work: slot time in seconds that these items need, 0 if unknown.
     """
 
     key: PlacementKey
     seconds: float
+    work: float = 0
 
 
 class SlotUsageUpdate(msgspec.Struct, frozen=True):
@@ -97,7 +99,7 @@
         update = msgspec.msgpack.decode(content, type=SlotUsageUpdate)
         now = self._clock.elapsed()
         demands = [
-            SlotDemand(one.key, now + timedelta(seconds=one.seconds))
+            SlotDemand(one.key, now + timedelta(seconds=one.seconds), one.work)
             for one in update.wants
         ]
         self._allocator.on_update(
@@ -172,4 +174,4 @@
     demand: SlotDemand, now: timedelta
 ) -> SlotDemandUpdate:
     seconds = (demand.latest_start - now).total_seconds()
-    return SlotDemandUpdate(demand.key, round(seconds, 3))
+    return SlotDemandUpdate(demand.key, round(seconds, 3), demand.work)
--- a/quetzalcourse/coordination/forwarding/route_table.py
+++ b/quetzalcourse/coordination/forwarding/route_table.py
@@ -36,6 +36,7 @@
         self._routes_by_name: dict[str, Route] = {}
         self._accounts_by_digest: dict[bytes, AccountKeys] = {}
         self._account_regions: dict[str, AllowedRegions] = {}
+        self._account_priorities: dict[str, int] = {}
         self._listeners: list[Listener] = []
 
     @property
@@ -81,6 +82,11 @@
             account.client_account: account.allowed_regions
             for account in manifest.accounts or ()
         }
+        self._account_priorities = {
+            account.client_account: account.priority
+            for account in manifest.accounts or ()
+            if account.priority is not None
+        }
         log.info(
             'Manifest in force.',
             version=manifest.version,
@@ -115,6 +121,17 @@
         """Find the regions of a client account, ``None`` if unrestricted."""
         return self._account_regions.get(client_account)
 
+    def find_rank(self, route_name: str, client_account: str) -> int:
+        """Find the rank of requests, 0 is the most urgent.
+
+        The priority of a client account goes before that of the route.
+        """
+        priority = self._account_priorities.get(client_account)
+        if priority is not None:
+            return priority
+        route = self.find(route_name)
+        return route.priority if route is not None else 0
+
     @property
     def restricts_regions(self) -> bool:
         """Whether any route or client account is bound to regions."""
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -7,7 +7,11 @@
 
 from result import Err
 
-from quetzalcourse.batch_components import BatchCalls, build_batch_components
+from quetzalcourse.batch_components import (
+    BatchCalls,
+    build_batch_components,
+    use_step_triage,
+)
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
 from quetzalcourse.coordination.forwarding.forwarding import Forwarder
@@ -216,6 +220,8 @@
             self.clock,
             self.counters,
         )
+        if self.settings.load_control.step_triage:
+            use_step_triage(self.batches, self.routes, self.clock)
         limit_cold_starts(
             self.upstreams,
             self.settings,
