--- a/quetzalcourse/coordination/batches/step_order.py
+++ b/quetzalcourse/coordination/batches/step_order.py
@@ -12,6 +12,7 @@
 import enum
 from dataclasses import dataclass, field
 from datetime import timedelta
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.batches.group_progress import ZERO
@@ -46,15 +47,23 @@
     """Outlooks of the groups of all open steps.
 
     :param outlooks: outlook of each group that is not complete.
+    :param remaining: slot time that each group needs that is not in time.
     :param order: position of each group in the order of its step.
     :param shortage: whether groups that the callers wait for can't be complete
         in time with the slots at hand.
     """
 
     outlooks: dict[GroupKey, Outlook] = field(default_factory=dict)
+    remaining: dict[GroupKey, timedelta] = field(default_factory=dict)
     order: dict[GroupKey, int] = field(default_factory=dict)
     shortage: bool = False
 
+    def defer(self, group: GroupProgress, outlook: Outlook) -> None:
+        """Let a group run after those that can be complete in time."""
+        self.outlooks[group.key] = outlook
+        self.order[group.key] = len(self.order)
+        self.remaining[group.key] = group.remaining
+
     def count(self, outlook: Outlook) -> int:
         """Count the groups with an outlook."""
         return sum(one is outlook for one in self.outlooks.values())
@@ -141,7 +150,7 @@
             trainer.ready += 1
             plan.outlooks[group.key] = Outlook.in_time
         else:
-            plan.outlooks[group.key] = Outlook.late
+            plan.defer(group, Outlook.late)
             plan.shortage = True
     return plan
 
@@ -154,13 +163,12 @@
         trainer = trainers.setdefault(step.trainer, TrainerQueue(step.rank))
         trainer.wanted += step.wanted
         for position, group in enumerate(step.rank_groups()):
-            plan.order[group.key] = position
             if group.complete:
                 trainer.ready += 1
             elif position < step.wanted:
                 trainer.groups.append((group, step.due))
             else:
-                plan.outlooks[group.key] = Outlook.spare
+                plan.defer(group, Outlook.spare)
     return trainers
 
 
--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -207,7 +207,7 @@
         return (
             self._find_outlook(batch, run),
             self._routes.find_rank(head.route, head.client_account),
-            batch.due,
+            plan.groups.remaining.get(key, ZERO),
             plan.groups.order.get(key, 0),
             latest_start,
             -estimate,
