--- a/quetzalcourse/coordination/batches/duration_predictor.py
+++ b/quetzalcourse/coordination/batches/duration_predictor.py
@@ -28,6 +28,8 @@
 # An item that exceeds its estimate is expected to continue for this share of
 # its length so far: errors of estimates are factors of about 1.5.
 OVERRUN_SHARE = 0.25
+# Mean duration relative to the median, with errors of such factors.
+MEAN_FACTOR = 1.13
 
 
 @dataclass(slots=True)
@@ -95,6 +97,23 @@
         )
         return timedelta(seconds=max(seconds, 0))
 
+    def predict_slot_time(
+        self, model: str, estimate: int, events_done: int
+    ) -> timedelta:
+        """Predict the mean time for which an item still takes a slot.
+
+        Unlike the median, the mean can be added up over many items.
+
+        :param events_done: number of its events so far.
+        :returns: zero without an estimate or without observations.
+        """
+        known = self._models.get(model)
+        if known is None or estimate <= 0:
+            return timedelta(0)
+        remaining = self.predict_remaining(model, estimate, events_done)
+        overrun = known.seconds_per_event * events_done * OVERRUN_SHARE
+        return max(remaining * MEAN_FACTOR, timedelta(seconds=overrun))
+
     def predict_remaining_events(
         self, model: str, estimate: int, events_done: int
     ) -> int:
--- a/quetzalcourse/coordination/batches/group_progress.py
+++ b/quetzalcourse/coordination/batches/group_progress.py
@@ -15,8 +15,6 @@
 from quetzalcourse.coordination.batches.item_run import ItemState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.duration_predictor import (
         DurationPredictor,
@@ -24,6 +22,7 @@
     from quetzalcourse.coordination.batches.item_run import ItemRun
 
     GroupKey = tuple[str, str]
+    TrainerKey = tuple[str, str, str]
 
 ZERO = timedelta(0)
 
@@ -79,12 +78,23 @@
     :param wanted: number of complete groups that its caller waits for.
     """
 
-    trainer: tuple[str, str, str]
+    trainer: TrainerKey
     rank: int
     due: timedelta
     wanted: int
     groups: list[GroupProgress]
 
+    @property
+    def work(self) -> timedelta:
+        """Slot time of the groups that its caller waits for."""
+        wanted = self.rank_groups()[: self.wanted]
+        return sum((group.remaining for group in wanted), ZERO)
+
+    def count_complete(self) -> int:
+        """Count the complete groups, at most those that its caller wants."""
+        complete = sum(group.complete for group in self.groups)
+        return min(complete, self.wanted)
+
     def rank_groups(self) -> list[GroupProgress]:
         """Sort its groups by the order in which they are run.
 
@@ -135,14 +145,7 @@
     group.begun |= run.last_event is not None
     group.add(
         run.state,
-        durations.predict_remaining(
+        durations.predict_slot_time(
             batch.head.model, run.item.length_estimate, len(run.texts)
         ),
     )
-
-
-def sum_remaining(steps: Iterable[StepProgress]) -> timedelta:
-    """Sum the slot time that the unfinished items of steps need."""
-    return sum(
-        (group.remaining for step in steps for group in step.groups), ZERO
-    )
--- a/quetzalcourse/coordination/batches/step_order.py
+++ b/quetzalcourse/coordination/batches/step_order.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from quetzalcourse.coordination.batches.group_progress import ZERO
 
@@ -24,11 +24,15 @@
         GroupKey,
         GroupProgress,
         StepProgress,
+        TrainerKey,
+    )
+    from quetzalcourse.coordination.batches.trainer_records import (
+        TrainerRecords,
     )
 
 # Share of the slot time that is planned: callers' estimates of lengths are
 # off by a factor of about 1.5, and slots are free for a moment between items.
-PLANNED_SHARE = 0.85
+PLANNED_SHARE = 0.8
 
 
 class Outlook(enum.IntEnum):
@@ -42,31 +46,51 @@
     spare = 2
 
 
+class GroupTurn(NamedTuple):
+    """Turn of a group among all groups; the least goes first.
+
+    :param urgency: latest start of a group that can be in time, the slot time
+        that any other one needs.
+    :param number: unique, so that a group is not mixed with another one.
+    """
+
+    outlook: Outlook = Outlook.in_time
+    urgency: timedelta = ZERO
+    number: int = 0
+
+
 @dataclass(slots=True)
 class GroupPlan:
-    """Outlooks of the groups of all open steps.
+    """Turns of the groups of all open steps.
 
-    :param outlooks: outlook of each group that is not complete.
-    :param remaining: slot time that each group needs that is not in time.
-    :param order: position of each group in the order of its step.
+    :param turns: turn of each group that is not complete.
     :param shortage: whether groups that the callers wait for can't be complete
         in time with the slots at hand.
     """
 
-    outlooks: dict[GroupKey, Outlook] = field(default_factory=dict)
-    remaining: dict[GroupKey, timedelta] = field(default_factory=dict)
-    order: dict[GroupKey, int] = field(default_factory=dict)
+    turns: dict[GroupKey, GroupTurn] = field(default_factory=dict)
     shortage: bool = False
 
+    def choose(self, group: GroupProgress, due: timedelta) -> None:
+        """Let a group be complete in time, the longest one first."""
+        self._add(group, Outlook.in_time, due - group.longest)
+
     def defer(self, group: GroupProgress, outlook: Outlook) -> None:
-        """Let a group run after those that can be complete in time."""
-        self.outlooks[group.key] = outlook
-        self.order[group.key] = len(self.order)
-        self.remaining[group.key] = group.remaining
+        """Let a group run later, the one with the least work first."""
+        self._add(group, outlook, group.remaining)
+
+    def find_outlook(self, key: GroupKey) -> Outlook:
+        """Find the outlook of a group."""
+        return self.turns.get(key, UNKNOWN_TURN).outlook
 
     def count(self, outlook: Outlook) -> int:
         """Count the groups with an outlook."""
-        return sum(one is outlook for one in self.outlooks.values())
+        return sum(one.outlook is outlook for one in self.turns.values())
+
+    def _add(
+        self, group: GroupProgress, outlook: Outlook, urgency: timedelta
+    ) -> None:
+        self.turns[group.key] = GroupTurn(outlook, urgency, len(self.turns))
 
 
 class SlotBudget:
@@ -93,6 +117,8 @@
         """
         if self._now + group.longest > due:
             return False
+        if not group.waiting:
+            return True
         later = [one for one in self._taken if one >= due]
         fits = all(
             self._taken[one] + group.waiting <= self._slots * (one - self._now)
@@ -104,20 +130,24 @@
         return fits
 
 
+UNKNOWN_TURN = GroupTurn()
+
+
 @dataclass(slots=True)
 class TrainerQueue:
     """Groups of a trainer that wait to be chosen.
 
     :param groups: groups that it waits for, with their due times, in the order
         in which they are chosen.
-    :param wanted: number of groups that it waits for in all open steps.
+    :param wanted: number of groups that it waits for in all open steps, and
+        that it waited for recently.
     :param ready: number of these that are complete or chosen.
     """
 
     rank: int
+    wanted: float
+    ready: float
     groups: list[tuple[GroupProgress, timedelta]] = field(default_factory=list)
-    wanted: int = 0
-    ready: int = 0
 
     @property
     def turn(self) -> tuple[int, float]:
@@ -126,7 +156,10 @@
 
 
 def plan_groups(
-    steps: Sequence[StepProgress], slots: float, now: timedelta
+    steps: Sequence[StepProgress],
+    records: TrainerRecords,
+    slots: float,
+    now: timedelta,
 ) -> GroupPlan:
     """Choose the groups that can be complete in time.
 
@@ -134,10 +167,11 @@
     groups while another one is in time with all. Within a trainer the older
     step goes first, so that its steps don't slow each other.
 
+    :param records: what the trainers got in earlier steps.
     :param slots: number of slots at hand.
     """
     plan = GroupPlan()
-    trainers = _queue_trainers(steps, plan)
+    trainers = _queue_trainers(steps, records, plan)
     budget = SlotBudget(steps, slots, now)
     waiting = list(trainers.values())
     while waiting:
@@ -148,7 +182,7 @@
         group, due = trainer.groups.pop(0)
         if budget.take(group, due):
             trainer.ready += 1
-            plan.outlooks[group.key] = Outlook.in_time
+            plan.choose(group, due)
         else:
             plan.defer(group, Outlook.late)
             plan.shortage = True
@@ -156,22 +190,32 @@
 
 
 def _queue_trainers(
-    steps: Sequence[StepProgress], plan: GroupPlan
-) -> dict[tuple[str, str, str], TrainerQueue]:
-    trainers: dict[tuple[str, str, str], TrainerQueue] = {}
+    steps: Sequence[StepProgress], records: TrainerRecords, plan: GroupPlan
+) -> dict[TrainerKey, TrainerQueue]:
+    trainers: dict[TrainerKey, TrainerQueue] = {}
     for step in sorted(steps, key=lambda one: one.due):
-        trainer = trainers.setdefault(step.trainer, TrainerQueue(step.rank))
-        trainer.wanted += step.wanted
-        for position, group in enumerate(step.rank_groups()):
-            if group.complete:
-                trainer.ready += 1
-            elif position < step.wanted:
-                trainer.groups.append((group, step.due))
-            else:
-                plan.defer(group, Outlook.spare)
+        if step.trainer not in trainers:
+            record = records.find(step.trainer)
+            trainers[step.trainer] = TrainerQueue(
+                step.rank, record.wanted, record.complete
+            )
+        _queue_step(step, trainers[step.trainer], plan)
     return trainers
 
 
+def _queue_step(
+    step: StepProgress, trainer: TrainerQueue, plan: GroupPlan
+) -> None:
+    trainer.wanted += step.wanted
+    for position, group in enumerate(step.rank_groups()):
+        if group.complete:
+            trainer.ready += position < step.wanted
+        elif position < step.wanted:
+            trainer.groups.append((group, step.due))
+        else:
+            plan.defer(group, Outlook.spare)
+
+
 def _sum_running(
     steps: Sequence[StepProgress], horizon: timedelta
 ) -> timedelta:
--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -18,13 +18,15 @@
     ZERO,
     StepProgress,
     measure_groups,
-    sum_remaining,
 )
 from quetzalcourse.coordination.batches.step_order import (
+    UNKNOWN_TURN,
     GroupPlan,
+    GroupTurn,
     Outlook,
     plan_groups,
 )
+from quetzalcourse.coordination.batches.trainer_records import TrainerRecords
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
@@ -48,6 +50,9 @@
 DEFERRAL = timedelta(seconds=30)
 # Time without a shortage after which it counts as ended.
 SHORTAGE_END_DELAY = timedelta(seconds=1)
+# Weight of a new estimate in the moving average of the slots at hand, which
+# change with each item that other coordinators start.
+SLOTS_WEIGHT = 0.2
 # Steps in which the open work is reported to other coordinators, in seconds.
 WORK_UNIT = 5
 log = get_log('batches')
@@ -57,14 +62,14 @@
 class ServicePlan:
     """Plan for the batches that use a service.
 
-    :param slots: slots at hand.
-    :param work: slot time that their unfinished items need.
+    :param slots: moving average of the slots at hand.
+    :param work: slot time of the groups that callers wait for.
     :param shortage_until: time since boot until which a shortage counts as
         lasting, ``None`` without one.
     """
 
     groups: GroupPlan = field(default_factory=GroupPlan)
-    slots: float = 0
+    slots: float | None = None
     work: timedelta = ZERO
     shortage_until: timedelta | None = None
 
@@ -89,30 +94,28 @@
         self._clock = clock
         self._plans: dict[str, ServicePlan] = {}
         self._work: dict[tuple[str, int], float] = {}
-        self._planned: set[str] = set()
+        self._records = TrainerRecords()
+        self._steps: dict[str, StepProgress] = {}
         self._planned_at = ZERO
 
     def update(self, batches: Collection[BatchRun]) -> None:
         """Renew the plans if they are old or the batches are others."""
         now = self._clock.elapsed()
+        known = self._steps.keys()
         ids = {batch.head.id for batch in batches}
-        if ids == self._planned and now - self._planned_at < PLAN_INTERVAL:
+        if ids == known and now - self._planned_at < PLAN_INTERVAL:
             return
-        self._planned = ids
+        for ended in known - ids:
+            self._records.on_step_end(self._steps[ended])
         self._planned_at = now
-        steps: dict[str, list[StepProgress]] = defaultdict(list)
-        work: dict[tuple[str, int], timedelta] = defaultdict(timedelta)
+        self._steps = {one.head.id: self._measure(one) for one in batches}
+        self._work = self._sum_work(batches)
+        by_service: dict[str, list[StepProgress]] = defaultdict(list)
         for batch in batches:
-            step = self._measure(batch)
-            steps[self._find_service(batch)].append(step)
-            head = batch.head
-            work[head.model, head.min_version] += sum_remaining([step])
-        self._work = {
-            key: round(one.total_seconds() / WORK_UNIT) * WORK_UNIT
-            for key, one in work.items()
-        }
-        for service in steps.keys() | self._plans.keys():
-            self._plan(service, steps[service], now)
+            step = self._steps[batch.head.id]
+            by_service[self._find_service(batch)].append(step)
+        for service in by_service.keys() | self._plans.keys():
+            self._plan(service, by_service[service], now)
 
     def sort(self, waiting: Sequence[WaitingItem]) -> list[WaitingItem]:
         """Sort items by the outlook of their group, then by latest start."""
@@ -120,7 +123,7 @@
 
     def compute_latest_start(self, batch: BatchRun, run: ItemRun) -> timedelta:
         """Compute when an item has to start, much later if it is deferred."""
-        if self._find_outlook(batch, run) is not Outlook.in_time:
+        if self._find_turn(batch, run).outlook is not Outlook.in_time:
             return batch.expires_at + DEFERRAL
         return self._durations.compute_latest_start(batch, run)
 
@@ -144,9 +147,12 @@
         self, service: str, steps: list[StepProgress], now: timedelta
     ) -> None:
         plan = self._plans.setdefault(service, ServicePlan())
-        plan.work = sum_remaining(steps)
-        plan.slots = self._supply.estimate(service, plan.work)
-        plan.groups = plan_groups(steps, plan.slots, now)
+        plan.work = sum((step.work for step in steps), ZERO)
+        slots = self._supply.estimate(service, plan.work)
+        if plan.slots is None or not steps:
+            plan.slots = slots
+        plan.slots += (slots - plan.slots) * SLOTS_WEIGHT
+        plan.groups = plan_groups(steps, self._records, plan.slots, now)
         if plan.groups.shortage:
             if plan.shortage_until is None:
                 self._log_shortage('Shortage of slots began.', service, plan)
@@ -161,7 +167,7 @@
         log.info(
             event,
             service=service,
-            slots=round(plan.slots, 1),
+            slots=round(plan.slots or 0, 1),
             work_seconds=round(plan.work.total_seconds(), 1),
             in_time=plan.groups.count(Outlook.in_time),
             late=plan.groups.count(Outlook.late),
@@ -186,29 +192,39 @@
             return ''
         return max(route.targets, key=lambda one: one.weight).service
 
-    def _find_outlook(self, batch: BatchRun, run: ItemRun) -> Outlook:
+    def _sum_work(
+        self, batches: Collection[BatchRun]
+    ) -> dict[tuple[str, int], float]:
+        """Sum the slot time in seconds, by model and oldest version."""
+        work: dict[tuple[str, int], timedelta] = defaultdict(timedelta)
+        for batch in batches:
+            head = batch.head
+            work[head.model, head.min_version] += self._steps[head.id].work
+        return {
+            key: round(one.total_seconds() / WORK_UNIT) * WORK_UNIT
+            for key, one in work.items()
+        }
+
+    def _find_turn(self, batch: BatchRun, run: ItemRun) -> GroupTurn:
         plan = self._plans.get(self._find_service(batch))
         if plan is None or not plan.groups.shortage:
-            return Outlook.in_time
+            return UNKNOWN_TURN
         key = batch.head.id, run.item.group or run.item.id
-        return plan.groups.outlooks.get(key, Outlook.in_time)
+        return plan.groups.turns.get(key, UNKNOWN_TURN)
 
     def _rank(
         self, one: WaitingItem
-    ) -> tuple[int, int, timedelta, int, timedelta, int]:
+    ) -> tuple[Outlook, int, GroupTurn, timedelta, int]:
         batch, run = one
-        latest_start = self._durations.compute_latest_start(batch, run)
-        estimate = run.item.length_estimate
-        plan = self._plans.get(self._find_service(batch))
-        if plan is None or not plan.groups.shortage:
-            return 0, 0, ZERO, 0, latest_start, -estimate
+        turn = self._find_turn(batch, run)
         head = batch.head
-        key = head.id, run.item.group or run.item.id
+        rank = 0
+        if turn is not UNKNOWN_TURN:
+            rank = self._routes.find_rank(head.route, head.client_account)
         return (
-            self._find_outlook(batch, run),
-            self._routes.find_rank(head.route, head.client_account),
-            plan.groups.remaining.get(key, ZERO),
-            plan.groups.order.get(key, 0),
-            latest_start,
-            -estimate,
+            turn.outlook,
+            rank,
+            turn,
+            self._durations.compute_latest_start(batch, run),
+            -run.item.length_estimate,
         )
