--- a/quetzalcourse/batch_components.py
+++ b/quetzalcourse/batch_components.py
@@ -147,7 +147,7 @@
 ) -> None:
     """Run whole groups first while the slots don't suffice for all."""
     runner = batches.runner
-    runner.set_order(
+    runner.use_order(
         StepTriage(runner.durations, batches.supply, routes, clock)
     )
 
--- a/quetzalcourse/coordination/batches/group_progress.py
+++ b/quetzalcourse/coordination/batches/group_progress.py
@@ -103,12 +103,10 @@
         case. After them come the groups that are complete first.
         """
         certain = self.wanted // 2
-        by_need = sorted(self.groups, key=_rank_need)
-        first = [one for one in self.groups[:certain] if not one.complete]
-        complete = sum(one.complete for one in self.groups[:certain])
-        others = [one for one in by_need if one not in self.groups[:certain]]
-        needed = max(self.wanted - complete - len(first), 0)
-        return sorted(first + others[:needed], key=_rank_need) + others[needed:]
+        others = sorted(self.groups[certain:], key=_rank_need)
+        last = self.wanted - certain
+        waited_for = self.groups[:certain] + others[:last]
+        return sorted(waited_for, key=_rank_need) + others[last:]
 
 
 def _rank_need(group: GroupProgress) -> tuple[bool, bool, timedelta]:
--- a/quetzalcourse/coordination/batches/item_order.py
+++ b/quetzalcourse/coordination/batches/item_order.py
@@ -21,8 +21,13 @@
 class ItemOrder(Protocol):
     """Decides in which order waiting items start."""
 
-    def update(self, batches: Collection[BatchRun]) -> None:
-        """Take the present state of the open batches into account."""
+    def update(
+        self, batches: Collection[BatchRun], waiting: Sequence[WaitingItem]
+    ) -> None:
+        """Take the present state of the open batches into account.
+
+        :param waiting: their items that could start now.
+        """
 
     def sort(self, waiting: Sequence[WaitingItem]) -> list[WaitingItem]:
         """Sort waiting items, the first one to start first."""
@@ -47,7 +52,9 @@
         """Store the predictor."""
         self._durations = durations
 
-    def update(self, batches: Collection[BatchRun]) -> None:
+    def update(
+        self, batches: Collection[BatchRun], waiting: Sequence[WaitingItem]
+    ) -> None:
         """Do nothing: the order depends on the items alone."""
 
     def sort(self, waiting: Sequence[WaitingItem]) -> list[WaitingItem]:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -103,8 +103,8 @@
         self._any_unplaced = False
         scoring.on_end(self._wake.set)
 
-    def set_order(self, order: ItemOrder) -> None:
-        """Set the order in which waiting items start."""
+    def use_order(self, order: ItemOrder) -> None:
+        """Start waiting items in another order."""
         self._order = order
 
     def on_batch_start(self, listener: Callable[[], None]) -> None:
@@ -187,7 +187,6 @@
 
     def _dispatch(self) -> None:
         now = self._clock.elapsed()
-        self._order.update(self.batches.values())
         waiting: list[tuple[BatchRun, ItemRun]] = []
         for batch in sorted(self.batches.values(), key=lambda one: one.due):
             if now >= batch.expires_at:
@@ -203,6 +202,7 @@
                     waiting.append((batch, run))
                 elif run.state is ItemState.unscored:
                     self._scoring.begin(batch, run)
+        self._order.update(self.batches.values(), waiting)
         self._begin_waiting(waiting)
 
     def _begin_waiting(
--- a/quetzalcourse/coordination/batches/step_order.py
+++ b/quetzalcourse/coordination/batches/step_order.py
@@ -12,7 +12,6 @@
 import enum
 from dataclasses import dataclass, field
 from datetime import timedelta
-from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
 from quetzalcourse.coordination.batches.group_progress import ZERO
@@ -220,11 +219,11 @@
     steps: Sequence[StepProgress], horizon: timedelta
 ) -> timedelta:
     """Sum the slot time of running items within a horizon."""
+    groups = [group for step in steps for group in step.groups]
     return sum(
         (
             max(min(remaining, horizon), ZERO)
-            for step in steps
-            for group in step.groups
+            for group in groups
             for remaining in group.running
         ),
         ZERO,
--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -30,7 +30,7 @@
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.duration_predictor import (
@@ -44,7 +44,7 @@
     from quetzalcourse.state.counters import Counters
 
 # Plans are renewed at this interval, and whenever a batch starts or ends.
-PLAN_INTERVAL = timedelta(milliseconds=50)
+PLAN_INTERVAL = timedelta(milliseconds=100)
 # How much later than its batch expires a deferred item claims to be due, so
 # that any item of another coordinator that can be in time gets the slot.
 DEFERRAL = timedelta(seconds=30)
@@ -52,7 +52,7 @@
 SHORTAGE_END_DELAY = timedelta(seconds=1)
 # Weight of a new estimate in the moving average of the slots at hand, which
 # change with each item that other coordinators start.
-SLOTS_WEIGHT = 0.2
+SLOTS_WEIGHT = 0.4
 # Steps in which the open work is reported to other coordinators, in seconds.
 WORK_UNIT = 5
 log = get_log('batches')
@@ -95,25 +95,28 @@
         self._plans: dict[str, ServicePlan] = {}
         self._work: dict[tuple[str, int], float] = {}
         self._records = TrainerRecords()
-        self._steps: dict[str, StepProgress] = {}
+        self._open: dict[str, BatchRun] = {}
         self._planned_at = ZERO
 
-    def update(self, batches: Collection[BatchRun]) -> None:
-        """Renew the plans if they are old or the batches are others."""
+    def update(
+        self, batches: Collection[BatchRun], waiting: Sequence[WaitingItem]
+    ) -> None:
+        """Renew the plans if they are old or the batches are others.
+
+        While nothing waits there is no shortage, and nothing to plan.
+        """
         now = self._clock.elapsed()
-        known = self._steps.keys()
-        ids = {batch.head.id for batch in batches}
-        if ids == known and now - self._planned_at < PLAN_INTERVAL:
+        if self._update_open(batches):
+            self._planned_at = -PLAN_INTERVAL
+        if now - self._planned_at < PLAN_INTERVAL:
             return
-        for ended in known - ids:
-            self._records.on_step_end(self._steps[ended])
         self._planned_at = now
-        self._steps = {one.head.id: self._measure(one) for one in batches}
-        self._work = self._sum_work(batches)
+        planned = batches if waiting else ()
+        steps = {one.head.id: self._measure(one) for one in planned}
+        self._work = _sum_work(planned, steps)
         by_service: dict[str, list[StepProgress]] = defaultdict(list)
-        for batch in batches:
-            step = self._steps[batch.head.id]
-            by_service[self._find_service(batch)].append(step)
+        for batch in planned:
+            by_service[self._find_service(batch)].append(steps[batch.head.id])
         for service in by_service.keys() | self._plans.keys():
             self._plan(service, by_service[service], now)
 
@@ -143,6 +146,19 @@
             total = sum(one.groups.count(outlook) for one in plans)
             counters.set('batch_groups', total, outlook=outlook.name)
 
+    def _update_open(self, batches: Collection[BatchRun]) -> bool:
+        """Record the steps that ended.
+
+        :returns: whether a batch started or ended.
+        """
+        opened = {batch.head.id: batch for batch in batches}
+        ended = self._open.keys() - opened.keys()
+        for name in ended:
+            self._records.on_step_end(self._measure(self._open[name]))
+        changed = bool(ended) or len(opened) > len(self._open)
+        self._open = opened
+        return changed
+
     def _plan(
         self, service: str, steps: list[StepProgress], now: timedelta
     ) -> None:
@@ -192,19 +208,6 @@
             return ''
         return max(route.targets, key=lambda one: one.weight).service
 
-    def _sum_work(
-        self, batches: Collection[BatchRun]
-    ) -> dict[tuple[str, int], float]:
-        """Sum the slot time in seconds, by model and oldest version."""
-        work: dict[tuple[str, int], timedelta] = defaultdict(timedelta)
-        for batch in batches:
-            head = batch.head
-            work[head.model, head.min_version] += self._steps[head.id].work
-        return {
-            key: round(one.total_seconds() / WORK_UNIT) * WORK_UNIT
-            for key, one in work.items()
-        }
-
     def _find_turn(self, batch: BatchRun, run: ItemRun) -> GroupTurn:
         plan = self._plans.get(self._find_service(batch))
         if plan is None or not plan.groups.shortage:
@@ -228,3 +231,20 @@
             self._durations.compute_latest_start(batch, run),
             -run.item.length_estimate,
         )
+
+
+def _sum_work(
+    batches: Collection[BatchRun], steps: Mapping[str, StepProgress]
+) -> dict[tuple[str, int], float]:
+    """Sum the slot time in seconds, by model and oldest version.
+
+    :param steps: progress of each batch.
+    """
+    work: dict[tuple[str, int], timedelta] = defaultdict(timedelta)
+    for batch in batches:
+        head = batch.head
+        work[head.model, head.min_version] += steps[head.id].work
+    return {
+        key: round(one.total_seconds() / WORK_UNIT) * WORK_UNIT
+        for key, one in work.items()
+    }
--- a/quetzalcourse/tests/coordination/batches/step_triage_tests.py
+++ b/quetzalcourse/tests/coordination/batches/step_triage_tests.py
@@ -126,9 +126,9 @@
         end = self.clock.elapsed() + timedelta(seconds=seconds)
         while self.clock.elapsed() < end:
             self._advance_items()
-            order.update(self.batches)
-            waiting = self._list_items(ItemState.waiting)
-            used = len(self._list_items(ItemState.running))
+            waiting = self.list_items(ItemState.waiting)
+            order.update(self.batches, waiting)
+            used = len(self.list_items(ItemState.running))
             free = UPSTREAMS * SLOTS - used
             for _, run in order.sort(waiting)[:free]:
                 run.state = ItemState.running
@@ -154,14 +154,15 @@
 
     def _advance_items(self) -> None:
         events = TICK.total_seconds() / PACE
-        for _, run in self._list_items(ItemState.running):
+        for _, run in self.list_items(ItemState.running):
             run.texts.extend(['x'] * int(events))
             run.last_event = len(run.texts)
             if len(run.texts) >= run.item.tokens:
                 run.state = ItemState.finished
                 self.ends[run.item.id] = self.clock.elapsed()
 
-    def _list_items(self, state: ItemState) -> list[tuple[BatchRun, ItemRun]]:
+    def list_items(self, state: ItemState) -> list[tuple[BatchRun, ItemRun]]:
+        """List the items in a state."""
         return [
             (batch, run)
             for batch in self.batches
@@ -207,8 +208,8 @@
     world = World()
     world.submit('verse', groups=2)
     world.submit('drill', groups=2)
-    world.triage.update(world.batches)
-    waiting = [(batch, run) for batch in world.batches for run in batch.items]
+    waiting = world.list_items(ItemState.waiting)
+    world.triage.update(world.batches, waiting)
     assert world.triage.sort(waiting) == world.durations.sort_by_urgency(
         waiting
     )
@@ -221,7 +222,7 @@
     world.submit('verse')
     await world.clock.advance(timedelta(seconds=8))
     world.submit('drill')
-    world.triage.update(world.batches)
+    world.triage.update(world.batches, world.list_items(ItemState.waiting))
     overdue, fresh = (
         world.triage.compute_latest_start(batch, batch.items[0])
         for batch in world.batches
