--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 METRIC_HELP: Mapping[str, str] = {
+    'batch_groups': 'Groups of items that are not complete, by outlook.',
     'batch_results': 'Results of items that stand in the store.',
     'batch_texts_saved': 'Saves of the texts of long items, by success.',
     'batches_owned': 'Batches that this daemon runs.',
@@ -34,6 +35,7 @@
     'rows_relayed': 'Rows taken from other daemons while the store was away.',
     'scoring_call': 'Time that scoring calls took, by how they ended.',
     'scoring_calls_failed': 'Scoring calls without a score, by reason.',
+    'slot_shortages': 'Services without enough slots for the open steps.',
     'store_call': 'Time that calls to the store took, by call.',
     'store_calls': 'Calls to the store, by call and outcome.',
     'store_feed_faults': 'Times that a table could not be followed.',
