--- a/quetzalcourse/coordination/batches/group_progress.py
+++ b/quetzalcourse/coordination/batches/group_progress.py
@@ -75,20 +75,26 @@
         a trainer.
     :param rank: 0 is the most urgent.
     :param due: time since boot at which its results are due.
+    :param tolerated: time since boot until which late results hardly hold its
+        caller up.
     :param wanted: number of complete groups that its caller waits for.
     """
 
     trainer: TrainerKey
     rank: int
     due: timedelta
+    tolerated: timedelta
     wanted: int
     groups: list[GroupProgress]
 
     @property
     def work(self) -> timedelta:
         """Slot time of the groups that its caller waits for."""
-        wanted = self.rank_groups()[: self.wanted]
-        return sum((group.remaining for group in wanted), ZERO)
+        return sum((one.remaining for one in self.list_awaited()), ZERO)
+
+    def list_awaited(self) -> list[GroupProgress]:
+        """List the groups that its caller waits for."""
+        return self.rank_groups()[: self.wanted]
 
     def count_complete(self) -> int:
         """Count the complete groups, at most those that its caller wants."""
--- a/quetzalcourse/coordination/batches/step_order.py
+++ b/quetzalcourse/coordination/batches/step_order.py
@@ -29,8 +29,8 @@
         TrainerRecords,
     )
 
-# Share of the slot time that is planned: callers' estimates of lengths are
-# off by a factor of about 1.5, and slots are free for a moment between items.
+# Share of the slot time that is planned for groups that are to be in time:
+# estimates of lengths are often off, and slots are free between two items.
 PLANNED_SHARE = 0.8
 
 
@@ -58,25 +58,26 @@
     number: int = 0
 
 
+UNKNOWN_TURN = GroupTurn()
+
+
 @dataclass(slots=True)
 class GroupPlan:
     """Turns of the groups of all open steps.
 
     :param turns: turn of each group that is not complete.
-    :param shortage: whether groups that the callers wait for can't be complete
-        in time with the slots at hand.
+    :param shortage: whether the slots at hand don't suffice, so that the turns
+        count.
     """
 
     turns: dict[GroupKey, GroupTurn] = field(default_factory=dict)
     shortage: bool = False
 
-    def choose(self, group: GroupProgress, due: timedelta) -> None:
-        """Let a group be complete in time, the longest one first."""
-        self._add(group, Outlook.in_time, due - group.longest)
-
-    def defer(self, group: GroupProgress, outlook: Outlook) -> None:
-        """Let a group run later, the one with the least work first."""
-        self._add(group, outlook, group.remaining)
+    def add(
+        self, group: GroupProgress, outlook: Outlook, urgency: timedelta
+    ) -> None:
+        """Add a group after those with the same outlook and urgency."""
+        self.turns[group.key] = GroupTurn(outlook, urgency, len(self.turns))
 
     def find_outlook(self, key: GroupKey) -> Outlook:
         """Find the outlook of a group."""
@@ -86,14 +87,9 @@
         """Count the groups with an outlook."""
         return sum(one.outlook is outlook for one in self.turns.values())
 
-    def _add(
-        self, group: GroupProgress, outlook: Outlook, urgency: timedelta
-    ) -> None:
-        self.turns[group.key] = GroupTurn(outlook, urgency, len(self.turns))
-
 
 class SlotBudget:
-    """Slot time until each due time, and how much of it is taken.
+    """Slot time until each deadline, and how much of it is taken.
 
     :param slots: number of slots at hand.
     """
@@ -103,24 +99,28 @@
     ) -> None:
         """Take the time of the items that already run."""
         self._now = now
-        self._slots = slots * PLANNED_SHARE
+        self._slots = slots
+        deadlines = {step.due for step in steps}
+        deadlines |= {step.tolerated for step in steps}
         self._taken = {
-            due: _sum_running(steps, due - now)
-            for due in sorted({step.due for step in steps})
+            deadline: _sum_running(steps, deadline - now)
+            for deadline in sorted(deadlines)
         }
 
-    def take(self, group: GroupProgress, due: timedelta) -> bool:
-        """Take the slot time of a group if it can be complete in time.
+    def take(
+        self, group: GroupProgress, deadline: timedelta, share: float = 1
+    ) -> bool:
+        """Take the slot time of a group if it can be complete by a deadline.
 
-        :returns: whether its time is taken.
+        :param share: share of the slot time that may be taken.
+        :returns: whether its time is taken, or no more slots are needed.
         """
-        if self._now + group.longest > due:
-            return False
         if not group.waiting:
             return True
-        later = [one for one in self._taken if one >= due]
+        later = [one for one in self._taken if one >= deadline]
+        slots = self._slots * share
         fits = all(
-            self._taken[one] + group.waiting <= self._slots * (one - self._now)
+            self._taken[one] + group.waiting <= slots * (one - self._now)
             for one in later
         )
         if fits:
@@ -129,9 +129,6 @@
         return fits
 
 
-UNKNOWN_TURN = GroupTurn()
-
-
 @dataclass(slots=True)
 class TrainerQueue:
     """Groups of a trainer that wait to be chosen.
@@ -159,6 +156,8 @@
     records: TrainerRecords,
     slots: float,
     now: timedelta,
+    *,
+    in_shortage: bool = False,
 ) -> GroupPlan:
     """Choose the groups that can be complete in time.
 
@@ -168,26 +167,48 @@
 
     :param records: what the trainers got in earlier steps.
     :param slots: number of slots at hand.
+    :param in_shortage: whether there was a shortage just before. It ends once
+        all groups that callers wait for can be in time, and not before:
+        changing back and forth leaves many groups half complete.
     """
     plan = GroupPlan()
     trainers = _queue_trainers(steps, records, plan)
     budget = SlotBudget(steps, slots, now)
     waiting = list(trainers.values())
+    late = 0
     while waiting:
         trainer = min(waiting, key=lambda one: one.turn)
         if not trainer.groups:
             waiting.remove(trainer)
             continue
         group, due = trainer.groups.pop(0)
-        if budget.take(group, due):
+        if now + group.longest <= due and budget.take(
+            group, due, PLANNED_SHARE
+        ):
             trainer.ready += 1
-            plan.choose(group, due)
+            plan.add(group, Outlook.in_time, due - group.longest)
         else:
-            plan.defer(group, Outlook.late)
-            plan.shortage = True
+            late += 1
+            plan.add(group, Outlook.late, group.remaining)
+    plan.shortage = late > 0 and (
+        in_shortage or _is_too_much(steps, SlotBudget(steps, slots, now))
+    )
     return plan
 
 
+def _is_too_much(steps: Sequence[StepProgress], budget: SlotBudget) -> bool:
+    """Tell whether not even late results can be complete while tolerated.
+
+    As long as they can, the order by latest start completes more groups than
+    any choice among them, most of them in time.
+    """
+    return not all(
+        budget.take(group, step.tolerated)
+        for step in steps
+        for group in step.list_awaited()
+    )
+
+
 def _queue_trainers(
     steps: Sequence[StepProgress], records: TrainerRecords, plan: GroupPlan
 ) -> dict[TrainerKey, TrainerQueue]:
@@ -212,7 +233,7 @@
         elif position < step.wanted:
             trainer.groups.append((group, step.due))
         else:
-            plan.defer(group, Outlook.spare)
+            plan.add(group, Outlook.spare, group.remaining)
 
 
 def _sum_running(
--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -28,6 +28,7 @@
 )
 from quetzalcourse.coordination.batches.trainer_records import TrainerRecords
 from quetzalcourse.log import get_log
+from quetzalcourse.state.batches import MILLISECOND
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
@@ -45,6 +46,9 @@
 
 # Plans are renewed at this interval, and whenever a batch starts or ends.
 PLAN_INTERVAL = timedelta(milliseconds=100)
+# Lateness that hardly holds callers up, as a share of the time until results
+# are due; they wait for longer than that.
+TOLERATED_LATENESS = 0.25
 # How much later than its batch expires a deferred item claims to be due, so
 # that any item of another coordinator that can be in time gets the slot.
 DEFERRAL = timedelta(seconds=30)
@@ -168,7 +172,13 @@
         if plan.slots is None or not steps:
             plan.slots = slots
         plan.slots += (slots - plan.slots) * SLOTS_WEIGHT
-        plan.groups = plan_groups(steps, self._records, plan.slots, now)
+        plan.groups = plan_groups(
+            steps,
+            self._records,
+            plan.slots,
+            now,
+            in_shortage=plan.shortage_until is not None,
+        )
         if plan.groups.shortage:
             if plan.shortage_until is None:
                 self._log_shortage('Shortage of slots began.', service, plan)
@@ -185,9 +195,7 @@
             service=service,
             slots=round(plan.slots or 0, 1),
             work_seconds=round(plan.work.total_seconds(), 1),
-            in_time=plan.groups.count(Outlook.in_time),
-            late=plan.groups.count(Outlook.late),
-            spare=plan.groups.count(Outlook.spare),
+            **{one.name: plan.groups.count(one) for one in Outlook},
         )
 
     def _measure(self, batch: BatchRun) -> StepProgress:
@@ -197,6 +205,7 @@
             (head.client_account, head.route, head.model),
             self._routes.find_rank(head.route, head.client_account),
             batch.due,
+            batch.due + head.due_ms * MILLISECOND * TOLERATED_LATENESS,
             head.wanted_groups or len(groups),
             groups,
         )
--- a/quetzalcourse/tests/coordination/batches/step_order_tests.py
+++ b/quetzalcourse/tests/coordination/batches/step_order_tests.py
@@ -21,6 +21,7 @@
 
 SLOTS = 8
 DUE = timedelta(seconds=7.5)
+TOLERATED = timedelta(seconds=3)
 NOW = timedelta(0)
 GROUPS = 10
 ITEMS = 8
@@ -47,7 +48,10 @@
         for _ in range(ITEMS):
             group.add(ItemState.waiting, timedelta(seconds=item))
     owner = trainer or name
-    return StepProgress((owner, 'r', owner), rank, due, wanted, groups)
+    tolerated = due + TOLERATED
+    return StepProgress(
+        (owner, 'r', owner), rank, due, tolerated, wanted, groups
+    )
 
 
 def count_in_time(plan: GroupPlan) -> Counter[str]:
