--- a/quetzalcourse/coordination/batches/slot_supply.py
+++ b/quetzalcourse/coordination/batches/slot_supply.py
@@ -15,6 +15,7 @@
 
     from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.state.clock import Clock
 
 
@@ -40,12 +41,21 @@
             for one in self._pool.list_service(service)
             if one.is_available(now)
         ]
+        slots = sum(_count_slots(one, now) for one in upstreams)
         peer_work = self._allocator.sum_peer_work(service)
         if not peer_work:
-            return sum(
-                max(one.member.slots - one.count_load(now) + one.running, 0)
-                for one in upstreams
-            )
+            return slots
         share = own_work.total_seconds()
-        total = sum(one.member.slots for one in upstreams)
-        return total * share / (share + peer_work)
+        return slots * share / (share + peer_work)
+
+
+def _count_slots(upstream: Upstream, now: timedelta) -> int:
+    """Count the slots of an upstream that batches can use.
+
+    Items of other coordinators leave theirs within a second or two; requests
+    that are not items are expected to be followed by others.
+    """
+    if now < upstream.peer_items_until:
+        return upstream.member.slots
+    others = upstream.count_load(now) - upstream.running
+    return max(upstream.member.slots - others, 0)
