--- a/quetzalcourse/tests/coordination/batches/step_order_tests.py
+++ b/quetzalcourse/tests/coordination/batches/step_order_tests.py
@@ -116,6 +116,14 @@
     assert find_outlooks(plan, 'late', range(GROUPS)) == {Outlook.late}
 
 
+def test_tolerable_lateness_is_no_shortage() -> None:
+    """By latest start all groups are complete, some a little late."""
+    step = build_step('a', 0.9)
+    assert not plan_at_start(step).shortage
+    kept = plan_groups([step], TrainerRecords(), SLOTS, NOW, in_shortage=True)
+    assert kept.shortage
+
+
 def test_more_urgent_trainer_is_chosen_first() -> None:
     """Its groups are all in time before another one's are chosen."""
     plan = plan_at_start(
