--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -121,6 +121,8 @@
         by_service: dict[str, list[StepProgress]] = defaultdict(list)
         for batch in planned:
             by_service[self._find_service(batch)].append(steps[batch.head.id])
+        # Batches whose route was removed use no service.
+        by_service.pop('', None)
         for service in by_service.keys() | self._plans.keys():
             self._plan(service, by_service[service], now)
 
@@ -169,6 +171,10 @@
         plan = self._plans.setdefault(service, ServicePlan())
         plan.work = sum((step.work for step in steps), ZERO)
         slots = self._supply.estimate(service, plan.work)
+        if steps and not slots:
+            # Nothing can start now, and upstreams that all failed at once are
+            # mostly back in a moment.
+            return
         if plan.slots is None or not steps:
             plan.slots = slots
         plan.slots += (slots - plan.slots) * SLOTS_WEIGHT
