--- a/quetzalcourse/coordination/batches/group_progress.py
+++ b/quetzalcourse/coordination/batches/group_progress.py
@@ -32,7 +32,6 @@
     """What a group of items still needs.
 
     :param key: ids of its batch and of the group.
-    :param index: index of its first item in the batch.
     :param waiting: slot time that its waiting items need.
     :param running: remaining times of its running items.
     :param longest: remaining time of its longest item.
@@ -41,7 +40,6 @@
     """
 
     key: GroupKey
-    index: int
     waiting: timedelta = ZERO
     running: list[timedelta] = field(default_factory=list)
     longest: timedelta = ZERO
@@ -131,7 +129,7 @@
         name = run.item.group or run.item.id
         group = groups.get(name)
         if group is None:
-            group = GroupProgress((batch.head.id, name), run.index)
+            group = GroupProgress((batch.head.id, name))
             groups[name] = group
         _add_item(group, batch, run, durations)
     return list(groups.values())
--- a/quetzalcourse/tests/coordination/batches/step_order_tests.py
+++ b/quetzalcourse/tests/coordination/batches/step_order_tests.py
@@ -40,10 +40,7 @@
 
     :param item: seconds that an item runs.
     """
-    groups = [
-        GroupProgress((name, str(number)), number * ITEMS)
-        for number in range(GROUPS)
-    ]
+    groups = [GroupProgress((name, str(number))) for number in range(GROUPS)]
     for group in groups:
         for _ in range(ITEMS):
             group.add(ItemState.waiting, timedelta(seconds=item))
