--- a/quetzalcourse/tests/coordination/batches/step_triage_tests.py
+++ b/quetzalcourse/tests/coordination/batches/step_triage_tests.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
@@ -70,17 +71,24 @@
                     SLOTS,
                 )
             )
-        self.allocator, _ = build_allocator(self.pool, self.clock, count=2)
+        self.allocator, self.updates = build_allocator(
+            self.pool, self.clock, count=2
+        )
         self.durations = DurationPredictor()
         for model in MODELS:
             for events in (5, 10, 20):
                 took = timedelta(seconds=events * PACE)
                 self.durations.observe(model, events * TOKENS, events, took)
-        routes = RouteTable()
-        config = json.dumps(documents.build_config()).encode()
-        routes.adopt(read_manifest(config).unwrap())
+        self.routes = RouteTable()
+        built = documents.build_config()
+        for route in built['routes']:
+            route['priority'] = 3
+        config = json.dumps(built).encode()
+        self.routes.adopt(read_manifest(config).unwrap())
         supply = SlotSupply(self.pool, self.allocator, self.clock)
-        self.triage = StepTriage(self.durations, supply, routes, self.clock)
+        self.triage = StepTriage(
+            self.durations, supply, self.routes, self.clock
+        )
         self.batches: list[BatchRun] = []
         self.ends: dict[str, timedelta] = {}
 
@@ -239,6 +247,28 @@
     assert all(one.done or not one.count_unfinished() for one in world.batches)
 
 
+async def test_update_without_work_takes_no_share() -> None:
+    # During a rolling update another coordinator runs a release that reports
+    # no work. It must be understood, and counts as having none.
+    world = World()
+    key = PlacementKey(documents.ENGINES, 'drill', 0)
+    wants = [{'key': msgspec.to_builtins(key), 'seconds': 1.0}]
+    content = msgspec.msgpack.encode(
+        {'taken': {}, 'wants': wants, 'whole': True}
+    )
+    world.updates.on_message(COORDINATORS[1], content)
+    assert world.allocator.list_others() == [COORDINATORS[1]]
+    assert not world.allocator.sum_peer_work(documents.ENGINES)
+
+
+async def test_priority_of_an_account_goes_before_that_of_its_route() -> None:
+    """Ranks decide which trainer's groups are chosen first."""
+    routes = World().routes
+    route = 'r-drill'
+    assert routes.find_rank(route, documents.OTHER_ACCOUNT) == 3
+    assert routes.find_rank(route, documents.ACCOUNT) == 1
+
+
 async def test_dead_coordinator_takes_no_share_of_the_slots() -> None:
     # Another coordinator dies with a backlog. Its last report must not keep
     # half of the slots from being planned here for longer than reports count.
