--- a/quetzalcourse/coordination/batches/step_triage.py
+++ b/quetzalcourse/coordination/batches/step_triage.py
@@ -48,7 +48,7 @@
 PLAN_INTERVAL = timedelta(milliseconds=100)
 # Lateness that hardly holds callers up, as a share of the time until results
 # are due; they wait for longer than that.
-TOLERATED_LATENESS = 0.1
+TOLERATED_LATENESS = 0.25
 # How much later than its batch expires a deferred item claims to be due, so
 # that any item of another coordinator that can be in time gets the slot.
 DEFERRAL = timedelta(seconds=30)
