--- a/quetzalcourse/batch_components.py
+++ b/quetzalcourse/batch_components.py
@@ -25,6 +25,8 @@
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
 from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
+from quetzalcourse.coordination.batches.slot_supply import SlotSupply
+from quetzalcourse.coordination.batches.step_triage import StepTriage
 from quetzalcourse.coordination.versions.load_updates import LoadUpdates
 
 if TYPE_CHECKING:
@@ -64,6 +66,7 @@
     load_updates: LoadUpdates
     allocator: SlotAllocator
     service: BatchService
+    supply: SlotSupply
 
     def start(self, lifecycle: Lifecycle) -> None:
         """Run the components in the background."""
@@ -139,6 +142,17 @@
         LoadUpdates(coordinators, pool, calls.peers),
         allocator,
         service,
+        SlotSupply(pool, allocator, clock),
+    )
+
+
+def use_step_triage(
+    batches: BatchComponents, routes: RouteTable, clock: Clock
+) -> None:
+    """Run whole groups first while the slots don't suffice for all."""
+    runner = batches.runner
+    runner.use_order(
+        StepTriage(runner.durations, batches.supply, routes, clock)
     )
 
 
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -12,6 +12,7 @@
 from quetzalcourse.coordination.batches.duration_predictor import (
     DurationPredictor,
 )
+from quetzalcourse.coordination.batches.item_order import UrgencyOrder
 from quetzalcourse.coordination.batches.placement import PlacementRequest
 from quetzalcourse.coordination.batches.slot_allocation import SlotDemand
 from quetzalcourse.coordination.forwarding.route_table import choose_service
@@ -24,6 +25,7 @@
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
     from quetzalcourse.coordination.batches.batch_writer import BatchWriter
+    from quetzalcourse.coordination.batches.item_order import ItemOrder
     from quetzalcourse.coordination.batches.placement import Placement
     from quetzalcourse.coordination.batches.scoring import ItemScoring
     from quetzalcourse.coordination.batches.slot_allocation import PlacementKey
@@ -108,7 +110,8 @@
         self._routes = residency.routes
         self._quarantine = quarantine
         self._clock = clock
-        self._durations = DurationPredictor()
+        self.durations = DurationPredictor()
+        self._order: ItemOrder = UrgencyOrder(self.durations)
         self._writer = writer
         self._wake = asyncio.Event()
         self._tasks = BackgroundTasks('batches')
@@ -117,6 +120,10 @@
         self._any_unplaced = False
         scoring.on_end(self._wake.set)
 
+    def use_order(self, order: ItemOrder) -> None:
+        """Start waiting items in another order."""
+        self._order = order
+
     def on_batch_start(self, listener: Callable[[], None]) -> None:
         """Call a listener whenever a batch starts."""
         self._begin_listeners.append(listener)
@@ -187,6 +194,7 @@
         counters.set('items_running', states[ItemState.running])
         counters.set('items_waiting', states[ItemState.waiting])
         counters.set('items_unscored', states[ItemState.unscored])
+        self._order.report_metrics(counters)
 
     async def run(self) -> None:
         """Start items as slots become free, until the task is cancelled."""
@@ -215,6 +223,7 @@
                     waiting.append((batch, run))
                 elif run.state is ItemState.unscored:
                     self._scoring.begin(batch, run)
+        self._order.update(self.batches.values(), waiting)
         self._begin_waiting(waiting)
 
     def _begin_waiting(
@@ -226,7 +235,7 @@
         self._placement.start_round()
         held: dict[PlacementKey, SlotDemand] = {}
         full: dict[PlacementKey, SlotDemand] = {}
-        for batch, run in self._durations.sort_by_urgency(waiting):
+        for batch, run in self._order.sort(waiting):
             if not self._quarantine.may_begin(run.fingerprint):
                 continue
             request = self._build_request(batch, run)
@@ -239,7 +248,11 @@
             elif request.key not in full and not self._begin(
                 batch, run, request
             ):
-                demand = SlotDemand(request.key, request.latest_start)
+                demand = SlotDemand(
+                    request.key,
+                    request.latest_start,
+                    self._order.find_open_work(batch),
+                )
                 waits = self._placement.holds(request)
                 (held if waits else full).setdefault(request.key, demand)
         demands = full | held
@@ -295,10 +308,10 @@
             batch.head.model,
             batch.head.min_version,
             run.avoided,
-            self._durations.compute_latest_start(batch, run),
+            self._order.compute_latest_start(batch, run),
             self._residency.find_batch_regions(batch.head),
             self._quarantine.list_avoided(run.fingerprint),
-            self._durations.predict_remaining_events(
+            self.durations.predict_remaining_events(
                 batch.head.model, run.item.length_estimate, len(run.texts)
             ),
         )
@@ -314,7 +327,7 @@
         request = self._build_request(batch, run)
         if request is None:
             return
-        remaining_events = self._durations.predict_remaining_events(
+        remaining_events = self.durations.predict_remaining_events(
             batch.head.model, run.item.length_estimate, len(run.texts)
         )
         target = self._placement.choose_migration_target(
@@ -353,7 +366,7 @@
                 self._start(batch, run, target)
             return
         if result.state is ResultState.completed and not resumed:
-            self._durations.observe(
+            self.durations.observe(
                 batch.head.model,
                 run.item.length_estimate,
                 len(run.texts),
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -11,6 +11,7 @@
     BatchCalls,
     build_batch_components,
     carry_texts,
+    use_step_triage,
 )
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
@@ -220,6 +221,8 @@
             self.clock,
             self.counters,
         )
+        if self.settings.load_control.step_triage:
+            use_step_triage(self.batches, self.routes, self.clock)
         limit_cold_starts(
             self.upstreams,
             self.settings,
