Share the fair order of accounts between both kinds of daemon

The daemon without a platform orders its waiting requests by start-time fair queueing; forwarded requests need the same order. The virtual times move to coordination/admission/fair_order.py, which knows neither tokens nor seconds, and FairQueue uses it. No decision changes: slots tests pass unchanged.

--- a/quetzalcourse/coordination/slots/fair_queue.py
+++ b/quetzalcourse/coordination/slots/fair_queue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.admission.fair_order import FairOrder
 from quetzalcourse.state.generation import TrafficClass
 
 if TYPE_CHECKING:
@@ -13,25 +15,19 @@
     from quetzalcourse.state.slots import QueueKey, SlotWaiter
 
 WaitersByOrder = dict[int, 'SlotWaiter']
-COST_SMOOTHING = 0.2
+INITIAL_COST_TOKENS = 1.0
 
 
 class FairQueue:
-    """Start-time fair queueing, measured in tokens.
-
-    Each account has a virtual time, which advances by its tokens divided by its
-    weight; the waiting account with the lowest one is served next. The number
-    of tokens a request will generate is unknown when it starts, so the
-    account's average is charged at the start and the difference at the end.
-    """
+    """Start-time fair queueing, measured in tokens."""
 
     def __init__(self) -> None:
         """Create an empty queue."""
         self.weights: Mapping[int, float] = {}
         self._queues: dict[QueueKey, dict[frozenset[str], WaitersByOrder]] = {}
-        self._finish_tags: dict[QueueKey, float] = {}
-        self._average_costs: dict[QueueKey, float] = {}
-        self._virtual_times: dict[TrafficClass, float] = {}
+        self._order: FairOrder[QueueKey] = FairOrder(
+            attrgetter('traffic_class'), self._get_weight, INITIAL_COST_TOKENS
+        )
         self._lengths: Counter[QueueKey] = Counter()
 
     def __len__(self) -> int:
@@ -76,7 +72,7 @@
         keys = [
             key for key in self._queues if key.traffic_class is traffic_class
         ]
-        for key in sorted(keys, key=self._compute_start_tag):
+        for key in sorted(keys, key=self._order.compute_start_tag):
             heads = [
                 next(iter(queue.values()))
                 for candidates, queue in self._queues[key].items()
@@ -91,22 +87,15 @@
 
         :returns: the number of tokens charged.
         """
-        start = self._compute_start_tag(key)
-        self._virtual_times[key.traffic_class] = start
-        estimate = self._average_costs.get(key, 1.0)
-        self._finish_tags[key] = start + estimate / self._get_weight(key)
-        return estimate
+        return self._order.charge_start(key)
 
     def charge_end(self, key: QueueKey, charged: float, tokens: int) -> None:
         """Charge the difference between a request's tokens and its estimate.
 
         :param charged: tokens charged for it by :meth:`charge_start`.
         """
-        cost = max(float(tokens), 1.0)
-        average = self._average_costs.get(key, cost)
-        self._average_costs[key] = average + COST_SMOOTHING * (cost - average)
-        difference = (cost - charged) / self._get_weight(key)
-        self._finish_tags[key] = self._finish_tags.get(key, 0.0) + difference
+        cost = max(float(tokens), INITIAL_COST_TOKENS)
+        self._order.charge_end(key, charged, cost)
 
     def iter_waiters(self) -> Iterator[SlotWaiter]:
         """Iterate over all waiting requests."""
@@ -138,11 +127,5 @@
         for queue in self._queues[key].values():
             yield from queue.values()
 
-    def _compute_start_tag(self, key: QueueKey) -> float:
-        # An account that was idle starts at the current virtual time: credit
-        # for its idle time would let it take all slots when it returns.
-        virtual_time = self._virtual_times.get(key.traffic_class, 0.0)
-        return max(self._finish_tags.get(key, 0.0), virtual_time)
-
     def _get_weight(self, key: QueueKey) -> float:
         return self.weights.get(key.account_id, 1.0)
