Let forwarded requests wait for a slot at their daemon

With load_control.queueing, a request that finds all upstreams full waits, is sent when a slot is free, and goes back to its place when an upstream refuses it as full. It leaves the queue when its caller leaves, its key is withdrawn or the daemon drains. With the switch off, upstreams are selected as before.

--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -14,6 +14,9 @@
 from quetzalcourse.state.routing import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from quetzalcourse.coordination.admission.entry_queue import WaitingRequest
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
@@ -28,6 +31,8 @@
 MIN_ATTEMPT_TIMEOUT = timedelta(milliseconds=250)
 # Requests with less time left are refused at once.
 MIN_TIME_LEFT = timedelta(milliseconds=5)
+# Refusals of full upstreams after which they count as attempts.
+MAX_FULL_REFUSALS = 8
 
 
 @dataclass(slots=True)
@@ -42,12 +47,18 @@
     :param attempts: number of upstreams that were chosen for it.
     :param may_have_run: whether an upstream may have started to run it.
     :param attempt_began: time since boot at which the last attempt started.
+    :param answer_time: time until the last response began.
     :param attempt_timeout: how long the attempt may take before another
         upstream is tried, zero if none will be.
     :param tried: ids of the upstreams that were chosen.
     :param unresponsive_data_centres: data centres of upstreams that could not
         be reached or did not respond.
     :param unreachable: ids of upstreams that could not be connected to.
+    :param rank: rank of its client account or route, 0 is the most urgent.
+    :param arrived_at: time since boot at which it arrived.
+    :param key_digest: SHA-256 of its API key, empty if none is required.
+    :param full_refusals: attempts that a full upstream did not run.
+    :param waiting: its place among the requests that wait for a slot.
     """
 
     request_id: str
@@ -61,10 +72,16 @@
     attempts: int = 0
     may_have_run: bool = False
     attempt_began: timedelta = timedelta(0)
+    answer_time: timedelta = timedelta(0)
     attempt_timeout: timedelta = timedelta(0)
     tried: set[str] = field(default_factory=set)
     unresponsive_data_centres: set[str] = field(default_factory=set)
     unreachable: set[str] = field(default_factory=set)
+    rank: int = 0
+    arrived_at: timedelta = timedelta(0)
+    key_digest: bytes = b''
+    full_refusals: int = 0
+    waiting: WaitingRequest | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -121,11 +138,51 @@
             )
         if upstream is None:
             raise RefusedError(_refuse_unavailable(request))
-        request.attempts += 1
-        request.attempt_began = self._clock.elapsed()
-        request.tried.add(upstream.name)
+        self._on_chosen(request, upstream)
         return upstream
 
+    def choose_free(
+        self,
+        request: ForwardedRequest,
+        full: Collection[str],
+        *,
+        strict: bool,
+    ) -> Upstream | None:
+        """Choose an upstream with a free slot for a request that has not run.
+
+        :param full: ids of upstreams without one.
+        :param strict: whether a full upstream is never chosen. Otherwise the
+            best one is, while any is free: it may be known better by its
+            response times than by a report of its load.
+        :returns: ``None`` while all that could run it are full.
+        :raises RefusedError: if no upstream is left or the deadline is near.
+        """
+        if not full:
+            return self.choose(request)
+        if self.find_time_left(request) < MIN_TIME_LEFT:
+            raise RefusedError(self.build_deadline_refusal(request))
+        avoided = request.tried.union(
+            self._quarantine.list_avoided(request.fingerprint)
+        )
+        best, free = (
+            self._pool.choose(
+                request.service,
+                names,
+                request.unresponsive_data_centres,
+                request.allowed_regions,
+            )
+            for names in (avoided, avoided.union(full))
+        )
+        if best is None:
+            raise RefusedError(_refuse_unavailable(request))
+        now = self._clock.elapsed()
+        if free is None or free.is_available(now) < best.is_available(now):
+            # An ejected upstream is no better than one that is full.
+            return None
+        chosen = free if strict else best
+        self._on_chosen(request, chosen)
+        return chosen
+
     def find_timeout(self, request: ForwardedRequest) -> timedelta:
         """Return how long to wait for the head of an attempt's response."""
         left = self.find_time_left(request)
@@ -141,8 +198,8 @@
 
     def on_answer(self, request: ForwardedRequest) -> None:
         """Record the response time of the current attempt."""
-        took = self._clock.elapsed() - request.attempt_began
-        self._timeouts.on_answer(request.route.name, took)
+        request.answer_time = self._clock.elapsed() - request.attempt_began
+        self._timeouts.on_answer(request.route.name, request.answer_time)
 
     def on_no_response(
         self, request: ForwardedRequest, upstream: Upstream
@@ -160,6 +217,15 @@
         """
         request.unreachable.add(upstream.name)
 
+    def on_full(self, request: ForwardedRequest, upstream: Upstream) -> None:
+        """Record that a full upstream did not run the request.
+
+        Such attempts don't count, and it may be tried there again.
+        """
+        if request.full_refusals < MAX_FULL_REFUSALS:
+            request.full_refusals += 1
+            request.tried.discard(upstream.name)
+
     def on_timeout(self, request: ForwardedRequest) -> None:
         """Record that the current attempt timed out."""
         if request.attempt_timeout:
@@ -175,6 +241,7 @@
         if not request.replayable:
             return False
         sent = request.attempts - len(request.unreachable)
+        sent -= request.full_refusals
         if sent >= request.route.max_attempts:
             return False
         if self.find_time_left(request) < MIN_TIME_LEFT:
@@ -205,6 +272,11 @@
             step='forward',
         )
 
+    def _on_chosen(self, request: ForwardedRequest, upstream: Upstream) -> None:
+        request.attempts += 1
+        request.attempt_began = self._clock.elapsed()
+        request.tried.add(upstream.name)
+
 
 def _refuse_unavailable(request: ForwardedRequest) -> Refusal:
     not_run = not request.may_have_run
--- a/quetzalcourse/coordination/forwarding/route_table.py
+++ b/quetzalcourse/coordination/forwarding/route_table.py
@@ -134,12 +134,25 @@
             raise RefusedError(_refuse_unready())
         if self.manifest.accounts is None:
             return None
-        digest = hashlib.sha256(key.encode(errors='surrogateescape')).digest()
-        account = self._accounts_by_digest.get(digest)
+        account = self._accounts_by_digest.get(digest_key(key))
         if account is None:
-            raise RefusedError(_refuse_key())
+            raise RefusedError(refuse_key())
         return account
 
+    def is_key_valid(self, digest: bytes) -> bool:
+        """Return whether the manifest in force accepts an API key.
+
+        :param digest: SHA-256 of the key.
+        """
+        if self.manifest is None or self.manifest.accounts is None:
+            return True
+        return digest in self._accounts_by_digest
+
+
+def digest_key(key: str) -> bytes:
+    """Compute the SHA-256 of an API key."""
+    return hashlib.sha256(key.encode(errors='surrogateescape')).digest()
+
 
 def choose_service(route: Route, request_id: str) -> str:
     """Choose the service of a request by the weights of the route's targets.
@@ -175,7 +188,8 @@
     )
 
 
-def _refuse_key() -> Refusal:
+def refuse_key() -> Refusal:
+    """Build the refusal of a request whose API key is not accepted."""
     return Refusal(
         RefusalCode.unauthenticated,
         'The key is not known.',
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -7,10 +7,12 @@
 
 from result import Err
 
+from quetzalcourse.admission_components import (
+    build_forwarding_components,
+)
 from quetzalcourse.batch_components import BatchCalls, build_batch_components
 from quetzalcourse.coordination.duties.usage_windows import WindowCounts
 from quetzalcourse.coordination.feeds.wall_clock import WallClockEstimate
-from quetzalcourse.coordination.forwarding.forwarding import Forwarder
 from quetzalcourse.coordination.forwarding.route_table import RouteTable
 from quetzalcourse.duty_components import build_duty_components
 from quetzalcourse.feed_components import build_feed_components
@@ -23,7 +25,6 @@
 from quetzalcourse.transport.activity import Activity
 from quetzalcourse.transport.batch_routes import BatchRoutes
 from quetzalcourse.transport.clock import SystemClock
-from quetzalcourse.transport.request_proxy import RequestProxy
 from quetzalcourse.transport.request_dispatcher import RequestDispatcher
 from quetzalcourse.transport.gateway import (
     apply_limits,
@@ -115,6 +116,7 @@
         self.activity.ready = False
         began = self.clock.elapsed()
         log.info('Drain began.', serving=self.activity.serving)
+        self.forwarding.on_drain()
         await self.presence.leave()
         await self.batches.takeover.hand_over()
         await self.duties.hand_over()
@@ -241,19 +243,20 @@
         self.duties.load_controller.on_loads(self.batches.load_updates)
 
     async def _build_servers(self) -> None:
-        forwards = RequestProxy(
-            Forwarder(self.pool, self.quarantine.quarantine, self.clock),
-            self.pool,
+        self.forwarding = build_forwarding_components(
+            self._deployment,
+            self.upstreams,
             self.calls,
-            self._deployment.upstreams,
-            self.quarantine.ends,
-            self.quarantine.quarantine,
+            self.quarantine,
             self.counts.record,
+            self.clock,
+            self.counters,
         )
+        self.lifecycle.on_stop(self.forwarding.stop)
         front = RequestDispatcher(
             self._deployment.callers,
             self.upstreams.residency,
-            forwards,
+            self.forwarding.proxy,
             BatchRoutes(self.batches.service, self._deployment.callers),
             self.activity,
             self.clock,
--- a/quetzalcourse/tests/commands/trace_tests.py
+++ b/quetzalcourse/tests/commands/trace_tests.py
@@ -91,3 +91,21 @@
     )
     assert len(events) > 20
     assert [event for event in events if event not in sources] == []
+
+
+def test_rejection_of_a_waiting_request_is_shown(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture,
+) -> None:
+    """Guards against a rejection whose reason the trace leaves out."""
+    path = tmp_path / 'daemon.log'
+    path.write_text(
+        '{"part": "admission", "request_id": "r-9", "reason": "late", '
+        '"waiting": 41, "drain_seconds": 2.3, "late_by_seconds": 0.8, '
+        '"event": "Request rejected.", "level": "info", "vm": "front-1", '
+        '"timestamp": "2026-01-01T00:00:01.5Z"}\n'
+    )
+    assert trace('r-9', [path], capsys) == (
+        '00:00:01.5 front-1 admission: Request rejected. request_id=r-9 '
+        'reason=late waiting=41 drain_seconds=2.3 late_by_seconds=0.8\n'
+    )
--- a/quetzalcourse/transport/request_dispatcher.py
+++ b/quetzalcourse/transport/request_dispatcher.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.forwarding.forwarding import ForwardedRequest
-from quetzalcourse.coordination.forwarding.route_table import choose_service
+from quetzalcourse.coordination.forwarding.route_table import (
+    choose_service,
+    digest_key,
+)
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.routing import RouteKind
@@ -22,7 +25,7 @@
     from quetzalcourse.state.calls import CallerMetadata, RequestHead
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
-    from quetzalcourse.state.routing import Route
+    from quetzalcourse.state.routing import AccountKeys, Route
     from quetzalcourse.transport.batch_routes import BatchRoutes
     from quetzalcourse.transport.caller_app import Activity
     from quetzalcourse.transport.dialect import CallerDialect
@@ -113,6 +116,9 @@
             await spooled.fill()
             forwarding = _build_forwarding(route, metadata, account, started_at)
             forwarding.fingerprint = spooled.compute_fingerprint(head, account)
+            forwarding.rank = _find_rank(route, holder)
+            if holder is not None:
+                forwarding.key_digest = digest_key(metadata.key)
             forwarding.allowed_regions = self._residency.find_allowed(
                 route, account
             )
@@ -144,9 +150,16 @@
         choose_service(route, metadata.request_id),
         client_account,
         started_at + timeout,
+        arrived_at=started_at,
     )
 
 
+def _find_rank(route: Route, holder: AccountKeys | None) -> int:
+    if holder is None or holder.priority is None:
+        return route.priority
+    return holder.priority
+
+
 def _refuse_query() -> Refusal:
     return Refusal(
         RefusalCode.invalid_body,
--- a/quetzalcourse/transport/request_proxy.py
+++ b/quetzalcourse/transport/request_proxy.py
@@ -27,9 +27,13 @@
         ForwardedRequest,
     )
     from quetzalcourse.coordination.forwarding.pool import Pool
+    from quetzalcourse.coordination.forwarding.selection import (
+        UpstreamSelection,
+    )
     from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.calls import RequestHead
+    from quetzalcourse.state.pool import LoadReport
     from quetzalcourse.transport.dialect import UpstreamDialect
     from quetzalcourse.transport.spooled_body import SpooledBody
     from quetzalcourse.transport.upstream_client import UpstreamClient
@@ -39,6 +43,7 @@
 # that a truncated one can be retried on another upstream.
 MAX_BUFFERED_BYTES = 65536
 HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
 WRITE_TIMEOUT_SECONDS = 30.0
 EVENT_STREAM_TYPE = 'text/event-stream'
 EVENT_SEPARATOR = b'\n\n'
@@ -69,6 +74,7 @@
     def __init__(
         self,
         forwarder: Forwarder,
+        selection: UpstreamSelection,
         pool: Pool,
         client: UpstreamClient,
         dialect: UpstreamDialect,
@@ -78,6 +84,7 @@
     ) -> None:
         """Store the collaborators."""
         self._forwarder = forwarder
+        self._selection = selection
         self._pool = pool
         self._client = client
         self._dialect = dialect
@@ -117,7 +124,7 @@
     ) -> Upstream | None:
         try:
             await self._forwarder.admit(forwarding)
-            return self._forwarder.choose(forwarding)
+            return await self._selection.acquire(forwarding)
         except RefusedError:
             if not caller.started:
                 raise
@@ -138,7 +145,7 @@
         if caller.started:
             caller.abort()
             return False
-        raise RefusedError(self._forwarder.build_refusal(forwarding)) from None
+        raise RefusedError(self._selection.build_refusal(forwarding)) from None
 
     def _record_failed_attempt(
         self,
@@ -165,6 +172,19 @@
         forwarding: ForwardedRequest,
         body: SpooledBody,
         upstream: Upstream,
+    ) -> None:
+        try:
+            await self._send(caller, head, forwarding, body, upstream)
+        finally:
+            self._selection.release(forwarding, upstream)
+
+    async def _send(
+        self,
+        caller: CallerResponse,
+        head: RequestHead,
+        forwarding: ForwardedRequest,
+        body: SpooledBody,
+        upstream: Upstream,
     ) -> None:
         time_left = self._forwarder.find_time_left(forwarding)
         metadata = AttemptMetadata(
@@ -178,7 +198,6 @@
             forwarding.replayable = False
             if body.length is not None:
                 headers.append(('Content-Length', str(body.length)))
-        self._pool.on_start(upstream)
         self._pool.on_send(upstream)
         isolated = self._quarantine.on_start(
             forwarding.fingerprint, upstream.name
@@ -214,7 +233,6 @@
                 error.state.value, not_run=not_run
             ) from error
         finally:
-            self._pool.on_end(upstream)
             if isolated:
                 self._quarantine.on_finish(
                     forwarding.fingerprint, upstream.name
@@ -233,6 +251,8 @@
         self._pool.on_load(upstream, metadata.load)
         if metadata.state is ResponseOutcome.not_run:
             self._pool.on_model_refused(upstream, '')
+            if _is_full(response.status, metadata.load):
+                self._selection.on_full(forwarding, upstream)
             raise AttemptFailedError(f'status {response.status}', not_run=True)
         if metadata.state is ResponseOutcome.foreign:
             self._pool.on_failure(upstream, 'foreign answer')
@@ -253,6 +273,7 @@
         response: aiohttp.ClientResponse,
     ) -> None:
         self._pool.on_success(upstream)
+        self._selection.on_served(forwarding)
         self._quarantine.on_answer(forwarding.fingerprint, upstream.run_id)
         self._pool.on_idle_connection(upstream, self._client.keep_alive)
         log.info(
@@ -371,6 +392,13 @@
         abort_connection(self._request)
 
 
+def _is_full(status: int, load: LoadReport | None) -> bool:
+    """Return whether an upstream refused a request for lack of slots."""
+    if status != HTTP_UNAVAILABLE:
+        return False
+    return load is None or load.total >= load.slots
+
+
 async def _read_up_to_limit(chunks: AsyncIterator[bytes]) -> tuple[bytes, bool]:
     """Read a body up to the buffer limit.
 
