--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -42,6 +42,8 @@
 STORE_WRITES = 400
 STORE_READS = 2_000
 SIZES = (9, 25, 50)
+# Limit of the queue of a service, as in service_admission.py.
+MAX_WAITING = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +136,26 @@
         lambda figures: figures['store_reads_per_s_50'] * DATA_CENTRES / 3,
         f'`store_reads_per_s_50` at 3 data centres × {DATA_CENTRES} / 3',
     ),
+    Row(
+        'queue of forwarded requests',
+        'processor time for its share of the requests, all of them waiting',
+        'cores',
+        CONTROL_CORE,
+        lambda figures: (
+            REQUESTS_PER_S / DAEMONS / figures['admission_decisions_per_s']
+        ),
+        f'{REQUESTS_PER_S} / {DAEMONS} / `admission_decisions_per_s`',
+    ),
+    Row(
+        'queue of forwarded requests',
+        'memory of a full queue',
+        'MB',
+        CONTROL_MEGABYTES,
+        lambda figures: (
+            MAX_WAITING * figures['admission_bytes_per_waiting'] / MEGABYTE
+        ),
+        f'{MAX_WAITING} × `admission_bytes_per_waiting`',
+    ),
     Row(
         'all control',
         'messages of the busiest daemon',
