Merge the queue of forwarded requests

Requests of callers wait at their daemon for a slot, by rank, turn and client account; those that would start too late are rejected at once. The rank of a request comes from one function for requests and batches.

--- a/quetzalcourse/transport/request_dispatcher.py
+++ b/quetzalcourse/transport/request_dispatcher.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING
 
 from quetzalcourse.coordination.forwarding.forwarding import ForwardedRequest
-from quetzalcourse.coordination.forwarding.route_table import choose_service
+from quetzalcourse.coordination.forwarding.route_table import (
+    choose_service,
+    digest_key,
+)
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.routing import RouteKind
@@ -113,6 +116,9 @@
             await spooled.fill()
             forwarding = _build_forwarding(route, metadata, account, started_at)
             forwarding.fingerprint = spooled.compute_fingerprint(head, account)
+            forwarding.rank = self._routes.find_rank(route.name, account)
+            if holder is not None:
+                forwarding.key_digest = digest_key(metadata.key)
             forwarding.allowed_regions = self._residency.find_allowed(
                 route, account
             )
@@ -144,6 +150,7 @@
         choose_service(route, metadata.request_id),
         client_account,
         started_at + timeout,
+        arrived_at=started_at,
     )
 
 
