Move the estimate of load that an owner did not grant to a module of its own

The owner of an engine's slots compares load reports with what it granted. Owners of other upstreams need the same estimate; it is now a class without knowledge of engines. No decision changes.

--- a/quetzalcourse/coordination/slots/slot_owner.py
+++ b/quetzalcourse/coordination/slots/slot_owner.py
@@ -12,6 +12,7 @@
     SlotTarget,
     divide_slots,
 )
+from quetzalcourse.coordination.slots.foreign_load import ForeignLoad
 from quetzalcourse.coordination.slots.requester_state import RequesterState
 from quetzalcourse.coordination.slots.decayed_token_counts import (
     DecayedTokenCounts,
@@ -25,9 +26,7 @@
     from quetzalcourse.state.manifest import Upstream
     from quetzalcourse.state.slots import Allowance, SlotReport, SlotTimings
 
-FOREIGN_LOAD_SMOOTHING = 0.5
 LOAD_REPORT_LAG = timedelta(seconds=3)
-MAX_RECENT_COMMITMENTS = 1000
 EXTRA_TRAINING_DIVISOR = 4
 
 
@@ -95,16 +94,20 @@
         fallback_shares: Mapping[str, int],
     ) -> None:
         """Create without reports."""
-        self.foreign_slots = 0.0
+        self._foreign_load = ForeignLoad(LOAD_REPORT_LAG)
         self._upstream = upstream
         self._terms = terms
         self._takeover_ends_at = takeover_ends_at
         self._fallback_shares = fallback_shares
         self._requesters: dict[str, RequesterState] = {}
         self._token_counts = DecayedTokenCounts()
-        self._recent_commitments: list[tuple[timedelta, int]] = []
         self._weights: Mapping[int, float] = {}
 
+    @property
+    def foreign_slots(self) -> float:
+        """Slots in use that this owner did not grant."""
+        return self._foreign_load.slots
+
     def on_manifest(
         self,
         upstream: Upstream,
@@ -146,27 +149,9 @@
     def on_load(self, busy: int, now: timedelta) -> None:
         """Compare the engine's load with the committed slots.
 
-        During a network partition, two daemons may own the same upstream. Each
-        then sees in the engine's load what the other granted, and reduces its
-        own slots accordingly. Correcting half of the difference at a time lets
-        both converge, where a full correction would make them oscillate. The
-        load report lags, so it is compared with the largest recent commitment.
-
         :param busy: number of requests that run or wait inside the engine.
         """
-        self._recent_commitments = [
-            (at, committed)
-            for at, committed in self._recent_commitments
-            if now - at <= LOAD_REPORT_LAG
-        ]
-        self._recent_commitments.append((now, self.count_committed(now)))
-        known = max(committed for _, committed in self._recent_commitments)
-        unknown = max(busy - known, 0)
-        self.foreign_slots += FOREIGN_LOAD_SMOOTHING * (
-            unknown - self.foreign_slots
-        )
-        if self.foreign_slots < FOREIGN_LOAD_SMOOTHING:
-            self.foreign_slots = 0.0
+        self._foreign_load.on_load(busy, self.count_committed(now), now)
 
     def count_committed(self, now: timedelta) -> int:
         """Count the slots that all daemons together may be using."""
@@ -188,8 +173,7 @@
         """
         self._drop_expired_requesters(now)
         committed = self.count_committed(now)
-        self._recent_commitments.append((now, committed))
-        del self._recent_commitments[:-MAX_RECENT_COMMITMENTS]
+        self._foreign_load.on_commitment(committed, now)
         plan = self._plan(committed, now)
         capacity = _Capacity(
             plan.slots - committed,
