--- a/quetzalcourse/state/members.py
+++ b/quetzalcourse/state/members.py
@@ -61,3 +61,5 @@
     liveness_ping = 'liveness_ping'
     liveness_pong = 'liveness_pong'
     upstream_ends = 'upstream_ends'
+    slot_demands = 'slot_demands'
+    slot_grants = 'slot_grants'
--- /dev/null
+++ b/quetzalcourse/tests/coordination/slot_grants/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
