Let the soak send bursts of several accounts beyond the slots of servers

With `--load`, servers have two slots and refuse what exceeds them, daemons let requests wait and share slots, and eight accounts send more than fits, one of them 60 % of it. Bursts run beside the faults, where a refused request must not have run, and once more after them: then servers may refuse at most 1.5 times for each request that they run, and no small account may get less than half of the mean share.

--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -186,6 +186,8 @@
         self.on_crash: Hook = _do_nothing
         self.on_restart: Hook = _do_nothing
         self.padding = ''
+        self.work_seconds = WORK_SECONDS
+        self.refusals = 0
         self.running = 0
         self.leaving = False
         self._data_centre = data_centre
@@ -330,6 +332,7 @@
         model = head.find('x-model')
         full = self.running >= self.slots
         if full or (model and self.state.loading == model):
+            self.refusals += 1
             await send_response(
                 request,
                 b'',
@@ -378,7 +381,7 @@
         elif model:
             await self._stream(request, head, model, resumed_after)
         else:
-            await asyncio.sleep(WORK_SECONDS * self.faults.slowdown)
+            await asyncio.sleep(self.work_seconds * self.faults.slowdown)
             await self._answer_plain(request, head)
 
     async def _run_poison(
--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -15,6 +15,7 @@
     UpstreamStandin,
     write_text,
 )
+from soak.bursts import check_burst
 from soak.callers import BatchRecord, RequestOutcome
 from soak.checks import (
     check_batches,
@@ -210,3 +211,24 @@
     async with asyncio.timeout(SOAK_SECONDS):
         output, _ = await process.communicate()
     assert process.returncode == 0, output.decode()
+
+
+@pytest.mark.parametrize(
+    ('refusals', 'served', 'broken'),
+    [
+        (10, {'burst-0': 60, 'burst-1': 15}, False),
+        (400, {'burst-0': 60, 'burst-1': 15}, True),
+        (10, {'burst-0': 90, 'burst-1': 2}, True),
+    ],
+)
+def test_bursts_are_checked(
+    refusals: int, served: dict[str, int], *, broken: bool
+) -> None:
+    # Servers are overfilled all the time, or one account takes all slots.
+    violations = check_burst(
+        {'refusals': 5, 'runs': 50},
+        {'refusals': 5 + refusals, 'runs': 150},
+        {'burst-0': 120, 'burst-1': 20},
+        served,
+    )
+    assert bool(violations) == broken
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,11 @@
 
 from quetzalcourse.log import configure_log
 from quetzalcourse.loop import run_loop
+from soak.bursts import (
+    FINAL_BURST_SECONDS,
+    check_burst,
+    count_refusals,
+)
 from soak.checks import (
     check_batches,
     check_billing,
@@ -42,6 +47,7 @@
     """
     deployment = SoakDeployment(folder, options.daemons, seed)
     deployment.poison_enabled = options.poison
+    deployment.bursts_enabled = options.load
     fault_series = FaultSeries(
         deployment, seed, data_centre_faults=options.places
     )
@@ -66,6 +72,8 @@
     clients += [callers.read_batches(stop) for _ in range(READER_COUNT)]
     if deployment.poison_enabled:
         clients.append(callers.send_poison_requests(stop))
+    if deployment.bursts_enabled:
+        clients.append(deployment.burst_callers.send_bursts(stop))
     running = asyncio.gather(*clients, fault_series.run(stop))
     await asyncio.sleep(seconds)
     stop.set()
@@ -75,19 +83,36 @@
         await asyncio.sleep(SETTLE_SECONDS)
         deployment.crashes_at_rest = deployment.count_crashes()
         await callers.probe_daemons_with_poison()
+    if deployment.bursts_enabled:
+        await asyncio.sleep(SETTLE_SECONDS)
+        deployment.burst_violations = await check_final_burst(deployment)
+
+
+async def check_final_burst(deployment: SoakDeployment) -> list[str]:
+    """Send a burst without faults, and list what it violates."""
+    burst_callers = deployment.burst_callers
+    before = count_refusals(deployment.servers)
+    await burst_callers.send_burst(FINAL_BURST_SECONDS)
+    after = count_refusals(deployment.servers)
+    return check_burst(before, after, burst_callers.asked, burst_callers.served)
 
 
 def check_guarantees(deployment: SoakDeployment) -> list[str]:
     """List the violated guarantees."""
     runs = deployment.list_runs()
-    violations = check_requests(deployment.callers.request_outcomes, runs)
+    outcomes = [
+        *deployment.callers.request_outcomes,
+        *deployment.burst_callers.outcomes,
+    ]
+    violations = check_requests(outcomes, runs)
+    violations += deployment.burst_violations
     violations += check_batches(deployment.callers.batches, runs)
     violations += check_fencing_tokens(deployment.list_servers())
     violations += check_cold_starts(deployment.list_servers())
     violations += check_usage(deployment.cloud.reports)
     violations += check_billing(
         deployment.cloud.reports,
-        deployment.callers.request_outcomes,
+        outcomes,
         [one for daemon in deployment.daemons for one in daemon.interruptions],
     )
     violations += check_poison(
@@ -144,6 +169,11 @@
         action='store_true',
         help='also send requests that crash the servers which run them',
     )
+    parser.add_argument(
+        '--load',
+        action='store_true',
+        help='also send bursts of several accounts beyond the slots of servers',
+    )
     options = parser.parse_args()
     configure_log('error', 'console')
     return run_loop(run_seeds(options))
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -135,6 +135,19 @@
             await asyncio.sleep(RESTART_DELAY_SECONDS)
 
 
-def build_daemon(folder: Path, name: str, store: str, cloud: str) -> SoakDaemon:
-    """Build a daemon that listens on free ports."""
-    return SoakDaemon(folder, build_settings(name, store, cloud))
+def build_daemon(
+    folder: Path,
+    name: str,
+    store: str,
+    cloud: str,
+    *,
+    load_control: bool = False,
+) -> SoakDaemon:
+    """Build a daemon that listens on free ports.
+
+    :param load_control: whether requests wait for slots that daemons share.
+    """
+    settings = build_settings(name, store, cloud)
+    if load_control:
+        settings['load_control'] = {'queueing': True, 'shared_slots': True}
+    return SoakDaemon(folder, settings)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -15,6 +15,12 @@
     UpstreamStandin,
 )
 from quetzalcourse.standins.rollout.cluster import Caller
+from soak.bursts import (
+    SERVER_SLOTS,
+    WORK_SECONDS,
+    BurstCallers,
+    add_accounts,
+)
 from soak.callers import POISON_BODY, SoakCallers
 from soak.daemons import SoakDaemon, build_daemon
 from soak.proxy import FaultProxy
@@ -48,6 +54,8 @@
         self.server_proxies: dict[str, FaultProxy] = {}
         self.manifest_version = 1
         self.poison_enabled = False
+        self.bursts_enabled = False
+        self.burst_violations: list[str] = []
         self.crashes_at_rest: Counter[str] = Counter()
         self._folder = folder
         self._daemon_count = daemon_count
@@ -58,7 +66,7 @@
     async def start(self) -> None:
         """Start all parts and wait until each daemon serves requests."""
         await self.cloud.server.start()
-        await self.store.write('op', 'config', documents.build_config())
+        await self.write_config()
         for _ in range(ENGINE_COUNT):
             await self.add_server(documents.ENGINES, (documents.MODEL,))
         for _ in range(PLAIN_SERVER_COUNT):
@@ -67,6 +75,7 @@
             await self._add_daemon(f'vm-{number}')
         addresses = [daemon.address for daemon in self.daemons]
         self.callers = SoakCallers(addresses, self._seed)
+        self.burst_callers = BurstCallers(addresses, self._seed)
         await self._await_ready()
 
     async def stop(self) -> None:
@@ -81,6 +90,13 @@
             await store_endpoint.server.stop()
         await self.cloud.server.stop()
 
+    async def write_config(self) -> None:
+        """Write the manifest in its current version."""
+        config = documents.build_config(self.manifest_version)
+        if self.bursts_enabled:
+            config = add_accounts(config)
+        await self.store.write('op', 'config', config)
+
     async def add_server(
         self,
         service: str,
@@ -99,6 +115,9 @@
         self.server_proxies[server.name] = proxy
         server.on_crash = proxy.stop
         server.on_restart = proxy.start
+        if self.bursts_enabled and service == documents.CATALOGUE:
+            server.slots = SERVER_SLOTS
+            server.work_seconds = WORK_SECONDS
         if self.poison_enabled:
             server.faults.poison = POISON_BODY
         self.servers.append(server)
@@ -169,7 +188,11 @@
         await proxy.start()
         self.store_proxies.append(proxy)
         daemon = build_daemon(
-            self._folder, name, proxy.address, self.cloud.server.address
+            self._folder,
+            name,
+            proxy.address,
+            self.cloud.server.address,
+            load_control=self.bursts_enabled,
         )
         self.daemons.append(daemon)
         await daemon.start()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -175,9 +175,7 @@
         """Write a newer manifest and set a newer target weight version."""
         deployment = self._deployment
         deployment.manifest_version += self._random.randint(1, 3)
-        await deployment.store.write(
-            'op', 'config', documents.build_config(deployment.manifest_version)
-        )
+        await deployment.write_config()
         deployment.callers.target_version += 1
         await deployment.set_target_version(deployment.callers.target_version)
 
