Follow the runs of upstreams in shared slots, and leave free slots to the queue

Found by reading: an upstream that was replaced kept the counts of its earlier run, and one that was gone was still asked for until its contention ended.

--- a/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
+++ b/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
@@ -84,14 +84,13 @@
         self._counters = counters
         self._defer = defer
         self._random = generator or random.Random()
-        self._usages: dict[str, UpstreamUsage] = {}
+        self._usages: dict[tuple[str, int], UpstreamUsage] = {}
         self._demands: dict[str, ServiceDemand] = defaultdict(ServiceDemand)
         self._listeners: list[Callable[[str], None]] = []
         self._activity_listeners: list[Callable[[], None]] = []
         self._freed: set[str] = set()
         self._contended: dict[str, timedelta] = {}
         exchange.listen(self._on_grant, self._on_notice, self._report_activity)
-        local.on_free(self._notify_free)
 
     @property
     def active(self) -> bool:
@@ -110,7 +109,7 @@
 
     def has_free_slot(self, upstream: Upstream) -> bool:
         """Tell whether another request may be sent to an upstream now."""
-        usage = self._usages.get(upstream.name)
+        usage = self._usages.get(upstream.run_id)
         now = self._clock.elapsed()
         if usage is None or not usage.contention.is_active(now):
             return self._local.has_free_slot(upstream)
@@ -169,6 +168,7 @@
     def on_free(self, listener: Callable[[str], None]) -> None:
         """Call a listener with a service whose slots may have become free."""
         self._listeners.append(listener)
+        self._local.on_free(listener)
 
     def on_tick(self) -> None:
         """Report changed demand, divide owned slots and end contention."""
@@ -206,12 +206,17 @@
         return {usage.upstream.member.service for usage in usages}
 
     def _find_usage(self, upstream: Upstream) -> UpstreamUsage:
-        usage = self._usages.get(upstream.name)
-        if usage is None or usage.upstream.run_id != upstream.run_id:
+        usage = self._usages.get(upstream.run_id)
+        if usage is None:
             usage = UpstreamUsage(upstream, RefusalPause(self._random))
-            self._usages[upstream.name] = usage
+            self._usages[upstream.run_id] = usage
         return usage
 
+    def _is_registered(self, usage: UpstreamUsage) -> bool:
+        """Tell whether this run of an upstream still has a registration."""
+        current = self._pool.find(usage.upstream.name)
+        return current is not None and current.run_id == usage.upstream.run_id
+
     def _check_waiting(self, service: str, now: timedelta) -> None:
         """Tell whether requests wait for too long to be coincidence."""
         if self._demands[service].find_longest_wait(now) < PATIENCE:
@@ -260,10 +265,12 @@
             self._update_owner(usage, allowance)
         if usage.waiting and usage.is_on_its_own(now):
             usage.contention.on_sign(now)
+        if not self._is_registered(usage):
+            usage.contention.until = now
         if not usage.contention.is_active(now):
             usage.waiting = {}
             if not usage.running and not usage.is_known_to_owner:
-                self._usages.pop(usage.upstream.name)
+                self._usages.pop(usage.upstream.run_id)
 
     def _end_contention(self, now: timedelta) -> None:
         """Log the services that are no longer contended."""
@@ -361,7 +368,10 @@
 
     def _on_grant(self, owner: str, grant: Grant) -> None:
         now = self._clock.elapsed()
-        usage = self._usages.get(grant.upstream)
+        upstream = self._pool.find(grant.upstream)
+        if upstream is None:
+            return
+        usage = self._usages.get(upstream.run_id)
         if usage is None or usage.allowance is None:
             return
         allowance = usage.allowance
--- a/quetzalcourse/tests/coordination/slot_grants/burst_tests.py
+++ b/quetzalcourse/tests/coordination/slot_grants/burst_tests.py
@@ -223,3 +223,16 @@
     assert successor.owners.active
     sent = successor.owners.on_tick(now).values()
     assert not any(grant.slots for grants in sent for grant in grants)
+
+
+def test_upstream_that_ended_is_not_asked_for() -> None:
+    # Requests wait for the slots of an upstream that is gone.
+    world = BurstWorld(20, 2, SLOW)
+    play(world, 120, 2, ACCOUNTS)
+    world.burst(60, 3, ACCOUNTS)
+    for daemon in world.daemons:
+        daemon.pool.remove('s-0')
+    refusals, served = world.refusals, len(world.served)
+    world.run(3)
+    assert count_served(world, served) >= 3 * 0.8
+    assert world.refusals - refusals <= 2 * len(world.daemons)
