--- a/quetzalcourse/coordination/slot_grants/service_demand.py
+++ b/quetzalcourse/coordination/slot_grants/service_demand.py
@@ -84,6 +84,6 @@
     """
     dealt: list[Counter[str]] = [Counter() for _ in range(shares)]
     requests = [name for name, count in waiting.items() for _ in range(count)]
-    for turn in range(max(len(requests), shares) if requests else 0):
+    for turn in range(max(len(requests), shares) if dealt else 0):
         dealt[turn % shares][requests[turn % len(requests)]] += 1
     return dealt
--- a/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
+++ b/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
@@ -12,8 +12,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from quetzalcourse.coordination.slot_grants.allowance import Allowance
 from quetzalcourse.coordination.slot_grants.contention import (
     CONTENTION_HOLD,
@@ -21,11 +19,12 @@
     RefusalPause,
 )
 from quetzalcourse.coordination.slot_grants.service_demand import (
-    ASK_INTERVAL,
-    FULL_ASK_INTERVAL,
     ServiceDemand,
     deal_requests,
 )
+from quetzalcourse.coordination.slot_grants.upstream_choice import (
+    choose_asked,
+)
 from quetzalcourse.coordination.slot_grants.upstream_usage import (
     FULL_TTL,
     UpstreamUsage,
@@ -305,11 +304,9 @@
             if usage.upstream.member.service == service
             and usage.contention.is_active(now)
         ]
-        askable = [
-            usage for usage in usages if usage.upstream.is_available(now)
-        ]
-        asked = self._choose_asked(demand, askable, now)
-        dealt = deal_requests(demand.waiting, len(asked)) if asked else []
+        own = self._directory.own.incarnation
+        asked = choose_asked(demand, usages, own, now)
+        dealt = deal_requests(demand.waiting, len(asked))
         for usage in usages:
             usage.waiting = {}
         for usage, waiting in zip(asked, dealt, strict=True):
@@ -318,42 +315,12 @@
         if not demand.waiting:
             self._demands.pop(service)
 
-    def _choose_asked(
-        self, demand: ServiceDemand, usages: list[UpstreamUsage], now: timedelta
-    ) -> list[UpstreamUsage]:
-        """Choose the upstreams whose owners are asked for slots."""
-        ranked = sorted(usages, key=lambda one: self._rank(one, now))
-        first = demand.count_asked()
-        others = ranked[first:] if first else []
-        roomy = [one for one in others if not one.is_full(now)]
-        full = [one for one in others if one.is_full(now)]
-        return [
-            *ranked[:first],
-            *roomy[: demand.count_asked_late(now, ASK_INTERVAL)],
-            *full[: demand.count_asked_late(now, FULL_ASK_INTERVAL)],
-        ]
-
     def _ask(self, usage: UpstreamUsage) -> None:
         if usage.allowance is None:
             group = self._directory.find_own_group(usage.upstream)
             usage.allowance = Allowance(group)
             self._update_owner(usage, usage.allowance)
 
-    def _rank(
-        self, usage: UpstreamUsage, now: timedelta
-    ) -> tuple[bool, bool, bool, bool, int]:
-        """Rank the upstreams to ask: those granted, then those with room."""
-        allowance = usage.allowance
-        granted = allowance is not None and allowance.count_usable(now) > 0
-        name = f'{usage.upstream.name}/{self._directory.own.incarnation}'
-        return (
-            not granted,
-            usage.is_on_its_own(now),
-            usage.is_full(now),
-            not usage.waiting,
-            xxhash.xxh32_intdigest(name.encode()),
-        )
-
     def _report_due(self, service: str, now: timedelta) -> None:
         demand = self._demands.get(service) or ServiceDemand()
         self._exchange.send_reports(
