--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -8,6 +8,7 @@
     'batch_results': 'Results of items that stand in the store.',
     'batch_texts_saved': 'Saves of the texts of long items, by success.',
     'batches_owned': 'Batches that this daemon runs.',
+    'carried_events': 'Events of ended batches that later batches use.',
     'evacuated_data_centres': 'Data centres that get no new work.',
     'items_running': 'Items of batches that upstreams work on for this daemon.',
     'items_unscored': 'Items whose text is whole and has no score yet.',
@@ -47,9 +48,13 @@
     'store_feed_faults': 'Times that a table could not be followed.',
     'store_silence_seconds': 'Age of what is known of a table, in seconds.',
     'store_calls_relayed': 'Calls to the store by way of another daemon.',
+    'texts_carried': 'Texts of ended batches that later ones use, by extent.',
+    'texts_not_carried': 'Texts of ended batches dropped unused, by reason.',
     'upstream_ends': 'Requests under which their upstream ended.',
     'upstream_failures': 'Failed attempts that made upstreams rest.',
     'usage_rows_missing': 'Rows of daemons that usage reports lack.',
+    'scaling_orders': 'Orders for upstreams, by what the platform said.',
+    'slots_required': 'Slots that run all unfinished items in time.',
     'usage_reports': 'Reports of usage sent, by whether they were taken.',
 }
 
