Merge shared slots, and let the queue use them

Daemons agree on who uses the slots of a full upstream: the owner of an upstream grants turns while requests wait, and nothing is sent otherwise. The queue never sends to a full upstream where the limits are agreed on.

--- a/quetzalcourse/admission_components.py
+++ b/quetzalcourse/admission_components.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quetzalcourse.coordination.admission.slot_limits import SlotLimits
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
     from quetzalcourse.deployment import Deployment
@@ -56,19 +57,27 @@
     calls: UpstreamClient,
     quarantine: QuarantineComponents,
     on_run: Callable[[str], None],
+    share_limits: Callable[[SlotLimits], SlotLimits],
     clock: Clock,
     counters: Counters,
 ) -> ForwardingComponents:
     """Build the components by the settings of the load control.
 
     :param on_run: called with the client account of each request that ran.
+    :param share_limits: makes limits by own knowledge ones that all daemons
+        agree on, or returns them as they are.
     """
     pool = upstreams.pool
     forwarder = Forwarder(pool, quarantine.quarantine, clock)
     queueing = None
     if deployment.settings.load_control.queueing:
         queueing = build_admission(
-            forwarder, pool, upstreams.residency.routes, clock, counters
+            forwarder,
+            pool,
+            upstreams.residency.routes,
+            share_limits,
+            clock,
+            counters,
         )
     proxy = RequestProxy(
         forwarder,
@@ -87,12 +96,21 @@
     forwarder: Forwarder,
     pool: Pool,
     routes: RouteTable,
+    share_limits: Callable[[SlotLimits], SlotLimits],
     clock: Clock,
     counters: Counters,
 ) -> QueueingSelection:
     """Build the queue of waiting requests and the limits of its slots."""
     times = ServiceTimes()
-    limits = LocalSlotLimits(times.find_slot_time, clock)
+    local = LocalSlotLimits(times.find_slot_time, clock)
+    limits = share_limits(local)
     return QueueingSelection(
-        forwarder, pool, limits, times, routes, clock, counters, strict=False
+        forwarder,
+        pool,
+        limits,
+        times,
+        routes,
+        clock,
+        counters,
+        strict=limits is not local,
     )
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -23,6 +23,7 @@
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
 from quetzalcourse.quarantine_components import build_quarantine_components
+from quetzalcourse.slot_grant_components import share_slots
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
 from quetzalcourse.transport.activity import Activity
@@ -47,6 +48,7 @@
 )
 
 if TYPE_CHECKING:
+    from quetzalcourse.coordination.admission.slot_limits import SlotLimits
     from quetzalcourse.deployment import Deployment
     from quetzalcourse.log_output import LogRateLimiter, NonBlockingOutput
     from quetzalcourse.state.routing import RoutingManifest
@@ -255,6 +257,19 @@
 
         self.duties.load_controller.on_loads(self.batches.load_updates)
 
+    def _share_limits(self, local: SlotLimits) -> SlotLimits:
+        if not self.settings.load_control.shared_slots:
+            return local
+        return share_slots(
+            local,
+            self.pool,
+            self.presence,
+            self.peers,
+            self.lifecycle,
+            self.clock,
+            self.counters,
+        )
+
     async def _build_servers(self) -> None:
         self.forwarding = build_forwarding_components(
             self._deployment,
@@ -262,6 +277,7 @@
             self.calls,
             self.quarantine,
             self.counts.record,
+            self._share_limits,
             self.clock,
             self.counters,
         )
--- a/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
+++ b/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
@@ -70,6 +70,7 @@
             Forwarder(self.pool, quarantine, self.clock),
             self.pool,
             self.routes,
+            lambda limits: limits,
             self.clock,
             self.counters,
         )
