--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -9,7 +9,6 @@
 
 from quetzalcourse.admission_components import build_forwarding_components
 from quetzalcourse.batch_components import (
-    BatchCalls,
     build_batch_components,
     carry_texts,
     use_step_triage,
@@ -20,6 +19,7 @@
 from quetzalcourse.duty_components import build_duty_components
 from quetzalcourse.feed_components import build_feed_components
 from quetzalcourse.incarnation import generate_incarnation
+from quetzalcourse.item_components import build_batch_calls
 from quetzalcourse.lifecycle import Lifecycle
 from quetzalcourse.log import get_log
 from quetzalcourse.quarantine_components import build_quarantine_components
@@ -35,10 +35,8 @@
     build_gateway,
     build_probe_app,
 )
-from quetzalcourse.transport.item_client import ItemClient
 from quetzalcourse.transport.metrics import render_metrics
 from quetzalcourse.transport.peer_link import PeerLink
-from quetzalcourse.transport.scoring_client import ScoringClient
 from quetzalcourse.transport.sockets import open_listener
 from quetzalcourse.transport.upstream_client import UpstreamClient
 from quetzalcourse.transport.web import WebServer
@@ -199,24 +197,19 @@
         self.lifecycle.on_stop(self._write_last_usage)
 
     def _build_components(self) -> None:
-        items = ItemClient(
+        calls = build_batch_calls(
             self.calls,
             self._deployment.upstreams,
             self.pool,
             self.quarantine.ends,
+            self.peers,
             self.clock,
             self.counters,
         )
-        scorer = ScoringClient(
-            self.calls,
-            self._deployment.upstreams,
-            self.pool,
-            self.quarantine.ends,
-        )
         self.batches = build_batch_components(
             self.feeds,
             self.store.clock,
-            BatchCalls(items, scorer, self.peers),
+            calls,
             self.pool,
             self.upstreams.residency,
             self.quarantine.quarantine,
