Send a refused request to no more upstreams than its route allows

A request that full upstreams refused was sent to up to eight others, though max_attempts is the operators' limit on the upstreams that it is sent to. It now goes back to those that refused it.

--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -58,6 +58,8 @@
     :param arrived_at: time since boot at which it arrived.
     :param key_digest: SHA-256 of its API key, empty if none is required.
     :param full_refusals: attempts that a full upstream did not run.
+    :param refused_by: ids of the upstreams that did not run it as they were
+        full.
     :param waiting: its place among the requests that wait for a slot.
     """
 
@@ -81,6 +83,7 @@
     arrived_at: timedelta = timedelta(0)
     key_digest: bytes = b''
     full_refusals: int = 0
+    refused_by: set[str] = field(default_factory=set)
     waiting: WaitingRequest | None = None
 
     @property
@@ -121,7 +124,7 @@
         """
         if self.find_time_left(request) < MIN_TIME_LEFT:
             raise RefusedError(self.build_deadline_refusal(request))
-        avoided = self._quarantine.list_avoided(request.fingerprint)
+        avoided = self._list_avoided(request)
         upstream = self._pool.choose(
             request.service,
             request.tried.union(avoided),
@@ -161,9 +164,7 @@
             return self.choose(request)
         if self.find_time_left(request) < MIN_TIME_LEFT:
             raise RefusedError(self.build_deadline_refusal(request))
-        avoided = request.tried.union(
-            self._quarantine.list_avoided(request.fingerprint)
-        )
+        avoided = request.tried.union(self._list_avoided(request))
         best, free = (
             self._pool.choose(
                 request.service,
@@ -183,6 +184,21 @@
         self._on_chosen(request, chosen)
         return chosen
 
+    def _list_avoided(self, request: ForwardedRequest) -> set[str]:
+        """List the upstreams that must not get a request.
+
+        One that full upstreams refused goes back to these once it was sent to
+        as many as its route allows.
+        """
+        avoided = set(self._quarantine.list_avoided(request.fingerprint))
+        if len(request.refused_by) < request.route.max_attempts:
+            return avoided
+        others = {
+            upstream.name
+            for upstream in self._pool.list_service(request.service)
+        }
+        return avoided | (others - request.refused_by)
+
     def find_timeout(self, request: ForwardedRequest) -> timedelta:
         """Return how long to wait for the head of an attempt's response."""
         left = self.find_time_left(request)
@@ -224,6 +240,7 @@
 
         Such attempts don't count, and it may be tried there again.
         """
+        request.refused_by.add(upstream.name)
         if request.full_refusals < MAX_FULL_REFUSALS:
             request.full_refusals += 1
             request.tried.discard(upstream.name)
--- a/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
+++ b/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
@@ -281,6 +281,26 @@
     assert upstream.running == 1
 
 
+async def test_refused_request_goes_to_no_more_upstreams_than_allowed(
+    daemon: Daemon,
+) -> None:
+    """Guards against full upstreams that each refuse every request."""
+    for number in range(5):
+        name = f'u-{number}'
+        daemon.pool.replace(PoolMember(name, 's', f'{name}:1', 'hall', SLOTS))
+    request = daemon.build()
+    sent_to = set()
+    for _ in range(6):
+        acquired = asyncio.create_task(daemon.selection.acquire(request))
+        await daemon.clock.advance(timedelta(milliseconds=100))
+        upstream = await acquired
+        sent_to.add(upstream.name)
+        daemon.pool.on_load(upstream, LoadReport(SLOTS + 1, 0, SLOTS))
+        daemon.selection.on_full(request, upstream)
+        daemon.selection.release(request, upstream)
+    assert len(sent_to) == ROUTE.max_attempts
+
+
 async def test_report_of_a_full_upstream_gets_old(daemon: Daemon) -> None:
     """Guards against requests that wait since a report is out of date."""
     daemon.pool.on_load(daemon.upstream, LoadReport(SLOTS, 9, SLOTS))
