--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -145,9 +145,16 @@
 ) -> SoakDaemon:
     """Build a daemon that listens on free ports.
 
-    :param load_control: whether requests wait for slots that daemons share.
+    :param load_control: whether all parts of the load control are on that
+        need no orders for upstreams.
     """
     settings = build_settings(name, store, cloud)
     if load_control:
-        settings['load_control'] = {'queueing': True, 'shared_slots': True}
+        settings['load_control'] = {
+            'queueing': True,
+            'shared_slots': True,
+            'step_triage': True,
+            'carried_texts': True,
+            'measured_pace': True,
+        }
     return SoakDaemon(folder, settings)
