Skip waiting requests whose callers have just left

When a caller left and a slot became free in the same turn of the event loop, the slot went to the caller that had left: the request that freed it failed with an invalid state, and the slot was lost until the daemon restarted. The same error ended the handling of a new manifest. Found by reading; two tests fail without the change and pass with it.

--- a/quetzalcourse/coordination/admission/queueing_selection.py
+++ b/quetzalcourse/coordination/admission/queueing_selection.py
@@ -60,6 +60,11 @@
     request: ForwardedRequest
     upstream: asyncio.Future[Upstream]
 
+    def fail(self, error: RefusedError) -> None:
+        """Refuse the request, unless its caller has left."""
+        if not self.upstream.done():
+            self.upstream.set_exception(error)
+
 
 class QueueingSelection:
     """Lets requests wait for a slot in the order of their queue.
@@ -227,8 +232,12 @@
         refused: list[tuple[WaitingRequest, RefusedError]] = []
 
         def choose(place: WaitingRequest) -> Upstream | None:
+            waiter = self._waiters[place]
+            if waiter.upstream.done():
+                # Its caller has left, and its task has not run since.
+                return None
             try:
-                return self._choose_free(self._waiters[place].request)
+                return self._choose_free(waiter.request)
             except RefusedError as error:
                 refused.append((place, error))
                 return None
@@ -244,7 +253,7 @@
             waiter.upstream.set_result(upstream)
         for place, error in refused:
             if service.leave(place):
-                self._waiters[place].upstream.set_exception(error)
+                self._waiters[place].fail(error)
         self._on_queue_changed(name)
 
     def _choose_free(self, request: ForwardedRequest) -> Upstream | None:
@@ -310,8 +319,7 @@
         for place, rejection in rejected:
             waiter = self._waiters[place]
             refusal = self._record_rejection(waiter.request, rejection)
-            if not waiter.upstream.done():
-                waiter.upstream.set_exception(RefusedError(refusal))
+            waiter.fail(RefusedError(refusal))
 
     def _record_rejection(
         self, request: ForwardedRequest, rejection: Rejection
@@ -352,7 +360,7 @@
             ):
                 continue
             if self._find_service(request.service).leave(place):
-                waiter.upstream.set_exception(RefusedError(refuse_key()))
+                waiter.fail(RefusedError(refuse_key()))
                 self._on_queue_changed(request.service)
 
     def _on_queue_changed(self, name: str) -> None:
--- a/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
+++ b/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
@@ -166,6 +166,34 @@
     assert daemon.upstream.running == SLOTS - 1
 
 
+async def test_slot_that_is_free_just_after_a_caller_left(
+    daemon: Daemon,
+) -> None:
+    """Guards against another request that fails, and a slot that is lost."""
+    await daemon.fill()
+    first = asyncio.create_task(daemon.send(daemon.build()))
+    second = asyncio.create_task(daemon.send(daemon.build()))
+    await settle()
+    first.cancel()
+    daemon.end()
+    await second
+    assert first.cancelled()
+    assert daemon.upstream.running == SLOTS
+
+
+async def test_key_withdrawn_just_after_a_caller_left(daemon: Daemon) -> None:
+    """Guards against a manifest that is not applied to later requests."""
+    await daemon.fill()
+    first = asyncio.create_task(daemon.send(daemon.build()))
+    second = asyncio.create_task(daemon.send(daemon.build()))
+    await settle()
+    first.cancel()
+    daemon.routes.adopt(replace(MANIFEST, version=2, accounts=()))
+    with pytest.raises(RefusedError):
+        await second
+    assert first.cancelled()
+
+
 async def test_withdrawn_key_of_a_waiting_request(daemon: Daemon) -> None:
     """Guards against a request that is sent though its key was withdrawn."""
     await daemon.fill()
