Name parts of the queue and of shared slots by the usual terms

Readers met PATIENCE, dealt requests and promised turns; now they read MIN_CONTENTION_WAIT, split requests and confirmed ones.

--- a/quetzalcourse/coordination/admission/entry_queue.py
+++ b/quetzalcourse/coordination/admission/entry_queue.py
@@ -3,7 +3,7 @@
 Under a burst of traffic beyond the slots of a service, requests wait in the
 order of their rank. Within a rank, the slots are shared fairly among client
 accounts, whatever share of the requests each of them sends. Requests of an
-account that were promised a slot go first, then those that came back after a
+account that were confirmed go first, then those that came back after a
 rejection, then new ones.
 """
 
@@ -40,7 +40,7 @@
 class Stage(enum.IntEnum):
     """Order among the requests of one rank and account."""
 
-    promised = 0
+    confirmed = 0
     returned = 1
     new = 2
 
@@ -165,10 +165,10 @@
             self.accounts.pop(request.client_account)
         return True
 
-    def promise(self, request: WaitingRequest) -> None:
+    def confirm(self, request: WaitingRequest) -> None:
         """Let a request go before all of its rank that arrive from now on."""
-        if request.stage is not Stage.promised and self.remove(request):
-            request.stage = Stage.promised
+        if request.stage is not Stage.confirmed and self.remove(request):
+            request.stage = Stage.confirmed
             self.push(request)
 
     def take_next(
--- a/quetzalcourse/coordination/admission/service_admission.py
+++ b/quetzalcourse/coordination/admission/service_admission.py
@@ -156,7 +156,7 @@
                 view.accounts[account].waiting -= 1
                 self.leave(request)
                 rejected.append(self._reject(request, outlook, reason))
-        self._keep_promises(now)
+        self._confirm_undecided(now)
         return rejected
 
     def reject_all(
@@ -182,11 +182,11 @@
         )
         return self._reject(request, outlook, RejectionReason.refused)
 
-    def _keep_promises(self, now: timedelta) -> None:
+    def _confirm_undecided(self, now: timedelta) -> None:
         """Let requests keep their turn after the time for decisions."""
         for request in tuple(self.queue):
             if now > request.limits.decide_by:
-                self.queue.promise(request)
+                self.queue.confirm(request)
 
     def _update_waiting(self, request: WaitingRequest) -> None:
         if not self.queue:
--- a/quetzalcourse/coordination/slot_grants/contention.py
+++ b/quetzalcourse/coordination/slot_grants/contention.py
@@ -23,7 +23,7 @@
 CONTENTION_HOLD = timedelta(seconds=2)
 # How long requests wait before daemons exchange their demand: about the time
 # in which an upstream with room for all gets a slot free.
-PATIENCE = timedelta(milliseconds=40)
+MIN_CONTENTION_WAIT = timedelta(milliseconds=40)
 # Refusals in a row by one upstream that are taken for a shortage.
 MIN_REFUSALS = 3
 # Pause after a refusal, doubled with each further one.
--- a/quetzalcourse/coordination/slot_grants/service_demand.py
+++ b/quetzalcourse/coordination/slot_grants/service_demand.py
@@ -2,7 +2,7 @@
 
 Under a burst, requests wait for any upstream of a service, while each upstream
 has an owner of its own. Asking all of them for every request would grant its
-slot several times over, so the requests are dealt out to a few upstreams, and
+slot several times over, so the requests are split among a few upstreams, and
 to more of them the longer they wait.
 """
 
@@ -73,17 +73,17 @@
         return max(waits, default=ZERO)
 
 
-def deal_requests(
+def split_requests(
     waiting: Mapping[str, int], shares: int
 ) -> list[Counter[str]]:
-    """Deal waiting requests out to a number of upstreams.
+    """Split waiting requests among a number of upstreams.
 
     With more upstreams than requests, each gets one request.
 
     :returns: number of requests by client account for each upstream.
     """
-    dealt: list[Counter[str]] = [Counter() for _ in range(shares)]
+    split: list[Counter[str]] = [Counter() for _ in range(shares)]
     requests = [name for name, count in waiting.items() for _ in range(count)]
-    for turn in range(max(len(requests), shares) if dealt else 0):
-        dealt[turn % shares][requests[turn % len(requests)]] += 1
-    return dealt
+    for turn in range(max(len(requests), shares) if split else 0):
+        split[turn % shares][requests[turn % len(requests)]] += 1
+    return split
--- a/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
+++ b/quetzalcourse/coordination/slot_grants/shared_slot_limits.py
@@ -15,12 +15,12 @@
 from quetzalcourse.coordination.slot_grants.allowance import Allowance
 from quetzalcourse.coordination.slot_grants.contention import (
     CONTENTION_HOLD,
-    PATIENCE,
+    MIN_CONTENTION_WAIT,
     RefusalPause,
 )
 from quetzalcourse.coordination.slot_grants.service_demand import (
     ServiceDemand,
-    deal_requests,
+    split_requests,
 )
 from quetzalcourse.coordination.slot_grants.upstream_choice import (
     choose_asked,
@@ -114,7 +114,7 @@
             return self._local.has_free_slot(upstream)
         if usage.has_granted_slot(now):
             return True
-        if usage.is_on_its_own(now):
+        if usage.uses_fallback(now):
             fallback = self._directory.count_fallback(upstream)
             return usage.has_fallback_slot(fallback, now)
         # Until the owner says that its slots don't suffice, attempts of this
@@ -141,7 +141,7 @@
         now = self._clock.elapsed()
         usage = self._find_usage(upstream)
         usage.on_sent(client_account)
-        if usage.contention.is_active(now) and usage.is_on_its_own(now):
+        if usage.contention.is_active(now) and usage.uses_fallback(now):
             self._counters.add('slot_fallback_starts')
         demand = self._demands.get(upstream.member.service)
         if demand is not None:
@@ -192,7 +192,7 @@
             'slots_contended': sum(
                 one.contention.is_active(now) for one in usages
             ),
-            'slot_fallbacks': sum(one.is_on_its_own(now) for one in usages),
+            'slot_fallbacks': sum(one.uses_fallback(now) for one in usages),
             'slot_groups_owned': owned.groups,
             'slots_not_granted': owned.foreign_slots,
         }
@@ -218,7 +218,7 @@
 
     def _check_waiting(self, service: str, now: timedelta) -> None:
         """Tell whether requests wait for too long to be coincidence."""
-        if self._demands[service].find_longest_wait(now) < PATIENCE:
+        if self._demands[service].find_longest_wait(now) < MIN_CONTENTION_WAIT:
             return
         for upstream in self._pool.list_service(service):
             usage = self._find_usage(upstream)
@@ -262,7 +262,7 @@
             if allowance.lapse(now) and usage.waiting:
                 self._counters.add('slot_allowances_lapsed')
             self._update_owner(usage, allowance)
-        if usage.waiting and usage.is_on_its_own(now):
+        if usage.waiting and usage.uses_fallback(now):
             usage.contention.on_sign(now)
         if not self._is_registered(usage):
             usage.contention.until = now
@@ -306,10 +306,10 @@
         ]
         own = self._directory.own.incarnation
         asked = choose_asked(demand, usages, own, now)
-        dealt = deal_requests(demand.waiting, len(asked))
+        split = split_requests(demand.waiting, len(asked))
         for usage in usages:
             usage.waiting = {}
-        for usage, waiting in zip(asked, dealt, strict=True):
+        for usage, waiting in zip(asked, split, strict=True):
             usage.waiting = waiting
             self._ask(usage)
         if not demand.waiting:
--- a/quetzalcourse/coordination/slot_grants/upstream_choice.py
+++ b/quetzalcourse/coordination/slot_grants/upstream_choice.py
@@ -63,7 +63,7 @@
     name = f'{usage.upstream.name}/{own}'
     return (
         not granted,
-        usage.is_on_its_own(now),
+        usage.uses_fallback(now),
         usage.is_full(now),
         not usage.waiting,
         xxhash.xxh32_intdigest(name.encode()),
--- a/quetzalcourse/coordination/slot_grants/upstream_usage.py
+++ b/quetzalcourse/coordination/slot_grants/upstream_usage.py
@@ -88,7 +88,7 @@
         """
         return self.pause.is_over(now) and self.running.total() < slots
 
-    def is_on_its_own(self, now: timedelta) -> bool:
+    def uses_fallback(self, now: timedelta) -> bool:
         """Tell whether no owner answers this daemon."""
         allowance = self.allowance
         if allowance is None or allowance.count_usable(now):
