--- a/quetzalcourse/client.py
+++ b/quetzalcourse/client.py
@@ -18,6 +18,7 @@
 from quetzalcourse.exceptions import QuetzalcourseError
 from quetzalcourse.protocol.callers import StepResponse, StepBody
 from quetzalcourse.protocol.refusals import RefusalBody
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.refusal import RefusalCode
 from quetzalcourse.state.steps import (
     DeliveredBatch,
@@ -120,12 +121,12 @@
         content = await self._call(
             'POST', '/v1/steps', msgspec.json.encode(body)
         )
-        return msgspec.json.decode(content, type=StepResponse)
+        return decode_json(content, StepResponse)
 
     async def observe(self, trainer: str, step: int) -> StepProgress:
         """Return the progress of a step."""
         content = await self._call('GET', f'/v1/steps/{trainer}/{step}')
-        return msgspec.json.decode(content, type=StepProgress)
+        return decode_json(content, StepProgress)
 
     async def cancel(self, trainer: str, step: int) -> None:
         """Cancel a step and discard its samples."""
@@ -140,14 +141,14 @@
         """Read batches from a cursor on; a repeated read returns the same."""
         path = f'/v1/steps/{trainer}/{step}/samples?cursor={cursor}'
         content = await self._call('GET', path)
-        return msgspec.json.decode(content, type=BatchList).batches
+        return decode_json(content, BatchList).batches
 
     async def acknowledge(self, trainer: str, step: int, cursor: int) -> None:
         """Acknowledge the batches before a cursor, so none is read again."""
         body = msgspec.json.encode({'cursor': cursor})
         path = f'/v1/steps/{trainer}/{step}/acknowledge'
         content = await self._call('POST', path, body)
-        msgspec.json.decode(content, type=DeliveryRecord)
+        decode_json(content, DeliveryRecord)
 
     async def samples(
         self,
@@ -233,7 +234,7 @@
 def read_refusal(content: bytes, status: int) -> StepError:
     """Parse the refusal of a daemon, or of a load balancer before it."""
     try:
-        detail = msgspec.json.decode(content, type=RefusalBody).error
-    except msgspec.DecodeError:
+        detail = decode_json(content, RefusalBody).error
+    except MalformedMessageError:
         return StepError(RefusalCode.not_ready, f'status {status}')
     return StepError(detail.code, detail.message)
--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -19,6 +19,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import (
     BatchHead,
     BatchItem,
@@ -26,6 +27,11 @@
     Ownership,
     PartialText,
 )
+from quetzalcourse.state.decoding import (
+    MalformedMessageError,
+    decode_json,
+    decode_msgpack,
+)
 from quetzalcourse.state.rows import (
     ABSENT,
     Condition,
@@ -42,6 +48,7 @@
     from quetzalcourse.coordination.ports import Table
     from quetzalcourse.state.rows import TransactionResult
 
+log = get_log('batches')
 TABLE = 'batches'
 ITEMS = 'items'
 RESULTS = 'results'
@@ -103,9 +110,7 @@
     return [
         result
         for pieces in commits.values()
-        for result in msgspec.json.decode(
-            b''.join(pieces), type=list[ItemResult]
-        )
+        for result in decode_json(b''.join(pieces), list[ItemResult])
     ]
 
 
@@ -166,12 +171,23 @@
 def join_items(chunks: Sequence[bytes]) -> list[BatchItem]:
     """Decode items from the contents of their rows."""
     return [
-        msgspec.msgpack.decode(packed, type=BatchItem)
+        decode_msgpack(packed, BatchItem)
         for chunk in chunks
-        for packed in msgspec.msgpack.decode(chunk, type=list[bytes])
+        for packed in decode_msgpack(chunk, list[bytes])
     ]
 
 
+def decode_partials(rows: Sequence[Row]) -> list[PartialText]:
+    """Decode saved texts; one that is malformed is generated again."""
+    partials: list[PartialText] = []
+    for row in rows:
+        try:
+            partials.append(decode_msgpack(row.content, PartialText))
+        except MalformedMessageError:
+            log.warning('Ignored a malformed text.', key=row.key)
+    return partials
+
+
 class BatchRows:
     """Reads and writes the rows of batches."""
 
@@ -277,12 +293,7 @@
     ) -> Result[list[PartialText], StoreFault]:
         """Read the saved texts of unfinished items."""
         answer = await self._table.scan(f'{PARTIALS}/{batch}/')
-        return answer.map(
-            lambda rows: [
-                msgspec.msgpack.decode(row.content, type=PartialText)
-                for row in rows
-            ]
-        )
+        return answer.map(decode_partials)
 
     async def commit_results(
         self,
--- a/quetzalcourse/coordination/batches/coordinators.py
+++ b/quetzalcourse/coordination/batches/coordinators.py
@@ -23,6 +23,7 @@
 from quetzalcourse.coordination.tasks import BackgroundTasks
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import BatchHead, BatchItem
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -160,12 +161,12 @@
 
     def on_offered(self, sender: Member, content: bytes) -> None:
         """Answer the offer of another daemon."""
-        offered = msgspec.msgpack.decode(content, type=BatchOffer)
+        offered = decode_msgpack(content, BatchOffer)
         self._tasks.start(self._answer_offer(sender, offered))
 
     def on_reply(self, sender: Member, content: bytes) -> None:
         """Complete the offer that a reply belongs to."""
-        reply = msgspec.msgpack.decode(content, type=OfferReply)
+        reply = decode_msgpack(content, OfferReply)
         waiting = self._waiting.get(reply.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(reply.accepted)
--- a/quetzalcourse/coordination/batches/directory.py
+++ b/quetzalcourse/coordination/batches/directory.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
 
 from quetzalcourse.coordination.batches.batch_rows import (
     END,
@@ -15,6 +14,7 @@
 )
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import BatchHead, Ownership
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,7 +88,7 @@
             view = self.batches.setdefault(batch, BatchView(batch))
             try:
                 _update(view, name, row)
-            except msgspec.DecodeError:
+            except MalformedMessageError:
                 log.error('Ignored a malformed batch row.', key=row.key)
                 continue
             changed[batch] = view
@@ -99,13 +99,13 @@
 
 def _update(view: BatchView, name: str, row: Row) -> None:
     if name == HEAD:
-        view.head = msgspec.json.decode(row.content, type=BatchHead)
+        view.head = decode_json(row.content, BatchHead)
         view.head_version = row.version
     elif name == OWNER:
-        view.owner = msgspec.json.decode(row.content, type=Ownership)
+        view.owner = decode_json(row.content, Ownership)
         view.owner_version = row.version
     elif name == PROGRESS:
-        listed = msgspec.json.decode(row.content, type=int)
+        listed = decode_json(row.content, int)
         view.committed = max(view.committed, listed)
     elif name == END:
         view.ended = True
--- a/quetzalcourse/coordination/batches/result_notifications.py
+++ b/quetzalcourse/coordination/batches/result_notifications.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -104,7 +105,7 @@
 
     def on_subscription(self, sender: Member, content: bytes) -> None:
         """Record a subscription, or answer it if results are there."""
-        subscription = msgspec.msgpack.decode(content, type=ResultsSubscription)
+        subscription = decode_msgpack(content, ResultsSubscription)
         self._expire_subscriptions()
         run = self._runner.batches.get(subscription.batch)
         if run is None:
@@ -128,7 +129,7 @@
 
     def on_notification(self, _: Member, content: bytes) -> None:
         """Wake the callers that wait for the results of a batch."""
-        notification = msgspec.msgpack.decode(content, type=ResultsCommitted)
+        notification = decode_msgpack(content, ResultsCommitted)
         self._reader.on_result_count(notification.batch, notification.listed)
 
     def _notify(self, receiver: Member, batch: str, listed: int) -> None:
--- a/quetzalcourse/coordination/batches/slot_usage_updates.py
+++ b/quetzalcourse/coordination/batches/slot_usage_updates.py
@@ -11,6 +11,7 @@
     SlotDemand,
     PlacementKey,
 )
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -96,7 +97,7 @@
 
     def on_message(self, sender: Member, content: bytes) -> None:
         """Apply the update of another coordinator."""
-        update = msgspec.msgpack.decode(content, type=SlotUsageUpdate)
+        update = decode_msgpack(content, SlotUsageUpdate)
         now = self._clock.elapsed()
         demands = [
             SlotDemand(one.key, now + timedelta(seconds=one.seconds), one.work)
--- a/quetzalcourse/coordination/duties/usage_windows.py
+++ b/quetzalcourse/coordination/duties/usage_windows.py
@@ -14,6 +14,7 @@
 from quetzalcourse.coordination.duties.window_rows import WindowRows
 from quetzalcourse.coordination.feeds.wall_clock import EPOCH
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
 if TYPE_CHECKING:
@@ -235,5 +236,5 @@
             self._rows.record_missing(window)
         for row in answer.ok_value.conflicts:
             if row.key == key and row.content:
-                counts = msgspec.json.decode(row.content, type=dict[str, int])
+                counts = decode_json(row.content, dict[str, int])
         return WindowReport(window, counts)
--- a/quetzalcourse/coordination/feeds/feed_relay.py
+++ b/quetzalcourse/coordination/feeds/feed_relay.py
@@ -15,6 +15,7 @@
 
 from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 from quetzalcourse.state.rows import Row
 
@@ -120,7 +121,7 @@
 
         A reply without rows still shows that this daemon is reachable.
         """
-        request = msgspec.msgpack.decode(content, type=RowsRequest)
+        request = decode_msgpack(content, RowsRequest)
         follower = self._followers.get(request.table)
         if follower is None:
             return
@@ -138,7 +139,7 @@
 
     def on_reply(self, sender: Member, content: bytes) -> None:
         """Apply rows from another daemon while the store is unavailable."""
-        reply = msgspec.msgpack.decode(content, type=RowsReply)
+        reply = decode_msgpack(content, RowsReply)
         self._readiness.on_report(sender, hears_store=reply.hears_store)
         self._relay_peers.on_report(sender, hears_store=reply.hears_store)
         follower = self._followers.get(reply.table)
--- a/quetzalcourse/coordination/feeds/follower.py
+++ b/quetzalcourse/coordination/feeds/follower.py
@@ -136,11 +136,32 @@
             self.rows[row.key] = row
         if newer:
             for listener in self._listeners:
-                listener(newer)
+                self._notify(listener, newer)
         for row in newer:
             if row.removed:
                 self.rows.pop(row.key, None)
 
+    def _notify(self, listener: RowListener, rows: list[Row]) -> None:
+        """Pass rows to a listener, without those that it fails on.
+
+        Other processes write to the tables too. A row that no reader expects
+        must not end the feed of all other rows.
+        """
+        try:
+            listener(rows)
+        except Exception as error:
+            if len(rows) > 1:
+                for row in rows:
+                    self._notify(listener, [row])
+                return
+            self._counters.add('rows_rejected', table=self.table)
+            log.error(
+                'Ignored a row that could not be applied.',
+                key=rows[0].key,
+                kind=type(error).__name__,
+                reason=str(error),
+            )
+
     def _is_newer(self, row: Row) -> bool:
         known = self.rows.get(row.key)
         return known is None or known.version < row.version
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -17,6 +17,11 @@
 )
 from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import (
+    MalformedMessageError,
+    Seconds,
+    decode_json,
+)
 from quetzalcourse.state.members import Member
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
@@ -66,9 +71,9 @@
     leaving: bool
     beat: int
     usage: dict[str, dict[str, int]] = {}
-    calendar_offset: float | None = None
+    calendar_offset: Seconds | None = None
     cores: float = 1
-    gap: float = 0
+    gap: Seconds = 0
     counted_window: int | None = None
 
 
@@ -406,8 +411,8 @@
     if row.removed:
         return None
     try:
-        return msgspec.json.decode(row.content, type=PresenceRecord)
-    except msgspec.DecodeError:
+        return decode_json(row.content, PresenceRecord)
+    except MalformedMessageError:
         log.warning('Ignored a malformed member row.', key=row.key)
         return None
 
--- a/quetzalcourse/coordination/feeds/store_relay.py
+++ b/quetzalcourse/coordination/feeds/store_relay.py
@@ -18,6 +18,7 @@
 from quetzalcourse.coordination.feeds import store_calls as calls
 from quetzalcourse.coordination.tasks import BackgroundTasks
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 from quetzalcourse.state.rows import FaultKind, StoreFault
 
@@ -154,7 +155,7 @@
 
     def on_request(self, sender: Member, content: bytes) -> None:
         """Make a call for another daemon, or decline it."""
-        request = msgspec.msgpack.decode(content, type=calls.StoreRequest)
+        request = decode_msgpack(content, calls.StoreRequest)
         accepting = (
             self._active_calls < MAX_RELAYED_CALLS
             and not self._relay_peers.needed
@@ -167,7 +168,7 @@
 
     def on_reply(self, sender: Member, content: bytes) -> None:
         """Complete the pending call that a reply answers."""
-        reply = msgspec.msgpack.decode(content, type=calls.StoreReply)
+        reply = decode_msgpack(content, calls.StoreReply)
         future = self._pending.get(reply.number)
         if future is not None and not future.done():
             future.set_result(reply)
--- a/quetzalcourse/coordination/fleet/fleet_demand.py
+++ b/quetzalcourse/coordination/fleet/fleet_demand.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from quetzalcourse.coordination.leases.leader_elector import choose_candidates
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.fleet import Demand
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.members import Topic
@@ -98,7 +99,7 @@
 
     def _receive(self, sender: Member, content: bytes) -> None:
         try:
-            demand = msgspec.msgpack.decode(content, type=Demand)
-        except msgspec.DecodeError:
+            demand = decode_msgpack(content, Demand)
+        except MalformedMessageError:
             return
         self._reports[sender.incarnation] = (self._clock.elapsed(), demand)
--- a/quetzalcourse/coordination/fleet/orders.py
+++ b/quetzalcourse/coordination/fleet/orders.py
@@ -12,6 +12,7 @@
 from quetzalcourse.coordination.usage.usage_reports import scan_rows
 from quetzalcourse.coordination.usage.usage_rows import require_unchanged
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.fleet import FleetOrder, FleetPlace, OrderIntent
 from quetzalcourse.state.rows import Row, Transaction, Write
@@ -106,7 +107,7 @@
     ) -> None:
         intent = None
         if row is not None:
-            intent = msgspec.json.decode(row.content, type=OrderIntent)
+            intent = decode_json(row.content, OrderIntent)
         if intent is None or intent.settled:
             if count == observed or place in self.list_refused():
                 return
--- a/quetzalcourse/coordination/fleet/spending.py
+++ b/quetzalcourse/coordination/fleet/spending.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from quetzalcourse.coordination.usage.usage_rows import require_unchanged
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.fleet import SpendingRecord
 from quetzalcourse.state.rows import FaultKind, StoreFault, Transaction, Write
 
@@ -73,7 +74,7 @@
         row = answer.ok_value
         previous = None
         if row is not None:
-            previous = msgspec.json.decode(row.content, type=SpendingRecord)
+            previous = decode_json(row.content, SpendingRecord)
         updated = advance_spending(
             previous,
             self._clock.now().timestamp(),
--- a/quetzalcourse/coordination/forwarding/registrations.py
+++ b/quetzalcourse/coordination/forwarding/registrations.py
@@ -85,7 +85,11 @@
         answer = self._read(name, content)
         if isinstance(answer, Err):
             # Written by something other than an upstream: not to be used.
-            log.warning('Upstream registration is malformed.', upstream=name)
+            log.warning(
+                'Upstream registration is malformed.',
+                upstream=name,
+                reason=answer.err_value,
+            )
             self._pool.remove(name)
             return
         self._pool.replace(answer.ok_value)
--- a/quetzalcourse/coordination/leases/lease.py
+++ b/quetzalcourse/coordination/leases/lease.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err
 
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.lease import (
     FenceRecord,
     LeaseRecord,
@@ -43,7 +44,7 @@
 
 def decode_record(row: Row) -> LeaseRecord:
     """Decode the record of a row."""
-    return msgspec.json.decode(row.content, type=LeaseRecord)
+    return decode_json(row.content, LeaseRecord)
 
 
 def is_never_predecessor(_: str) -> bool:
@@ -55,7 +56,7 @@
     """Decode the highest token of a fence row, 0 if it is absent."""
     if fence is None:
         return 0
-    return msgspec.json.decode(fence.content, type=FenceRecord).token
+    return decode_json(fence.content, FenceRecord).token
 
 
 class RowObserver:
--- a/quetzalcourse/coordination/manifest/key_change_log.py
+++ b/quetzalcourse/coordination/manifest/key_change_log.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.keys import KeyRecord
 from quetzalcourse.state.rows import (
     ABSENT,
@@ -37,8 +38,8 @@
     if row is None:
         return 0
     try:
-        return msgspec.json.decode(row.content, type=int)
-    except msgspec.DecodeError:
+        return decode_json(row.content, int)
+    except MalformedMessageError:
         return 0
 
 
@@ -113,6 +114,6 @@
 
 def _decode(content: bytes) -> list[KeyRecord]:
     try:
-        return [msgspec.json.decode(content, type=KeyRecord)]
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return [decode_json(content, KeyRecord)]
+    except MalformedMessageError:
         return []
--- a/quetzalcourse/coordination/manifest/key_gossip.py
+++ b/quetzalcourse/coordination/manifest/key_gossip.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from quetzalcourse.coordination.manifest.gossip_peers import choose_gossip_peers
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.members import Member, Topic
 from quetzalcourse.state.gossip import KeyMessage, GossipKind
 
@@ -68,8 +69,8 @@
 
     def _receive(self, sender: Member, content: bytes) -> None:
         try:
-            message = msgspec.msgpack.decode(content, type=KeyMessage)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            message = decode_msgpack(content, KeyMessage)
+        except MalformedMessageError:
             self._counters.add('peer_messages_dropped', reason='keys')
             return
         # A single record is a new change and is passed on. A list is the
--- a/quetzalcourse/coordination/manifest/manifest_gossip.py
+++ b/quetzalcourse/coordination/manifest/manifest_gossip.py
@@ -14,6 +14,7 @@
     list_missing,
 )
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.members import Member, Topic
 from quetzalcourse.state.gossip import ManifestMessage, GossipKind
 
@@ -94,8 +95,8 @@
 
     def _receive(self, sender: Member, content: bytes) -> None:
         try:
-            message = msgspec.msgpack.decode(content, type=ManifestMessage)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            message = decode_msgpack(content, ManifestMessage)
+        except MalformedMessageError:
             self._counters.add('peer_messages_dropped', reason='manifest')
             return
         if message.kind is GossipKind.announce:
--- a/quetzalcourse/coordination/manifest/sections.py
+++ b/quetzalcourse/coordination/manifest/sections.py
@@ -10,6 +10,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.manifest import Manifest
 
 if TYPE_CHECKING:
@@ -84,8 +85,8 @@
     :returns: the head, or the decoding error.
     """
     try:
-        return Ok(msgspec.json.decode(content, type=ManifestHead))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Ok(decode_json(content, ManifestHead))
+    except MalformedMessageError as error:
         return Err(str(error))
 
 
@@ -149,7 +150,7 @@
         encoded_sections[section] = b'{' + b','.join(encoded_parts) + b'}'
     try:
         return Ok(_decode(version, encoded_sections))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MalformedMessageError as error:
         return Err(str(error))
 
 
@@ -171,4 +172,4 @@
     ]
     parts.append(f'"version":{version}')
     document = '{' + ','.join(parts) + '}'
-    return msgspec.json.decode(document, type=Manifest)
+    return decode_json(document, Manifest)
--- a/quetzalcourse/coordination/membership/membership.py
+++ b/quetzalcourse/coordination/membership/membership.py
@@ -11,6 +11,7 @@
 from quetzalcourse.coordination.membership.probes import Probes, Rotation
 from quetzalcourse.coordination.membership.member_list import MemberList
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.heartbeats import (
     MemberUpdate,
     Heartbeat,
@@ -242,8 +243,8 @@
 
     def _receive(self, sender: Member, content: bytes) -> None:
         try:
-            heartbeat = msgspec.msgpack.decode(content, type=Heartbeat)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            heartbeat = decode_msgpack(content, Heartbeat)
+        except MalformedMessageError:
             self._counters.add('peer_messages_dropped', reason='heartbeat')
             return
         if sender.incarnation == self.own.incarnation:
--- a/quetzalcourse/coordination/quarantine/crash_updates.py
+++ b/quetzalcourse/coordination/quarantine/crash_updates.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from quetzalcourse.coordination.tasks import BackgroundTasks
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -82,7 +83,7 @@
 
     def on_message(self, _: Member, content: bytes) -> None:
         """Apply the reports of another daemon."""
-        update = msgspec.msgpack.decode(content, type=CrashReportBatch)
+        update = decode_msgpack(content, CrashReportBatch)
         for report in update.reports:
             if report.run is None:
                 self._quarantine.lift(report.fingerprint, 'answered elsewhere')
--- a/quetzalcourse/coordination/quarantine/quarantine_store.py
+++ b/quetzalcourse/coordination/quarantine/quarantine_store.py
@@ -9,14 +9,22 @@
 
 import asyncio
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from result import Ok
 
-from quetzalcourse.coordination.quarantine.records import QUARANTINE_RETENTION
+from quetzalcourse.coordination.quarantine.records import (
+    MAX_TRIALS,
+    QUARANTINE_RETENTION,
+)
 from quetzalcourse.coordination.tasks import BackgroundTasks, wait_event
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import (
+    MalformedMessageError,
+    MillisecondCount,
+    decode_json,
+)
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 
 if TYPE_CHECKING:
@@ -37,6 +45,8 @@
 # How long the row of a lifted quarantine may still appear in the feed.
 LIFTED_TTL = timedelta(seconds=5)
 MILLISECOND = timedelta(milliseconds=1)
+# The quarantine time doubles with each trial.
+TrialCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_TRIALS)]
 log = get_log('quarantine')
 
 
@@ -50,8 +60,8 @@
     """
 
     upstreams: list[str]
-    since_ms: int = 0
-    trials: int = 0
+    since_ms: MillisecondCount = 0
+    trials: TrialCount = 0
 
 
 class QuarantineStore:
@@ -211,6 +221,6 @@
 def read_row(row: Row) -> QuarantineRow | None:
     """Decode a row, ``None`` if it is malformed."""
     try:
-        return msgspec.json.decode(row.content, type=QuarantineRow)
-    except msgspec.DecodeError:
+        return decode_json(row.content, QuarantineRow)
+    except MalformedMessageError:
         return None
--- a/quetzalcourse/coordination/requests/idempotency.py
+++ b/quetzalcourse/coordination/requests/idempotency.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from quetzalcourse.exceptions import RefusedError
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.rows import (
     ABSENT,
@@ -187,7 +188,7 @@
 
     :raises RefusedError: if the key was used by another call.
     """
-    found = msgspec.json.decode(row.content, type=ClaimContent)
+    found = decode_json(row.content, ClaimContent)
     if found.state is ClaimState.not_run:
         return False
     if found.holder == call.request_id:
--- a/quetzalcourse/coordination/scaling/scaling_records.py
+++ b/quetzalcourse/coordination/scaling/scaling_records.py
@@ -9,6 +9,7 @@
 
 from quetzalcourse.coordination.scaling.place_capacity import OrderRecord
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 from quetzalcourse.state.scaling import ScalingPlace
 
@@ -51,8 +52,8 @@
         if row is None or not row.content:
             return {}
         try:
-            records = msgspec.json.decode(row.content, type=list[PlaceRecord])
-        except msgspec.DecodeError:
+            records = decode_json(row.content, list[PlaceRecord])
+        except MalformedMessageError:
             log.error('Ignored malformed scaling records.')
             return {}
         return {
--- a/quetzalcourse/coordination/service_levels/daily_event_sums.py
+++ b/quetzalcourse/coordination/service_levels/daily_event_sums.py
@@ -14,6 +14,7 @@
 from quetzalcourse.coordination.service_levels.service_levels import (
     EVENTS_METRIC,
 )
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.rows import StoreFault, Transaction, Write
 from quetzalcourse.state.service_levels import EventCount
 
@@ -174,7 +175,7 @@
             return answer
         rows = answer.ok_value
         for row in rows:
-            sums = msgspec.json.decode(row.content, type=DaySums)
+            sums = decode_json(row.content, DaySums)
             add_day(sums, periods, today, events)
         if len(rows) < PAGE_SIZE:
             return Ok(events)
--- a/quetzalcourse/coordination/slot_grants/grant_exchange.py
+++ b/quetzalcourse/coordination/slot_grants/grant_exchange.py
@@ -18,6 +18,7 @@
     Grant,
     Grants,
 )
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -97,12 +98,12 @@
             self._send(receiver, Topic.slot_grants, message)
 
     def _receive_reports(self, sender: Member, content: bytes) -> None:
-        message = msgspec.msgpack.decode(content, type=DemandReports)
+        message = decode_msgpack(content, DemandReports)
         self._answer(sender.incarnation, message.reports)
         self._on_activity()
 
     def _receive_grants(self, sender: Member, content: bytes) -> None:
-        message = msgspec.msgpack.decode(content, type=Grants)
+        message = decode_msgpack(content, Grants)
         for grant in message.grants:
             self._on_grant(sender.incarnation, grant)
         for notice in message.notices:
--- a/quetzalcourse/coordination/steps/step_registry.py
+++ b/quetzalcourse/coordination/steps/step_registry.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import msgspec
 from result import Err, Ok, Result
 
 from quetzalcourse.coordination.steps.step_rows import (
@@ -19,6 +18,7 @@
     refuse_store_unavailable,
     refuse_unknown_step,
 )
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.rows import ABSENT, Condition, Transaction, Write
 from quetzalcourse.state.steps import DeliveryRecord, RunReport, StepSpec
 
@@ -82,7 +82,7 @@
         answer = await self._objects.get(spec.prompts_name)
         if isinstance(answer, Err) or answer.ok_value is None:
             return None
-        return msgspec.json.decode(answer.ok_value, type=tuple[str, ...])
+        return decode_json(answer.ok_value, tuple[str, ...])
 
     async def insert(
         self, spec: StepSpec
--- a/quetzalcourse/coordination/steps/step_rows.py
+++ b/quetzalcourse/coordination/steps/step_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from quetzalcourse.exceptions import QuetzalcourseError
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.rows import ABSENT, Condition
 
@@ -77,7 +78,7 @@
 
 def decode(row: Row, kind: type[Content]) -> Content:
     """Decode the content of a row."""
-    return msgspec.json.decode(row.content, type=kind)
+    return decode_json(row.content, kind)
 
 
 def require_unchanged(key: str, row: Row | None) -> Condition:
--- a/quetzalcourse/coordination/usage/usage_replication.py
+++ b/quetzalcourse/coordination/usage/usage_replication.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.members import Topic
 from quetzalcourse.state.usage import (
     UsageByKey,
@@ -167,8 +168,8 @@
 
     def _receive(self, sender: Member, content: bytes) -> None:
         try:
-            row = msgspec.msgpack.decode(content, type=UsageRow)
-        except msgspec.DecodeError:
+            row = decode_msgpack(content, UsageRow)
+        except MalformedMessageError:
             self._counters.add('usage_messages_malformed')
             log.warning(
                 'Malformed usage message dropped.', peer=sender.incarnation
--- a/quetzalcourse/coordination/usage/usage_reports.py
+++ b/quetzalcourse/coordination/usage/usage_reports.py
@@ -19,6 +19,7 @@
     require_unchanged,
 )
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.rows import (
     ABSENT,
@@ -135,7 +136,7 @@
         row = answer.ok_value
         if row is None:
             return await self._initialise()
-        progress = msgspec.json.decode(row.content, type=UsageProgress)
+        progress = decode_json(row.content, UsageProgress)
         if progress.sent < progress.frozen:
             return await self._send(row, progress)
         window = name_next_window(progress.frozen, self._length)
@@ -220,7 +221,7 @@
         conditions: list[Condition],
         writes: list[Write],
     ) -> Result[UsageRow, StoreFault]:
-        row = msgspec.json.decode(late_row.content, type=UsageRow)
+        row = decode_json(late_row.content, UsageRow)
         included_key = build_included_key(row.window, row.incarnation)
         included = await self._table.read(included_key)
         if isinstance(included, Err):
--- a/quetzalcourse/coordination/usage/usage_rows.py
+++ b/quetzalcourse/coordination/usage/usage_rows.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.rows import (
     ABSENT,
     Condition,
@@ -58,7 +59,7 @@
     """Decode the figures of a row, empty if it is absent."""
     if row is None:
         return {}
-    found = msgspec.json.decode(row.content, type=UsageRow)
+    found = decode_json(row.content, UsageRow)
     return index_entries(found.entries)
 
 
--- a/quetzalcourse/coordination/versions/load_updates.py
+++ b/quetzalcourse/coordination/versions/load_updates.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from quetzalcourse.coordination.versions.load_plan import WeightLoad
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -64,7 +65,7 @@
 
     def on_message(self, _: Member, content: bytes) -> None:
         """Apply an update of the daemon that orders loads."""
-        self._apply(msgspec.msgpack.decode(content, type=LoadsUpdate))
+        self._apply(decode_msgpack(content, LoadsUpdate))
 
     def _broadcast(self, update: LoadsUpdate) -> None:
         self._apply(update)
--- a/quetzalcourse/platform/callers.py
+++ b/quetzalcourse/platform/callers.py
@@ -11,6 +11,7 @@
 
 from quetzalcourse.state.batches import BatchItem, ScoringCall, Submission
 from quetzalcourse.state.calls import BatchCall, BatchOperation, CallerMetadata
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 
 if TYPE_CHECKING:
     from quetzalcourse.state.batches import ResultPage
@@ -121,8 +122,8 @@
     def read_submission(self, body: bytes) -> Result[Submission, str]:
         """Parse a batch submission."""
         try:
-            message = msgspec.json.decode(body, type=BatchMessage)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            message = decode_json(body, BatchMessage)
+        except MalformedMessageError as error:
             return Err(str(error))
         items = tuple(
             BatchItem(
--- a/quetzalcourse/platform/documents.py
+++ b/quetzalcourse/platform/documents.py
@@ -9,6 +9,14 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import (
+    Int64,
+    MalformedMessageError,
+    Milliseconds,
+    Seconds,
+    decode_json,
+)
+from quetzalcourse.state.endpoints import is_endpoint
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.state.routing import (
     AllowedRegions,
@@ -22,6 +30,7 @@
     Service,
     Target,
 )
+from quetzalcourse.transport.headers import is_header_value
 
 OPERATOR_TABLE = 'op'
 MANIFEST_KEY = 'op//config'
@@ -40,7 +49,7 @@
     """Weight of one of the services that share a route."""
 
     service: str
-    weight: int
+    weight: Int64
 
 
 class RouteMessage(msgspec.Struct):
@@ -53,14 +62,14 @@
     hostname: str
     path_prefix: str
     kind: Literal['idempotent', 'non_idempotent', 'rollout']
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0
+    priority: Int64 = 0
     service: str = ''
     traffic_split: list[SplitMessage] = []
-    max_attempts: int = 1
-    item_ttl_s: float = 0
-    result_due_ms: float = 0
+    max_attempts: Int64 = 1
+    item_ttl_s: Seconds = 0
+    result_due_ms: Milliseconds = 0
     single_version: bool = False
     public: bool = False
     streaming: bool = False
@@ -83,9 +92,9 @@
 class ScalingMessage(msgspec.Struct):
     """Range for the number of servers in each zone."""
 
-    min: int
-    max: int
-    boot_s: float = 0
+    min: Int64
+    max: Int64
+    boot_s: Seconds = 0
     zone_prices: dict[str, float] = {}
 
 
@@ -99,17 +108,17 @@
     name: str
     engine: EngineMessage | None = None
     scaling: ScalingMessage | None = None
-    cold_start_s: float = 0
+    cold_start_s: Seconds = 0
     cold_per_s: float = 0
 
 
 class LimitsMessage(msgspec.Struct):
     """Limits on client requests, in bytes and milliseconds."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 33554432
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Int64 = 16384
+    max_body_bytes: Int64 = 33554432
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15000
 
 
 class TenantMessage(msgspec.Struct):
@@ -117,14 +126,14 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Int64 | None = None
     allowed_regions: list[str] = []
 
 
 class ConfigMessage(msgspec.Struct):
     """Complete desired state of the latest version."""
 
-    version: int
+    version: Int64
     routes: list[RouteMessage] = []
     services: list[ServiceMessage] = []
     limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
@@ -135,7 +144,7 @@
     """Weight version of one model on a server."""
 
     name: str
-    version: int
+    version: Int64
 
 
 class ServerMessage(msgspec.Struct):
@@ -148,27 +157,27 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Int64
     state: Literal['ready', 'draining']
     models: list[ServerModelMessage] = []
-    born: int = 0
+    born: Int64 = 0
     spot: bool = False
-    leaves_ms: float | None = None
-    cold_remaining_ms: float = 0
+    leaves_ms: Milliseconds | None = None
+    cold_remaining_ms: Milliseconds = 0
 
 
 class VersionMessage(msgspec.Struct):
     """Weight version that a trainer wants loaded."""
 
     model: str
-    version: int
+    version: Int64
 
 
 def read_manifest(content: bytes) -> Result[RoutingManifest, str]:
     """Parse a desired state."""
     try:
-        message = msgspec.json.decode(content, type=ConfigMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = decode_json(content, ConfigMessage)
+    except MalformedMessageError as error:
         return Err(str(error))
     accounts = None
     if message.tenants is not None:
@@ -190,9 +199,13 @@
 def read_member(name: str, content: bytes) -> Result[PoolMember, str]:
     """Parse the registration of a server."""
     try:
-        message = msgspec.json.decode(content, type=ServerMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = decode_json(content, ServerMessage)
+    except MalformedMessageError as error:
         return Err(str(error))
+    if not is_header_value(name):
+        return Err('name does not fit into a header')
+    if not is_endpoint(message.address):
+        return Err('address is not an IP address and a port')
     leaves_in = None
     if message.leaves_ms is not None:
         leaves_in = timedelta(milliseconds=message.leaves_ms)
@@ -219,8 +232,8 @@
     :returns: the model and its version.
     """
     try:
-        message = msgspec.json.decode(content, type=VersionMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = decode_json(content, VersionMessage)
+    except MalformedMessageError as error:
         return Err(str(error))
     return Ok((message.model, message.version))
 
--- a/quetzalcourse/platform/duties.py
+++ b/quetzalcourse/platform/duties.py
@@ -12,6 +12,11 @@
     UpstreamReport,
 )
 from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import (
+    Int64,
+    MalformedMessageError,
+    decode_json,
+)
 from quetzalcourse.state.rows import FaultKind
 from quetzalcourse.state.scaling import ScalingOutcome
 from quetzalcourse.transport.channel import Channel
@@ -64,7 +69,7 @@
     """Weight version of one model on a server."""
 
     name: str
-    version: int
+    version: Int64
 
 
 class ReportMessage(msgspec.Struct):
@@ -72,7 +77,7 @@
 
     models: list[ModelMessage] = []
     busy: bool = False
-    seq: int = 0
+    seq: Int64 = 0
 
 
 class UsageMessage(msgspec.Struct):
@@ -134,10 +139,8 @@
         if isinstance(answer, Err) or answer.ok_value.status != OK:
             return None
         try:
-            message = msgspec.json.decode(
-                answer.ok_value.content, type=ReportMessage
-            )
-        except msgspec.DecodeError:
+            message = decode_json(answer.ok_value.content, ReportMessage)
+        except MalformedMessageError:
             log.warning('Server report is malformed.', upstream=upstream.name)
             return None
         versions = {model.name: model.version for model in message.models}
--- a/quetzalcourse/platform/store.py
+++ b/quetzalcourse/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.rows import (
     RowChanges,
     TransactionResult,
@@ -266,8 +267,8 @@
         if answer.status not in (OK, CONFLICT):
             return Err(self._classify_status(call, answer.status))
         try:
-            message = msgspec.json.decode(answer.content, type=AnswerMessage)
-        except msgspec.DecodeError as error:
+            message = decode_json(answer.content, AnswerMessage)
+        except MalformedMessageError as error:
             step = f'{call}: {error}'
             return Err(
                 StoreFault(FaultKind.unanswered, step, self._channel.address)
--- a/quetzalcourse/protocol/engines.py
+++ b/quetzalcourse/protocol/engines.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from quetzalcourse.state import engines
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.generation import Chunk
 
 if TYPE_CHECKING:
@@ -121,8 +122,8 @@
     nothing ran.
     """
     try:
-        return msgspec.json.decode(content, type=EngineRefusal)
-    except msgspec.DecodeError:
+        return decode_json(content, EngineRefusal)
+    except MalformedMessageError:
         return None
 
 
@@ -131,7 +132,7 @@
 
     :param upstream: name of the engine.
     """
-    message = msgspec.json.decode(content, type=EngineChunk)
+    message = decode_json(content, EngineChunk)
     return Chunk(
         request_id=message.request_id,
         offset=message.offset,
--- a/quetzalcourse/protocol/peers.py
+++ b/quetzalcourse/protocol/peers.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.state.decoding import MalformedMessageError, decode_msgpack
 from quetzalcourse.state.members import Member, Topic
 
 if TYPE_CHECKING:
@@ -69,7 +70,6 @@
         self._secrets = tuple(secrets)
         self._sequence = 0
         self._last_sequences: dict[str, int] = {}
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
 
     def encode(
         self,
@@ -110,8 +110,8 @@
         if not self._is_signed(mac, body):
             return Err('foreign')
         try:
-            envelope = self._decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            envelope = decode_msgpack(body, Envelope)
+        except MalformedMessageError:
             return Err('malformed')
         if envelope.version != ENVELOPE_VERSION:
             return Err('version')
--- a/quetzalcourse/protocol/platform.py
+++ b/quetzalcourse/protocol/platform.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.rows import TransactionResult, Row, Transaction
 
 
@@ -159,7 +160,7 @@
 
 def unpack_commit(content: bytes) -> TransactionResult:
     """Decode the table's response to a transaction."""
-    message = msgspec.json.decode(content, type=CommitMessage)
+    message = decode_json(content, CommitMessage)
     return TransactionResult(
         message.applied,
         tuple(unpack_row(row) for row in message.conflicts),
--- a/quetzalcourse/protocol/slots.py
+++ b/quetzalcourse/protocol/slots.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from quetzalcourse.state.decoding import decode_msgpack
 from quetzalcourse.state.generation import TrafficClass
 from quetzalcourse.state.slots import (
     AccountLoad,
@@ -71,7 +72,6 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(SlotMessage)
 
 
 def encode_reports(
@@ -123,9 +123,9 @@
 def decode_slots(content: bytes) -> SlotMessage:
     """Decode a message.
 
-    :raises msgspec.DecodeError: if the message is malformed.
+    :raises MalformedMessageError: if the message is malformed.
     """
-    return _decoder.decode(content)
+    return decode_msgpack(content, SlotMessage)
 
 
 def list_reports(
--- a/quetzalcourse/standins/rollout/store.py
+++ b/quetzalcourse/standins/rollout/store.py
@@ -126,7 +126,9 @@
         self._started = time.monotonic()
         self._late_writes: set[asyncio.Task[None]] = set()
 
-    async def write(self, table: str, key: str, document: Any) -> int:
+    async def write(
+        self, table: str, key: str, document: Any, part: str = ''
+    ) -> int:
         """Write a row as the operator, a trainer or a server does.
 
         :param document: content; bytes are written as they are, which allows
@@ -137,7 +139,13 @@
         if not isinstance(document, bytes):
             content = json.dumps(document).encode()
         value = b64encode(content).decode()
-        return await self._apply([(table, '', key, value)], [])
+        return await self.write_text(table, key, value, part)
+
+    async def write_text(
+        self, table: str, key: str, value: str, part: str = ''
+    ) -> int:
+        """Write a row whose value may not even be base64."""
+        return await self._apply([(table, part, key, value)], [])
 
     async def remove(self, table: str, key: str) -> None:
         """Remove a row as the store does when heartbeats stop."""
--- a/quetzalcourse/state/batches.py
+++ b/quetzalcourse/state/batches.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from quetzalcourse.state.decoding import MillisecondCount
+
 
 class ScoringCall(msgspec.Struct, frozen=True):
     """Request whose response scores an item's text.
@@ -70,9 +72,9 @@
     route: str
     host: str
     total: int
-    accepted_ms: int
-    due_ms: int
-    lifetime_ms: int
+    accepted_ms: MillisecondCount
+    due_ms: MillisecondCount
+    lifetime_ms: MillisecondCount
     model: str = ''
     step: int = 0
     min_version: int = 0
--- /dev/null
+++ b/quetzalcourse/tests/rollout/odd_entries_tests.py
@@ -0,0 +1,118 @@
+"""Daemons while a row of the store comes from another writer."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import pytest_asyncio
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.cluster import RolloutCluster, build_batch
+from quetzalcourse.tests.rollout.calls import await_membership, look_up
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+ODD_NAME = 'a-first'
+DEEP_LEVELS = 20_000
+HUGE = 10**30
+
+
+def build_entry(**changes: Any) -> bytes:
+    """Build the registration of a server with odd fields."""
+    entry = {
+        'service': documents.ENGINES,
+        'address': '127.0.0.1:9',
+        'zone': 'hall-a',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'seq': 0,
+        'born': 1,
+        'models': [{'name': documents.MODEL, 'version': 1}],
+    }
+    return json.dumps(entry | changes).encode()
+
+
+DEEP = b'{"service":' + b'[' * DEEP_LEVELS + b']' * DEEP_LEVELS + b'}'
+# Well-formed apart from a field that no reader needs.
+DEEP_EXTRA = build_entry()[:-1] + b',"x":' + DEEP + b'}'
+ODD_ENTRIES = {
+    'deep': DEEP,
+    'deep extra field': DEEP_EXTRA,
+    'not text': b'\xff\x00\xfe',
+    'huge slots': build_entry(slots=HUGE),
+    'huge start': build_entry(born=HUGE),
+    'huge version': build_entry(
+        models=[{'name': documents.MODEL, 'version': HUGE}]
+    ),
+    'endless cold start': build_entry(cold_remaining_ms=1e300),
+    'endless notice': build_entry(leaves_ms=-1e300),
+    'slots as text': build_entry(slots='8'),
+    'other state': build_entry(state='sleeping'),
+    'no port': build_entry(address='127.0.0.1'),
+}
+
+
+# Table, part and key of rows that daemons read besides those of servers.
+OTHER_ROWS = (
+    ('op', '', f'version/{documents.MODEL}'),
+    ('op', '', 'version/another'),
+    ('members', 'hall-a', 'vm-9'),
+    ('batches', 'b-9', 'head'),
+    ('batches', 'b-9', 'owner'),
+    ('batches', 'b-9', 'progress'),
+    ('quarantine', '', 'odd'),
+)
+
+
+@pytest_asyncio.fixture(params=sorted(ODD_ENTRIES))
+async def odd_cluster(
+    request: pytest.FixtureRequest,
+) -> AsyncIterator[RolloutCluster]:
+    """Start two daemons while an odd entry stands among the servers."""
+    running = RolloutCluster(daemons=2)
+    await running.store.write('servers', ODD_NAME, ODD_ENTRIES[request.param])
+    await running.start()
+    yield running
+    await running.stop()
+
+
+async def test_odd_server_entry_names_no_server(
+    odd_cluster: RolloutCluster,
+) -> None:
+    # Guards against one entry of another writer that stops the whole service,
+    # at the start and when it appears again.
+    await await_membership(odd_cluster)
+    for daemon in odd_cluster.daemons:
+        assert daemon.pool.find(ODD_NAME) is None
+    assert (await look_up(odd_cluster)).status == 200
+    await run_batch(odd_cluster)
+
+
+@pytest.mark.parametrize('content', [DEEP, b'\xff\x00\xfe', b'9' * 100])
+async def test_odd_rows_of_other_tables_are_ignored(
+    two_daemons: RolloutCluster,
+    content: bytes,
+) -> None:
+    # Guards against a row of another writer that stops the feed of its table.
+    for table, part, key in (('servers', '', ODD_NAME), *OTHER_ROWS):
+        await two_daemons.store.write(table, key, content, part)
+    await two_daemons.add_daemon('vm-2')
+    await await_membership(two_daemons)
+    assert (await look_up(two_daemons)).status == 200
+    await run_batch(two_daemons)
+
+
+async def run_batch(cluster: RolloutCluster) -> None:
+    """Run a batch and check that its item completes."""
+    caller = cluster.caller
+    reply = await caller.submit(
+        cluster.address(-1), 'b-1', build_batch(['i-1'])
+    )
+    assert reply.status == 202
+    results = await caller.read_all(cluster.address(0), 'b-1')
+    assert [result['state'] for result in results] == ['completed']
--- a/quetzalcourse/transport/caller_app.py
+++ b/quetzalcourse/transport/caller_app.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
 from result import Err
 from sanic import Request, Sanic
 from sanic import exceptions as sanic_errors
@@ -20,6 +19,7 @@
     encode_refusal,
     build_refusal_headers,
 )
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.transport.activity import Activity
 
@@ -154,8 +154,8 @@
     :raises RefusedError: if it does not match, with the reason.
     """
     try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(content, kind)
+    except MalformedMessageError as error:
         raise RefusedError(
             Refusal(
                 RefusalCode.invalid_body,
--- a/quetzalcourse/transport/engine_client.py
+++ b/quetzalcourse/transport/engine_client.py
@@ -15,6 +15,7 @@
     parse_refusal,
 )
 from quetzalcourse.protocol.events import END_MARKER, decode_line
+from quetzalcourse.state.decoding import MalformedMessageError
 from quetzalcourse.state.generation import AttemptState
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
 STREAM_ERRORS = (
     aiohttp.ClientError,
     asyncio.TimeoutError,
-    msgspec.DecodeError,
+    MalformedMessageError,
     OSError,
 )
 
--- a/quetzalcourse/transport/engine_control.py
+++ b/quetzalcourse/transport/engine_control.py
@@ -16,6 +16,7 @@
     read_change,
     read_report,
 )
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.engines import OrderProblem
 
 if TYPE_CHECKING:
@@ -105,6 +106,6 @@
         # A gateway may respond in an engine's place. Without this check its
         # body would abort the polling round of all other engines.
         try:
-            return Ok(msgspec.json.decode(content, type=kind))
-        except msgspec.DecodeError:
+            return Ok(decode_json(content, kind))
+        except MalformedMessageError:
             return Err(OrderProblem.unanswered)
--- a/quetzalcourse/transport/headers.py
+++ b/quetzalcourse/transport/headers.py
@@ -44,6 +44,12 @@
 SERVER_HEADERS = frozenset(('date', 'server', 'x-request-id'))
 
 
+def is_header_value(text: str) -> bool:
+    """Return whether a text can be the whole value of a header."""
+    trimmed = bool(text) and text == text.strip()
+    return trimmed and text.isascii() and text.isprintable()
+
+
 def filter_request_headers(
     headers: Iterable[tuple[str, str]],
     secret: str,
--- a/quetzalcourse/transport/metric_help.py
+++ b/quetzalcourse/transport/metric_help.py
@@ -38,6 +38,7 @@
     'requests_sent': 'Attempts sent, by service and large client accounts.',
     'requests_waiting': 'Requests that wait for a slot, by service.',
     'requests_quarantined': 'Requests that no upstream runs for now.',
+    'rows_rejected': 'Rows that a listener of their table failed on.',
     'rows_relayed': 'Rows taken from other daemons while the store was away.',
     'scoring_call': 'Time that scoring calls took, by how they ended.',
     'scoring_calls_failed': 'Scoring calls without a score, by reason.',
--- a/quetzalcourse/transport/order_client.py
+++ b/quetzalcourse/transport/order_client.py
@@ -14,6 +14,7 @@
     UpstreamOrder,
     UsageReport,
 )
+from quetzalcourse.state.decoding import decode_json
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.fleet import FleetCount, FleetPlace
 from quetzalcourse.state.rows import FaultKind, StoreFault
@@ -143,7 +144,7 @@
             return Err(fault)
         if response.status != HTTP_OK:
             return Err(fault)
-        found = msgspec.json.decode(content, type=list[UpstreamCount])
+        found = decode_json(content, list[UpstreamCount])
         return Ok(
             [
                 FleetCount(
--- a/quetzalcourse/transport/platform_client.py
+++ b/quetzalcourse/transport/platform_client.py
@@ -21,6 +21,7 @@
     unpack_commit,
     unpack_row,
 )
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.members import Vm
 from quetzalcourse.state.rows import FaultKind, StoreFault
 
@@ -91,7 +92,7 @@
             return result
         if result.ok_value.status == HTTP_NOT_FOUND:
             return Ok(None)
-        message = msgspec.json.decode(result.ok_value.content, type=RowMessage)
+        message = decode_json(result.ok_value.content, RowMessage)
         return Ok(unpack_row(message))
 
     async def scan(
@@ -112,7 +113,7 @@
         result = await self.request('GET', path)
         if isinstance(result, Err):
             return result
-        found = msgspec.json.decode(result.ok_value.content, type=ScanMessage)
+        found = decode_json(result.ok_value.content, ScanMessage)
         return Ok([unpack_row(row) for row in found.rows])
 
     async def transact(
@@ -150,8 +151,8 @@
             return result
         content = result.ok_value.content
         try:
-            entries = msgspec.json.decode(content, type=list[VmEntry])
-        except msgspec.DecodeError:
+            entries = decode_json(content, list[VmEntry])
+        except MalformedMessageError:
             return Err(
                 StoreFault(FaultKind.not_applied, 'list VMs', self._address)
             )
@@ -171,7 +172,7 @@
         if result.ok_value.status != HTTP_OK:
             fault = FaultKind.not_applied
             return Err(StoreFault(fault, f'GET {path}', self._address))
-        return Ok(msgspec.json.decode(result.ok_value.content, type=int))
+        return Ok(decode_json(result.ok_value.content, int))
 
     async def score(
         self,
@@ -185,5 +186,5 @@
             return Err(result.err_value.kind)
         if result.ok_value.status != HTTP_OK:
             return Err(FaultKind.unanswered)
-        found = msgspec.json.decode(result.ok_value.content, type=ScoreResponse)
+        found = decode_json(result.ok_value.content, ScoreResponse)
         return Ok(found.score)
--- a/quetzalcourse/transport/slot_link.py
+++ b/quetzalcourse/transport/slot_link.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 
 from quetzalcourse.coordination.slots.ownership import hash_name
 from quetzalcourse.log import get_log
@@ -15,6 +14,7 @@
     list_allowances,
     list_reports,
 )
+from quetzalcourse.state.decoding import MalformedMessageError
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
@@ -74,7 +74,7 @@
         def receive(sender: Member, content: bytes) -> None:
             try:
                 message = decode_slots(content)
-            except msgspec.DecodeError as error:
+            except MalformedMessageError as error:
                 self._counters.add('slot_messages_malformed')
                 log.warning(
                     'Peer message dropped.',
