Tell registrations apart by their whole names

What callers saw: an entry named odd/e-0 removed or replaced the sound server e-0, which got no more requests until it wrote its entry again.

Cause: the name was taken to be what follows the last slash of the row's key, but the name itself may hold slashes.

Change: the name is all that follows the table and the part.

Evidence: test_odd_entry_does_not_stand_for_a_server_named_like_its_end failed on the code before (the server was gone from the pool) and passes now.

--- a/quetzalcourse/coordination/forwarding/registrations.py
+++ b/quetzalcourse/coordination/forwarding/registrations.py
@@ -59,7 +59,7 @@
     def on_rows(self, rows: list[Row]) -> None:
         """Apply changed entries."""
         for row in rows:
-            name = row.key.rpartition('/')[2]
+            name = row.key.split('/', 2)[2]
             if row.removed:
                 self._on_removed(name)
             else:
--- a/quetzalcourse/tests/rollout/odd_entries_tests.py
+++ b/quetzalcourse/tests/rollout/odd_entries_tests.py
@@ -107,6 +107,17 @@
     await run_batch(two_daemons)
 
 
+async def test_odd_entry_does_not_stand_for_a_server_named_like_its_end(
+    cluster: RolloutCluster,
+) -> None:
+    # Guards against an entry whose name ends like that of a sound server and
+    # which removes that server.
+    sound = cluster.engines[0].name
+    await cluster.store.write('servers', f'odd/{sound}', DEEP)
+    await run_batch(cluster)
+    assert cluster.daemons[0].pool.find(sound) is not None
+
+
 async def run_batch(cluster: RolloutCluster) -> None:
     """Run a batch and check that its item completes."""
     caller = cluster.caller
