Decode the content of each stored row apart

What callers saw: with one row whose value is not base64, every answer of the store that held it was unreadable, so that a daemon that started stayed without servers or routes.

Cause: the whole answer was decoded at once, the contents of its rows included.

Change: an answer is decoded with the values as text, and each value on its own. A value that is not base64 becomes an empty row, which every reader of rows takes as malformed.

Evidence: test_value_that_is_not_base64_hides_no_other_row could not start its daemon on the code before and passes now.

--- a/quetzalcourse/platform/store.py
+++ b/quetzalcourse/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from base64 import b64decode
 from datetime import timedelta
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
@@ -9,7 +10,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from quetzalcourse.state.decoding import MalformedMessageError, decode_json
+from quetzalcourse.state.decoding import (
+    Int64,
+    MalformedMessageError,
+    Milliseconds,
+    decode_json,
+)
 from quetzalcourse.state.rows import (
     RowChanges,
     TransactionResult,
@@ -51,6 +57,21 @@
     tombstone: bool = False
 
 
+class StoredRowMessage(msgspec.Struct):
+    """A row as the store returns it; ``value`` is its content in base64.
+
+    Any process may have written the value, so it is decoded for each row apart:
+    one that is malformed must not make the others unreadable.
+    """
+
+    table: str
+    part: str
+    key: str
+    value: str = ''
+    ver: Int64 = 0
+    tombstone: bool = False
+
+
 class ExpectedMessage(msgspec.Struct):
     """Version that a row must have; 0 means that it must not exist."""
 
@@ -74,9 +95,9 @@
     ``ver`` is the store's latest version, ``now_ms`` its monotonic clock.
     """
 
-    ver: int = 0
-    now_ms: float = 0
-    rows: list[RowMessage] = []
+    ver: Int64 = 0
+    now_ms: Milliseconds = 0
+    rows: list[StoredRowMessage] = []
     parts: list[str] = []
     has_more: bool = False
 
@@ -87,11 +108,15 @@
     return table, part, name
 
 
-def read_row(message: RowMessage) -> Row:
-    """Convert a row from its wire format."""
+def read_row(message: StoredRowMessage) -> Row:
+    """Convert a row from its wire format; malformed content becomes empty."""
+    try:
+        content = b64decode(message.value, validate=True)
+    except ValueError:
+        content = b''
     return Row(
         f'{message.table}/{message.part}/{message.key}',
-        message.value,
+        content,
         message.ver,
         message.tombstone,
     )
--- a/quetzalcourse/tests/rollout/odd_entries_tests.py
+++ b/quetzalcourse/tests/rollout/odd_entries_tests.py
@@ -107,6 +107,16 @@
     await run_batch(two_daemons)
 
 
+async def test_value_that_is_not_base64_hides_no_other_row(
+    cluster: RolloutCluster,
+) -> None:
+    # Guards against a value that makes a whole answer of the store unreadable.
+    await cluster.store.write_text('servers', ODD_NAME, '%')
+    await cluster.add_daemon('vm-1')
+    assert (await look_up(cluster)).status == 200
+    await run_batch(cluster)
+
+
 async def test_odd_entry_does_not_stand_for_a_server_named_like_its_end(
     cluster: RolloutCluster,
 ) -> None:
