Reject responses with an undefined status

What callers saw: a server in trouble answered with status 000, and the caller got it as an answer. So with 099, 600 or 999, and with 101 that nobody asked for.

Cause: the HTTP client takes any three digits as a status.

Change: the head of a response is checked before the HTTP client gets a byte of it. Interim responses are checked and dropped; a final status lies between 200 and 599. Anything else ends the connection, and the attempt counts as one that may have run: a lookup is tried at another server, an unsafe request gets 502.

--- a/quetzalcourse/tests/rollout/broken_servers_tests.py
+++ b/quetzalcourse/tests/rollout/broken_servers_tests.py
@@ -10,6 +10,7 @@
 
 from quetzalcourse.standins.raw_server import RawResponse, RawServer
 from quetzalcourse.standins.rollout import documents
+from quetzalcourse.tests.rollout.calls import look_up
 
 if TYPE_CHECKING:
     from quetzalcourse.standins.rollout.cluster import RolloutCluster
@@ -20,6 +21,9 @@
     'reset': RawResponse(
         b'HTTP/1.1 200 OK\r\n' + IDENTITY + b'\r\npart', reset=True
     ),
+    'status 000': RawResponse(
+        b'HTTP/1.1 000 OK\r\n' + IDENTITY + b'Content-Length: 2\r\n\r\nhi'
+    ),
 }
 
 
@@ -68,3 +72,16 @@
         reply = None
     assert reply is None or reply.status in {502, 503, 504}
     await server.stop()
+
+
+async def test_broken_response_to_a_lookup_is_retried(
+    cluster: RolloutCluster,
+) -> None:
+    # Guards against lookups that fail while another server could answer them.
+    server = RawServer(BROKEN_RESPONSES['status 000'])
+    await server.start()
+    await register(cluster, server, documents.CATALOGUE)
+    await cluster.services[0].register()
+    replies = [await look_up(cluster) for _ in range(4)]
+    assert {reply.status for reply in replies} == {200}
+    await server.stop()
--- a/quetzalcourse/tests/transport/broken_responses_tests.py
+++ b/quetzalcourse/tests/transport/broken_responses_tests.py
@@ -126,6 +126,23 @@
         assert await call(server.address, long=False) == b'whole'
 
 
+@pytest.mark.parametrize('call', CLIENTS)
+@pytest.mark.parametrize(
+    'status', ['000', '099', '101', '600', '999', '20', '-20']
+)
+async def test_undefined_status_is_no_response(
+    call: Call,
+    status: str,
+) -> None:
+    # Guards against a status outside the defined range, or an unrequested
+    # protocol switch, that passes for a response.
+    line = f'HTTP/1.1 {status} OK\r\nX-Request-Id: r-1\r\n'.encode()
+    response = RawResponse(line + LENGTH_2 + b'\r\nhi')
+    async with serve(response) as server:
+        async with asyncio.timeout(PROMPT_SECONDS):
+            assert await call(server.address, long=False) is None
+
+
 @pytest.mark.parametrize('call', CLIENTS)
 @pytest.mark.parametrize(
     'head',
--- a/quetzalcourse/transport/response_protocol.py
+++ b/quetzalcourse/transport/response_protocol.py
@@ -8,18 +8,45 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from quetzalcourse.transport.response_head import (
+    HeadChecker,
+    MalformedResponseError,
+)
+
 if TYPE_CHECKING:
     import asyncio
 
 
 class ResponseProtocol(ResponseHandler):
-    """Rejects responses that end early."""
+    """Rejects malformed responses and responses that end early.
+
+    The HTTP client gets no byte of a response before its head is checked.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a request."""
         super().__init__(loop)
+        self._head: HeadChecker | None = None
         self._ended_by_peer = False
 
+    def set_response_params(self, **options: Any) -> None:
+        """Expect the response to the next request."""
+        self._head = HeadChecker()
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Check received bytes and pass them on."""
+        try:
+            checked = self._check_head(data)
+        except MalformedResponseError as error:
+            self._reject(error)
+            return
+        if checked is None:
+            return
+        super().data_received(checked)
+        if self._exception is not None:
+            self._fail_body(self._exception)
+
     def eof_received(self) -> None:
         """Record that the peer ended the connection in an orderly way."""
         self._ended_by_peer = True
@@ -37,6 +64,21 @@
             )
         super().connection_lost(exc)
 
+    def _check_head(self, data: bytes) -> bytes | None:
+        """Return the bytes to pass on, ``None`` before the head is whole."""
+        if self._head is None:
+            return data
+        checked = self._head.feed(data)
+        if checked is not None:
+            self._head = None
+        return checked
+
+    def _reject(self, error: MalformedResponseError) -> None:
+        self.set_exception(error)
+        self._fail_body(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def _fail_body(self, error: BaseException) -> None:
         body = self._payload
         if body is None or body.is_eof():
@@ -46,7 +88,7 @@
 
 
 class StrictConnector(aiohttp.TCPConnector):
-    """Connection pool that rejects broken and unexpected responses.
+    """Connection pool that rejects malformed and unexpected responses.
 
     A peer may send a second response long after the first. If the connection
     were reused, the next request would receive that response, and every later
