Reject responses with a malformed line in their head

What callers saw: a server in trouble sent a field name with a blank or a control byte. The caller got the answer with that line in another field, or with a body of another length than the server's.

Cause: the HTTP client parses responses leniently: it skips blanks before the first field, adds a line that begins with a blank to the field before, and takes lines without a CR and control bytes in values.

Change: each line of a head must be a field name made of token characters, a colon, and a value without control bytes, and end with CR LF.

--- a/quetzalcourse/tests/rollout/broken_servers_tests.py
+++ b/quetzalcourse/tests/rollout/broken_servers_tests.py
@@ -24,6 +24,12 @@
     'status 000': RawResponse(
         b'HTTP/1.1 000 OK\r\n' + IDENTITY + b'Content-Length: 2\r\n\r\nhi'
     ),
+    'blank in a name': RawResponse(
+        b'HTTP/1.1 200 OK\r\n Content-Length: 1\r\n' + IDENTITY + b'\r\nhi'
+    ),
+    'control byte in a name': RawResponse(
+        b'HTTP/1.1 200 OK\r\n' + IDENTITY + b'X\x01Y: 1\r\n\r\nhi'
+    ),
 }
 
 
--- a/quetzalcourse/tests/transport/broken_responses_tests.py
+++ b/quetzalcourse/tests/transport/broken_responses_tests.py
@@ -143,6 +143,53 @@
             assert await call(server.address, long=False) is None
 
 
+@pytest.mark.parametrize('call', CLIENTS)
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'X Y: 1',
+        b'X-Y : 1',
+        b' X-Y: 1',
+        b'\tX-Y: 1',
+        b' Content-Length: 1',
+        b'Content-Length : 1',
+        b'Content-Length\x00: 1',
+        b'Transfer-Encoding : chunked',
+        b' Transfer-Encoding: chunked',
+        b'X\x01Y: 1',
+        b'X\x7fY: 1',
+        b'X\xe9Y: 1',
+        b'X\x00Y: 1',
+        b': 1',
+        b'no colon',
+        b'X: a\x00b',
+        b'X: a\x01b',
+        b'X: a\rb',
+        b'X: a\nContent-Length: 1',
+    ],
+)
+@pytest.mark.parametrize('first', [False, True])
+async def test_malformed_field_is_no_response(
+    call: Call,
+    field: bytes,
+    first: bool,
+) -> None:
+    # Guards against a malformed line of a head that is passed on, or that
+    # changes the length of the body.
+    others = [OK_HEAD, field + b'\r\n', LENGTH_2]
+    if first:
+        others = [
+            b'HTTP/1.1 200 OK\r\n',
+            field + b'\r\n',
+            OK_HEAD[17:],
+            LENGTH_2,
+        ]
+    response = RawResponse(b''.join(others) + b'\r\nhi')
+    async with serve(response) as server:
+        async with asyncio.timeout(PROMPT_SECONDS):
+            assert await call(server.address, long=False) is None
+
+
 @pytest.mark.parametrize('call', CLIENTS)
 @pytest.mark.parametrize(
     'head',
--- a/quetzalcourse/transport/response_head.py
+++ b/quetzalcourse/transport/response_head.py
@@ -9,9 +9,12 @@
 HEAD_END = b'\r\n\r\n'
 SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
-# The HTTP client takes statuses that are not defined.
+# The HTTP client takes statuses that are not defined, folds lines that begin
+# with a blank into the line before, and accepts lines without a CR. Each of
+# them can change what a head means, its length included.
 HEAD_PATTERN = re.compile(
-    rb'HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?(?:\r\n.*)?', re.DOTALL
+    rb'HTTP/1\.[01] ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?'
+    rb"(?:\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*)*"
 )
 
 
