Place items again after upstreams crashed under them

What callers saw: in a burst of crashes several upstreams died while they ran the same sound item of a step. Afterwards all was calm and the upstreams had room, but the item was never placed again, and its trainer's step ran out of time. So with an item whose scoring call met three crashes.

Cause: the quarantine of requests that crash upstreams covered items and their scoring calls. Three confirmed crashes without an answer in between quarantined an item for ten minutes at all daemons, longer than any batch lasts, and nothing sends an item again that could lift it.

Change: only callers' requests are quarantined. An upstream that crashes under an item or its scoring call is not held against it; the item waits before its next attempt, 0.1 s after the first crash and twice as long after each further one, 5 s at most, so that one that does crash whatever runs it leaves the upstreams time for others. Trials in the background, which only items used, go.

--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -18,6 +18,11 @@
 MIN_RETRY_DELAY = timedelta(milliseconds=50)
 MAX_RETRY_DELAY = timedelta(milliseconds=800)
 MAX_DOUBLINGS = 4
+# An item under which upstreams crashed is still owed, but one that crashes
+# whatever runs it must leave the upstreams time for all others.
+MIN_CRASH_DELAY = timedelta(milliseconds=100)
+MAX_CRASH_DELAY = timedelta(seconds=5)
+MAX_CRASH_DOUBLINGS = 6
 
 
 class ItemState(enum.StrEnum):
@@ -40,13 +45,13 @@
     """An item, and the text that upstreams have generated for it so far.
 
     :param index: index of the item in its batch.
-    :param isolated: whether it runs apart from other suspect requests.
     :param fingerprint: identical for all requests that repeat this one.
     :param scoring_fingerprint: fingerprint of its scoring call, if any.
     :param retry_at: time since boot before which it is not retried.
     :param failures: attempts that the upstream answered as failed.
     :param scoring_failures: scoring calls that were answered as failed.
     :param failed_calls: consecutive attempts without progress.
+    :param crashes: upstreams that crashed under it, or under its scoring call.
     :param versions: weight versions that generated the text, oldest first.
     :param last_event: number of the last event, ``None`` before the first.
     :param saved_event: last event of the text that was last saved.
@@ -63,6 +68,7 @@
     failures: int = 0
     scoring_failures: int = 0
     failed_calls: int = 0
+    crashes: int = 0
     texts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     last_event: int | None = None
@@ -74,7 +80,6 @@
     started_at: timedelta = timedelta(0)
     migration_target: Upstream | None = None
     task: asyncio.Task[None] | None = None
-    isolated: bool = False
     fingerprint: str = ''
     scoring_fingerprint: str = ''
 
@@ -114,6 +119,7 @@
         self.upstream = ''
         self.avoided = ''
         self.failed_calls = 0
+        self.crashes = 0
         self.retry_at = timedelta(0)
 
     def reset_text(self) -> None:
@@ -154,6 +160,13 @@
         self.failed_calls += 1
         self.retry_at = now + wait
 
+    def on_crash(self, now: timedelta) -> None:
+        """Delay the next attempt after an upstream crashed under the item."""
+        doublings = min(self.crashes, MAX_CRASH_DOUBLINGS)
+        wait = min(MIN_CRASH_DELAY * 2**doublings, MAX_CRASH_DELAY)
+        self.crashes += 1
+        self.retry_at = max(self.retry_at, now + wait)
+
     def build_completed_result(self, score: str = '') -> ItemResult:
         """Build the result of an item with a complete text.
 
--- a/quetzalcourse/coordination/batches/placement.py
+++ b/quetzalcourse/coordination/batches/placement.py
@@ -31,7 +31,7 @@
 from quetzalcourse.coordination.forwarding.pool import rank_health
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Mapping
 
     from quetzalcourse.coordination.batches.slot_allocation import SlotAllocator
     from quetzalcourse.coordination.forwarding.pool import Pool
@@ -51,7 +51,6 @@
     :param latest_start: time since boot at which it has to start to be
         complete in time.
     :param allowed_regions: regions where it may run, ``None`` for any.
-    :param excluded: upstreams where it must not run for now.
     :param remaining_events: expected number of its further events, 0 if
         unknown.
     """
@@ -62,7 +61,6 @@
     avoided: str = ''
     latest_start: timedelta = timedelta(0)
     allowed_regions: AllowedRegions = None
-    excluded: Collection[str] = ()
     remaining_events: int = 0
 
     @property
@@ -148,7 +146,6 @@
             for upstream in self._pool.sample_service(request.service)
             if upstream.can_run(request.model, request.min_version, now)
             and upstream.is_allowed(request.allowed_regions)
-            and upstream.name not in request.excluded
         ]
 
     def is_slower_than_usual(self, upstream: Upstream) -> bool:
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -236,15 +236,9 @@
         held: dict[PlacementKey, SlotDemand] = {}
         full: dict[PlacementKey, SlotDemand] = {}
         for batch, run in self._order.sort(waiting):
-            if not self._quarantine.may_begin(run.fingerprint):
-                continue
             request = self._build_request(batch, run)
             if request is None:
                 self._on_missing_route(batch, run)
-            elif request.excluded:
-                # It is barred from some upstreams, so that others with its key
-                # may still find a slot.
-                self._begin(batch, run, request)
             elif request.key not in full and not self._begin(
                 batch, run, request
             ):
@@ -294,7 +288,6 @@
         run.upstream = upstream.name
         run.started_at = self._clock.elapsed()
         self._pool.on_send(upstream)
-        run.isolated = self._quarantine.on_start(run.fingerprint, upstream.name)
         run.task = self._tasks.start(self._attempt(batch, run, upstream))
 
     def _build_request(
@@ -310,7 +303,6 @@
             run.avoided,
             self._order.compute_latest_start(batch, run),
             self._residency.find_batch_regions(batch.head),
-            self._quarantine.list_avoided(run.fingerprint),
             self.durations.predict_remaining_events(
                 batch.head.model, run.item.length_estimate, len(run.texts)
             ),
@@ -388,8 +380,6 @@
             it still accepts work.
         """
         self._pool.on_end(upstream)
-        if run.isolated:
-            self._quarantine.on_finish(run.fingerprint, upstream.name)
         target = run.migration_target
         run.migration_target = None
         run.task = None
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -67,11 +67,13 @@
 
     :param score: empty unless the text was scored.
     :param reason: short reason if it was not.
+    :param crashed: whether its upstream crashed meanwhile.
     """
 
     state: ScoringState
     score: str = ''
     reason: str = ''
+    crashed: bool = False
 
 
 class Scorer(Protocol):
@@ -123,9 +125,6 @@
         """Start the scoring call of an item if an upstream has capacity."""
         call = run.item.scoring
         assert call is not None  # noqa: S101
-        if not self._quarantine.may_begin(run.scoring_fingerprint):
-            return
-        avoided = self._quarantine.list_avoided(run.scoring_fingerprint)
         try:
             route = self._routes.match(call.host, call.path)
         except RefusedError as error:
@@ -140,7 +139,6 @@
                 one
                 for one in self._pool.sample_service(service)
                 if one.is_allowed(allowed)
-                and one.name not in avoided
                 and self._pool.cold_starts.admits(one)
             ],
             self._clock.elapsed(),
@@ -152,9 +150,6 @@
         run.upstream = upstream.name
         self._pool.on_start(upstream)
         self._pool.on_send(upstream)
-        run.isolated = self._quarantine.on_start(
-            run.scoring_fingerprint, upstream.name
-        )
         run.task = self._tasks.start(self._score(batch, run, upstream, route))
 
     async def _score(
@@ -192,6 +187,8 @@
             return
         run.avoided = upstream.name
         self._record_failure(batch, run, upstream.name, outcome.reason)
+        if outcome.crashed:
+            run.on_crash(self._clock.elapsed())
         if outcome.state is ScoringState.failed:
             self._count_failed_score(batch, run, route)
 
@@ -211,8 +208,6 @@
 
     def _release(self, run: ItemRun, upstream: Upstream) -> None:
         self._pool.on_end(upstream)
-        if run.isolated:
-            self._quarantine.on_finish(run.scoring_fingerprint, upstream.name)
         run.task = None
         # An item that was abandoned meanwhile keeps that state.
         if run.state is ItemState.scoring:
--- a/quetzalcourse/coordination/quarantine/quarantine.py
+++ b/quetzalcourse/coordination/quarantine/quarantine.py
@@ -32,12 +32,6 @@
     async def claim(self, fingerprint: str) -> bool:
         """Claim the next trial for this daemon, if no other one has it."""
 
-    def schedule_claim(self, fingerprint: str) -> None:
-        """Start a claim in the background.
-
-        Its success is passed to :meth:`Quarantine.allow_trial`.
-        """
-
 
 class NoTrials:
     """Trials that are never granted, for a daemon without a store."""
@@ -46,15 +40,12 @@
         """Return ``False``: no trial may run."""
         return False
 
-    def schedule_claim(self, _: str) -> None:
-        """Do nothing: no trial may run."""
-
 
 class Quarantine:
-    """Decides whether and where requests may run.
+    """Decides whether and where callers' requests may run.
 
-    Everything that sends work to upstreams consults it: callers' requests,
-    batch items and scoring calls.
+    Batch items and their scoring calls are never quarantined: they are owed
+    even if upstreams crashed under them.
     """
 
     def __init__(self, records: QuarantineRecords, counters: Counters) -> None:
@@ -66,7 +57,6 @@
         self._crash_listeners: list[CrashListener] = []
         self._answer_listeners: list[Listener] = []
         self._quarantine_listeners: list[Listener] = []
-        self._allowed_trials: set[str] = set()
         self._observed_locally: set[str] = set()
 
     def on_local_crash(self, listener: CrashListener) -> None:
@@ -87,18 +77,11 @@
         self._quarantine_listeners.append(listener)
 
     def may_begin(self, fingerprint: str) -> bool:
-        """Return whether a batch item or scoring call may be sent now."""
+        """Return whether a request may be sent now without a trial."""
         state = self.records.find_state(fingerprint)
-        if state is RequestState.sound:
-            return True
         if state is RequestState.suspect:
             return not self._isolation.is_running(fingerprint)
-        if fingerprint in self._allowed_trials:
-            self._allowed_trials.discard(fingerprint)
-            return True
-        if state is RequestState.due:
-            self.trials.schedule_claim(fingerprint)
-        return False
+        return state is RequestState.sound
 
     async def admit(
         self, fingerprint: str, *, may_have_run: bool = False
@@ -108,19 +91,15 @@
         :param may_have_run: whether an upstream may have run it before.
         :raises RefusedError: if it must not be sent now.
         """
-        state = self.records.find_state(fingerprint)
-        if state is RequestState.sound:
-            return
-        if state is RequestState.suspect:
-            if self._isolation.is_running(fingerprint):
-                raise RefusedError(_refuse_suspect(may_have_run=may_have_run))
+        if self.may_begin(fingerprint):
             return
+        state = self.records.find_state(fingerprint)
         if state is RequestState.due and await self.trials.claim(fingerprint):
             log.info(
                 'Quarantined request is on trial.', fingerprint=fingerprint
             )
             return
-        if state is RequestState.held:
+        if state in {RequestState.held, RequestState.suspect}:
             raise RefusedError(_refuse_suspect(may_have_run=may_have_run))
         raise RefusedError(
             Refusal(
@@ -160,7 +139,6 @@
 
         :param address: address of the upstream.
         """
-        self._counters.add('upstream_ends')
         if self.records.on_crash(fingerprint, run, address):
             self._observed_locally.add(fingerprint)
             for listener in self._crash_listeners:
@@ -211,7 +189,6 @@
     def lift(self, fingerprint: str, reason: str) -> None:
         """Drop the record of a request and end its quarantine, if any."""
         record = self.records.forget(fingerprint)
-        self._allowed_trials.discard(fingerprint)
         self._observed_locally.discard(fingerprint)
         self._set_gauge()
         if record is not None and record.quarantined_until is not None:
@@ -221,11 +198,6 @@
                 reason=reason,
             )
 
-    def allow_trial(self, fingerprint: str) -> None:
-        """Allow one quarantined request of a fingerprint to run."""
-        self._allowed_trials.add(fingerprint)
-        log.info('Quarantined request is on trial.', fingerprint=fingerprint)
-
     def _report(self, fingerprint: str, upstreams: Sequence[str] = ()) -> None:
         self._set_gauge()
         log.warning(
--- a/quetzalcourse/coordination/quarantine/quarantine_store.py
+++ b/quetzalcourse/coordination/quarantine/quarantine_store.py
@@ -18,7 +18,7 @@
     MAX_TRIALS,
     QUARANTINE_RETENTION,
 )
-from quetzalcourse.coordination.tasks import BackgroundTasks, wait_event
+from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.decoding import (
     MalformedMessageError,
@@ -83,9 +83,7 @@
         self._store_clock = store_clock
         self._clock = clock
         self._lifted: dict[str, timedelta] = {}
-        self._claims: set[str] = set()
         self._wake = asyncio.Event()
-        self._tasks = BackgroundTasks('quarantine')
         follower.on_rows(self.on_rows)
         quarantine.on_quarantine(self._on_quarantine)
         quarantine.on_local_answer(self._on_answer)
@@ -122,12 +120,6 @@
         self._lifted[fingerprint] = self._clock.elapsed()
         self._wake.set()
 
-    def schedule_claim(self, fingerprint: str) -> None:
-        """Start a claim of the next trial of a request in the background."""
-        if fingerprint not in self._claims:
-            self._claims.add(fingerprint)
-            self._tasks.start(self._claim_later(fingerprint))
-
     async def claim(self, fingerprint: str) -> bool:
         """Restart the quarantine of a request, unless another daemon has.
 
@@ -147,13 +139,6 @@
         self._records.quarantine(fingerprint, timedelta(0), renewed.trials)
         return True
 
-    async def _claim_later(self, fingerprint: str) -> None:
-        try:
-            if await self.claim(fingerprint):
-                self._quarantine.allow_trial(fingerprint)
-        finally:
-            self._claims.discard(fingerprint)
-
     def _adopt(self, fingerprint: str, row: Row) -> None:
         stored = read_row(row)
         if stored is None:
--- a/quetzalcourse/quarantine_components.py
+++ b/quetzalcourse/quarantine_components.py
@@ -66,7 +66,7 @@
             quarantine, store.table, follower, store.clock, clock
         ),
         CrashUpdates(quarantine, members, peers, clock),
-        CrashDetector(pool, quarantine),
+        CrashDetector(pool, quarantine, counters),
     )
 
 
--- a/quetzalcourse/transport/crash_detector.py
+++ b/quetzalcourse/transport/crash_detector.py
@@ -13,6 +13,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
+    from quetzalcourse.state.counters import Counters
     from quetzalcourse.state.quarantine import UpstreamRun
 
 # Connecting to an upstream that was connected just now takes one round trip.
@@ -23,10 +24,13 @@
 class CrashDetector:
     """Detects upstreams that crash while they process requests."""
 
-    def __init__(self, pool: Pool, quarantine: Quarantine) -> None:
+    def __init__(
+        self, pool: Pool, quarantine: Quarantine, counters: Counters
+    ) -> None:
         """Store the pool, which knows the draining upstreams."""
         self._pool = pool
         self._quarantine = quarantine
+        self._counters = counters
         self._probes: dict[UpstreamRun, asyncio.Task[bool]] = {}
 
     async def on_connection_lost(
@@ -35,10 +39,27 @@
         request_id: str,
         fingerprint: str,
     ) -> bool:
-        """Handle a connection that broke after a request was sent on it.
+        """Handle a connection that broke after a caller's request was sent.
 
-        :returns: whether the upstream appears to have crashed; a planned
-            shutdown is not a crash.
+        :returns: whether the upstream appears to have crashed, for which the
+            request may be quarantined.
+        """
+        crashed = await self.has_crashed(upstream, request_id, fingerprint)
+        if crashed:
+            self._quarantine.on_crash(
+                fingerprint, upstream.run_id, upstream.member.address
+            )
+        return crashed
+
+    async def has_crashed(
+        self,
+        upstream: Upstream,
+        request_id: str,
+        fingerprint: str,
+    ) -> bool:
+        """Return whether an upstream that broke a connection has crashed.
+
+        A planned shutdown is not a crash.
         """
         if upstream.member.leaving or self._pool.find(upstream.name) is None:
             return False
@@ -51,9 +72,7 @@
             upstream=upstream.name,
             peer=upstream.member.address,
         )
-        self._quarantine.on_crash(
-            fingerprint, upstream.run_id, upstream.member.address
-        )
+        self._counters.add('upstream_ends')
         return True
 
     async def _probe(self, upstream: Upstream) -> bool:
--- a/quetzalcourse/transport/item_client.py
+++ b/quetzalcourse/transport/item_client.py
@@ -95,19 +95,15 @@
             self._pool.on_failure(upstream, error.state.value)
             self._record_failed_attempt(batch, run, upstream, error.state.value)
             if error.state is CallFailure.unanswered:
-                await self._crash_detector.on_connection_lost(
-                    upstream, run.item.id, run.fingerprint
-                )
+                await self._delay_after_crash(run, upstream)
             if error.state is CallFailure.not_sent:
                 run.back_off(self._clock.elapsed())
             return None
         except MalformedStreamError as error:
             self._pool.on_failure(upstream, 'garbled')
             self._record_failed_attempt(batch, run, upstream, str(error))
-            await self._crash_detector.on_connection_lost(
-                upstream, run.item.id, run.fingerprint
-            )
             run.back_off(self._clock.elapsed())
+            await self._delay_after_crash(run, upstream)
             return None
         if result is not None:
             log.info(
@@ -122,6 +118,15 @@
             )
         return result
 
+    async def _delay_after_crash(
+        self, run: ItemRun, upstream: Upstream
+    ) -> None:
+        crashed = await self._crash_detector.has_crashed(
+            upstream, run.item.id, run.fingerprint
+        )
+        if crashed:
+            run.on_crash(self._clock.elapsed())
+
     def _record_failed_attempt(
         self,
         batch: BatchRun,
--- a/quetzalcourse/transport/scoring_client.py
+++ b/quetzalcourse/transport/scoring_client.py
@@ -77,11 +77,15 @@
                 self._pool.on_timeout(upstream)
                 return ScoringOutcome(ScoringState.late, reason=reason)
             self._pool.on_failure(upstream, reason)
-            if error.state is CallFailure.unanswered:
-                await self._crash_detector.on_connection_lost(
+            crashed = (
+                error.state is CallFailure.unanswered
+                and await self._crash_detector.has_crashed(
                     upstream, call.id, fingerprint
                 )
-            return ScoringOutcome(ScoringState.lost, reason=reason)
+            )
+            return ScoringOutcome(
+                ScoringState.lost, reason=reason, crashed=crashed
+            )
 
     async def _read_result(
         self,
