Answer every request that reaches a daemon late in its stop

What callers saw: in a planned stop of one daemon, in calm, requests that came late in the grace were taken and passed on, and cut without an answer when the process exited, among them requests that must not be repeated.

Cause: a draining daemon accepted whatever arrived until its exit, however long it might take, even while its components were already being stopped. At the end of the drain the running requests lost their upstream connections and, with them, the process.

Change: once callers had the time to leave, a draining daemon rejects a request whose time limit lies beyond the end of the drain, at once, as not run and with Retry-After: 0. At the end of the drain it closes its port, rejects what still arrives on open connections, and interrupts the requests that still run, each of which gets 502 outcome_unknown, or a broken connection if its response has begun. The drain ends 1.2 s before the grace instead of 1.5 s, so that a slow upstream has until the last sixth of the grace.

Evidence: test_late_request_is_rejected_by_a_draining_daemon (lookup and unsafe request) and test_request_that_outlasts_the_drain_is_answered (lookup) failed on the code before: the late ones were passed on, the lookup was cut. The cases of an unsafe request and of readers of results that are under way at the end passed before, and stay as tests.

Why it works: every request is either certain to end before the drain, or rejected before it runs, or answered by the interrupt before the exit.

--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -57,7 +57,8 @@
 # The load balancer removes a daemon after two failed probes, one a second.
 BALANCER_REMOVAL_TIME = timedelta(seconds=3)
 # Time for the last responses before the platform kills the process.
-STOP_MARGIN = timedelta(seconds=1.5)
+STOP_MARGIN = timedelta(seconds=1.2)
+LAST_ANSWERS_TIME = timedelta(milliseconds=200)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 log = get_log('application')
 
@@ -118,12 +119,16 @@
         self.activity.draining = True
         self.activity.ready = False
         began = self.clock.elapsed()
+        deadline = began + self.settings.timings.stop_deadline - STOP_MARGIN
         log.info('Drain began.', serving=self.activity.serving)
+        self._dispatcher.drain_limits.on_drain(
+            min(began + BALANCER_REMOVAL_TIME, began + (deadline - began) / 2),
+            deadline,
+        )
         self.forwarding.on_drain()
         await self.presence.leave()
         await self.batches.takeover.hand_over()
         await self.duties.hand_over()
-        deadline = began + self.settings.timings.stop_deadline - STOP_MARGIN
         while self.clock.elapsed() < deadline:
             elapsed_drain = self.clock.elapsed() - began
             if elapsed_drain > BALANCER_REMOVAL_TIME:
@@ -131,7 +136,21 @@
                 if not busy and not self.activity.serving:
                     break
             await self.clock.sleep(DRAIN_POLL_INTERVAL)
+        await self._end_drain()
+
+    async def _end_drain(self) -> None:
+        """Take no more requests, and answer the ones that still run."""
+        self._dispatcher.drain_limits.on_drain_end()
+        await self._servers[0].close_port()
         log.info('Drain ended.', cut=self.activity.serving)
+        self._dispatcher.cutoff.interrupt_all()
+        deadline = self.clock.elapsed() + LAST_ANSWERS_TIME
+        while self.activity.serving and self.clock.elapsed() < deadline:
+            await self.clock.sleep(DRAIN_POLL_INTERVAL)
+
+    def list_servers(self) -> list[WebServer]:
+        """List the servers of callers, health probes and metrics."""
+        return list(self._servers)
 
     async def on_stop(self) -> None:
         """Close everything that was opened, also after a partial start."""
@@ -275,7 +294,7 @@
             self.counters,
         )
         self.lifecycle.on_stop(self.forwarding.stop)
-        front = RequestDispatcher(
+        self._dispatcher = RequestDispatcher(
             self._deployment.callers,
             self.upstreams.residency,
             self.forwarding.proxy,
@@ -285,7 +304,7 @@
             self.counters,
         )
         listen = self.settings.listen
-        self._gateway = build_gateway('callers', front.serve)
+        self._gateway = build_gateway('callers', self._dispatcher.serve)
         apps = {
             listen.callers: self._gateway,
             listen.readiness: build_probe_app(
--- /dev/null
+++ b/quetzalcourse/tests/rollout/stops_tests.py
@@ -0,0 +1,147 @@
+"""Requests that arrive late in the planned stop of a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from quetzalcourse.standins.rollout import documents
+from quetzalcourse.standins.rollout.cluster import build_batch
+from quetzalcourse.tests.rollout.calls import LOOKUP
+
+if TYPE_CHECKING:
+    from quetzalcourse.standins.rollout.cluster import Reply, RolloutCluster
+
+ONCE = documents.NON_IDEMPOTENT_PREFIX
+# The stand-ins' platform kills a daemon so long after the stop signal.
+GRACE_SECONDS = 4.0
+LATE_SECONDS = 2.0
+ROUTE_SECONDS = 10.0
+
+
+async def use_long_routes(cluster: RolloutCluster) -> None:
+    """Let requests last longer than the drain of a daemon."""
+    config = documents.build_config(2)
+    for route in config['routes']:
+        route['timeout_ms'] = ROUTE_SECONDS * 1000
+    await cluster.store.write('op', 'config', config)
+    async with asyncio.timeout(5):
+        while cluster.daemons[0].routes.version < 2:
+            await asyncio.sleep(0.02)
+
+
+async def ask(
+    cluster: RolloutCluster, path: str, request_id: str
+) -> Reply | None:
+    """Send a request to the draining daemon, ``None`` if it is cut."""
+    try:
+        return await cluster.caller.call(
+            cluster.address(), 'POST', path, b'salt', request_id=request_id
+        )
+    except aiohttp.ClientError:
+        return None
+
+
+async def stop(cluster: RolloutCluster) -> None:
+    """Stop the daemon as its process does, which ends with its exit."""
+    daemon = cluster.daemons[0]
+    async with asyncio.timeout(GRACE_SECONDS):
+        await daemon.on_drain()
+        await cluster.end_daemon(daemon)
+    for server in daemon.list_servers():
+        server.abort()
+
+
+@pytest.mark.parametrize('path', [LOOKUP, ONCE])
+async def test_late_request_is_rejected_by_a_draining_daemon(
+    cluster: RolloutCluster,
+    path: str,
+) -> None:
+    # Guards against requests that a daemon takes late in its stop, passes on
+    # and cuts at the end.
+    await use_long_routes(cluster)
+    for server in cluster.services:
+        server.faults.unresponsive = True
+    stopping = asyncio.ensure_future(stop(cluster))
+    # Keeps the daemon from stopping early.
+    early = asyncio.ensure_future(ask(cluster, ONCE, 'early'))
+    await asyncio.sleep(LATE_SECONDS)
+    late = await asyncio.wait_for(ask(cluster, path, 'late'), 1.0)
+    assert late is not None
+    assert late.status == 503
+    assert 'Retry-After' in late.headers
+    assert late.headers['Connection'] == 'close'
+    await asyncio.gather(early, stopping)
+    runs = [run for server in cluster.services for run in server.runs]
+    assert 'late' not in {run.request_id for run in runs}
+
+
+async def test_late_request_is_served_if_its_time_is_over_before(
+    cluster: RolloutCluster,
+) -> None:
+    # Guards against rejections of requests that a draining daemon can serve.
+    await use_long_routes(cluster)
+    for server in cluster.services:
+        server.faults.slowdown = 50
+    stopping = asyncio.ensure_future(stop(cluster))
+    early = asyncio.ensure_future(ask(cluster, ONCE, 'early'))
+    await asyncio.sleep(0.3)
+    assert (
+        await cluster.caller.call(
+            cluster.address(),
+            'POST',
+            LOOKUP,
+            b'salt',
+            headers={'X-Deadline-Ms': '1500'},
+        )
+    ).status == 200
+    await asyncio.gather(early, stopping)
+
+
+@pytest.mark.parametrize('path', [LOOKUP, ONCE])
+async def test_request_that_outlasts_the_drain_is_answered(
+    cluster: RolloutCluster,
+    path: str,
+) -> None:
+    # Guards against requests that are cut without an answer at the end of the
+    # grace, and against a refusal that claims that they did not run.
+    await use_long_routes(cluster)
+    for server in cluster.services:
+        server.faults.slowdown = 1000
+    asking = asyncio.ensure_future(ask(cluster, path, 'r-1'))
+    await asyncio.sleep(0.3)
+    await stop(cluster)
+    reply = await asking
+    assert reply is not None
+    assert reply.status == 502
+    assert any(server.runs for server in cluster.services)
+
+
+@pytest.mark.parametrize('delay', [0.0, LATE_SECONDS, 2.6])
+async def test_reader_of_results_is_answered_during_the_drain(
+    cluster: RolloutCluster,
+    delay: float,
+) -> None:
+    # Guards against callers of batches that are cut while they wait.
+    await use_long_routes(cluster)
+    for server in cluster.services:
+        server.faults.unresponsive = True
+    caller = cluster.caller
+    for engine in cluster.engines:
+        engine.faults.unresponsive = True
+    batch = build_batch(['i-1'])
+    reply = await caller.submit(cluster.address(), 'b-1', batch)
+    assert reply.status == 202
+    stopping = asyncio.ensure_future(stop(cluster))
+    early = asyncio.ensure_future(ask(cluster, ONCE, 'early'))
+    await asyncio.sleep(delay)
+    try:
+        page = await caller.read(cluster.address(), 'b-1', wait_ms=1000)
+    except aiohttp.ClientConnectorError:
+        # The daemon takes no more connections.
+        page = None
+    assert page is None or page.status in {200, 503}
+    await asyncio.gather(early, stopping)
--- a/quetzalcourse/transport/request_dispatcher.py
+++ b/quetzalcourse/transport/request_dispatcher.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from quetzalcourse.coordination.admission.drain_limits import DrainLimits
 from quetzalcourse.coordination.forwarding.forwarding import ForwardedRequest
 from quetzalcourse.coordination.forwarding.route_table import (
     choose_service,
@@ -13,12 +15,15 @@
 from quetzalcourse.state.refusal import Refusal, RefusalCode
 from quetzalcourse.state.routing import RouteKind
 from quetzalcourse.transport.request_body import RequestBody
+from quetzalcourse.transport.request_cutoff import (
+    RequestCutError,
+    RequestCutoff,
+)
 from quetzalcourse.transport.gateway import disable_keep_alive
 from quetzalcourse.transport.spooled_body import SpooledBody
+from quetzalcourse.transport.web import abort_connection
 
 if TYPE_CHECKING:
-    from datetime import timedelta
-
     from sanic import Request
 
     from quetzalcourse.coordination.forwarding.residency import Residency
@@ -31,6 +36,9 @@
     from quetzalcourse.transport.dialect import CallerDialect
     from quetzalcourse.transport.request_proxy import RequestProxy
 
+# Longest time of a call about a batch, apart from waiting for results: three
+# calls of a slow store.
+BATCH_CALL_TIME = timedelta(seconds=1)
 # Timeout between two chunks of a request body.
 BODY_IDLE_TIMEOUT_SECONDS = 10.0
 SUBMIT_METHOD = 'POST'
@@ -39,6 +47,8 @@
 class RequestDispatcher:
     """Dispatches every request of a caller.
 
+    ``drain_limits`` and ``cutoff`` let the application stop it.
+
     :param activity: counts the requests in flight.
     """
 
@@ -53,6 +63,8 @@
         counters: Counters,
     ) -> None:
         """Store the components that serve requests."""
+        self.drain_limits = DrainLimits(clock)
+        self.cutoff = RequestCutoff()
         self._dialect = dialect
         self._routes = residency.routes
         self._residency = residency
@@ -73,7 +85,10 @@
         kind = 'refused'
         with self._activity.track():
             try:
-                kind = await self._route(request, head, started_at)
+                async with self.cutoff.track():
+                    kind = await self._route(request, head, started_at)
+            except RequestCutError:
+                _answer_cut(request)
             except RefusedError as error:
                 self._counters.add('refusals', code=error.refusal.code.value)
                 raise
@@ -98,6 +113,7 @@
         if call is not None:
             holder = self._routes.authenticate(metadata.key)
             account = holder.client_account if holder else ''
+            self.drain_limits.check(started_at + call.wait + BATCH_CALL_TIME)
             await self._batches.serve(request, call, account)
             return call.verb.value
         route = self._routes.match(head.host, head.path)
@@ -107,14 +123,16 @@
         account = holder.client_account if holder else ''
         body = self._read_body(request)
         if route.kind is RouteKind.batch and head.method == SUBMIT_METHOD:
+            self.drain_limits.check(started_at + BATCH_CALL_TIME)
             content = await body.buffer(self._find_body_limit())
             await self._batches.submit(
                 request, metadata.request_id, account, route, content
             )
         else:
+            forwarding = _build_forwarding(route, metadata, account, started_at)
+            self.drain_limits.check(forwarding.deadline)
             spooled = SpooledBody(body)
             await spooled.fill()
-            forwarding = _build_forwarding(route, metadata, account, started_at)
             forwarding.fingerprint = spooled.compute_fingerprint(head, account)
             forwarding.rank = self._routes.find_rank(route.name, account)
             if holder is not None:
@@ -154,6 +172,25 @@
     )
 
 
+def _answer_cut(request: Request) -> None:
+    """Answer a request that is cut as the daemon stops.
+
+    :raises RefusedError: unless its response has started, which then must not
+        look complete.
+    """
+    if request.responded:
+        abort_connection(request)
+        return
+    raise RefusedError(
+        Refusal(
+            RefusalCode.outcome_unknown,
+            'This daemon stopped before the answer came.',
+            not_run=False,
+            step='drain',
+        )
+    )
+
+
 def _refuse_query() -> Refusal:
     return Refusal(
         RefusalCode.invalid_body,
