Bound what is read of a response that never ends

What callers saw: a server in trouble sent bytes without end. In place of a head or of a chunk they were read until the time limit, hundreds of megabytes a second; a body of the store, the cloud or a scoring call filled the memory; a stream without a separator of events grew without bound and cost the square of its length; a plain body was passed on for as long as its caller stayed; an item stayed at a server that sent single bytes until its batch was over.

Change: the heads of one response hold 128 KiB at most, interim ones included, and a body may be framing (chunk sizes, extensions, trailers) only up to 1 MiB and sixteen times its content. Bodies that are kept in memory are read up to a limit, 8 MiB, objects 32 MiB. Streams are split in one place, which searches only new bytes and takes events up to 1 MiB. An item leaves a stream of more than 8 MiB or without an event for 1.6 s. The body of a plain response has to end 0.4 s after the time of its request at the latest.

Broken framing and lengths were rejected before; their tests stay.

--- a/quetzalcourse/standins/raw_server.py
+++ b/quetzalcourse/standins/raw_server.py
@@ -19,6 +19,7 @@
 
     :param content: sent as soon as a request arrives.
     :param endless: sent after it over and over, until the peer closes.
+    :param pace_seconds: pause after each repetition of the endless bytes.
     :param reset: whether the connection is reset at the end, which discards
         what the peer still sends, instead of closed in an orderly way.
     """
@@ -26,6 +27,7 @@
     content: bytes
     endless: bytes = b''
     reset: bool = False
+    pace_seconds: float = 0
 
 
 class RawServer:
@@ -77,6 +79,7 @@
             writer.write(self.response.endless)
             self.sent_bytes += len(self.response.endless)
             await writer.drain()
+            await asyncio.sleep(self.response.pace_seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         if self.response.reset:
             writer.get_extra_info('socket').setsockopt(
--- a/quetzalcourse/tests/transport/broken_responses_tests.py
+++ b/quetzalcourse/tests/transport/broken_responses_tests.py
@@ -232,3 +232,78 @@
     await server.start()
     assert await call_upstream(server.address, long=False) == b'hi'
     await server.stop()
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+ENDLESS = {
+    'interim heads': RawResponse(b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 99),
+    'blank lines': RawResponse(b'', b'\r\n' * 999),
+    'junk': RawResponse(b'', b'x' * 9999),
+    'field name': RawResponse(b'HTTP/1.1 200 OK\r\n', b'x' * 9999),
+    'field value': RawResponse(b'HTTP/1.1 200 OK\r\nX: ', b'x' * 9999),
+    'fields': RawResponse(b'HTTP/1.1 200 OK\r\n', b'X: y\r\n' * 999),
+    'chunk size': RawResponse(CHUNKED_HEAD, b'0' * 9999),
+    'chunk extension': RawResponse(CHUNKED_HEAD + b'1;', b'x' * 9999),
+    'trailer value': RawResponse(
+        CHUNKED_HEAD + b'1\r\nx\r\n0\r\nX: ', b'x' * 9999
+    ),
+    'trailers': RawResponse(
+        CHUNKED_HEAD + b'1\r\nx\r\n0\r\n', b'X: y\r\n' * 999
+    ),
+}
+BODIES = {
+    'body': RawResponse(OK_HEAD + b'\r\n', b'x' * 9999),
+    'chunks': RawResponse(CHUNKED_HEAD, b'270f\r\n' + b'x' * 9999 + b'\r\n'),
+}
+# What the sockets' buffers hold beyond the bytes that a client accepts.
+MAX_SENT_BYTES = 16_000_000
+
+
+@pytest.mark.parametrize('call', CLIENTS)
+@pytest.mark.parametrize('case', sorted(ENDLESS))
+async def test_bytes_without_end_are_no_response(
+    call: Call,
+    case: str,
+) -> None:
+    # Guards against a client that reads what can never become a response until
+    # its time is over.
+    async with serve(ENDLESS[case]) as server:
+        async with asyncio.timeout(PROMPT_SECONDS):
+            assert await call(server.address, long=False) is None
+        assert server.sent_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('case', sorted(BODIES))
+async def test_control_body_without_end_is_no_response(case: str) -> None:
+    # Guards against a store, cloud or server whose response fills the memory.
+    async with serve(BODIES[case]) as server:
+        async with asyncio.timeout(PROMPT_SECONDS):
+            assert await call_channel(server.address, long=False) is None
+        assert server.sent_bytes < 2 * MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('call', CLIENTS)
+@pytest.mark.parametrize(
+    'content',
+    [
+        CHUNKED_HEAD + b'1\r\nx\r\nzz\r\n',
+        CHUNKED_HEAD + b'zz\r\n',
+        CHUNKED_HEAD + b'1\r\nxyz\r\n',
+        CHUNKED_HEAD + b'1\r\nx\r\n0\r\nX Y: z\r\n\r\n',
+        CHUNKED_HEAD + b'1\r\nx\r\n',
+        OK_HEAD + b'Content-Length: 3\r\n\r\nhi',
+        OK_HEAD + b'Content-Length: 2\r\nContent-Length: 1\r\n\r\nhi',
+        OK_HEAD + b'Content-Length: 2, 1\r\n\r\nhi',
+        OK_HEAD + b'Content-Length: +2\r\n\r\nhi',
+        OK_HEAD + b'Content-Length: 9' + b'9' * 40 + b'\r\n\r\nhi',
+        OK_HEAD + LENGTH_2 + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    ],
+)
+async def test_malformed_body_is_no_response(
+    call: Call, content: bytes
+) -> None:
+    # Guards against a broken body that passes for a whole one, or whose error
+    # no caller of the client handles.
+    async with serve(RawResponse(content)) as server:
+        async with asyncio.timeout(PROMPT_SECONDS):
+            assert await call(server.address, long=False) is None
--- a/quetzalcourse/transport/channel.py
+++ b/quetzalcourse/transport/channel.py
@@ -14,6 +14,7 @@
 
 from quetzalcourse.state.rows import FaultKind, StoreFault
 from quetzalcourse.transport.connections import send_once
+from quetzalcourse.transport.response_body import read_body
 from quetzalcourse.transport.response_protocol import StrictConnector
 
 if TYPE_CHECKING:
@@ -107,7 +108,7 @@
                 method, url, data=body or None, headers=headers, timeout=timeout
             ) as response:
                 return Ok(
-                    ChannelResponse(response.status, await response.read())
+                    ChannelResponse(response.status, await read_body(response))
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             self._replace_session(session)
--- a/quetzalcourse/transport/engine_client.py
+++ b/quetzalcourse/transport/engine_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http_exceptions import HttpProcessingError
 
 from quetzalcourse.coordination.requests.attempt import Attempt, AttemptError
 from quetzalcourse.protocol.engines import (
@@ -33,6 +34,7 @@
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 STREAM_ERRORS = (
     aiohttp.ClientError,
+    HttpProcessingError,
     asyncio.TimeoutError,
     MalformedMessageError,
     OSError,
--- a/quetzalcourse/transport/engine_control.py
+++ b/quetzalcourse/transport/engine_control.py
@@ -18,6 +18,7 @@
 )
 from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.engines import OrderProblem
+from quetzalcourse.transport.response_body import read_body
 
 if TYPE_CHECKING:
     from quetzalcourse.state.engines import (
@@ -94,7 +95,7 @@
             async with self._session.request(
                 method, url, data=body, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await read_body(response)
         except aiohttp.ClientConnectorError:
             return Err(OrderProblem.not_sent)
         except (aiohttp.ClientError, asyncio.TimeoutError):
--- a/quetzalcourse/transport/item_client.py
+++ b/quetzalcourse/transport/item_client.py
@@ -10,6 +10,10 @@
 )
 from quetzalcourse.log import get_log
 from quetzalcourse.state.calls import ResponseOutcome, AttemptMetadata
+from quetzalcourse.transport.response_body import (
+    EventSplitter,
+    OversizedEventError,
+)
 from quetzalcourse.transport.upstream_client import (
     CallFailedError,
     CallFailure,
@@ -33,7 +37,8 @@
 # An upstream sends an event every 40 to 150 ms, and none while it loads
 # weights, which takes about a second; after that it is considered dead.
 EVENT_TIMEOUT = timedelta(seconds=1.6)
-EVENT_SEPARATOR = b'\n\n'
+# Far above the longest text that fits into a page of results.
+MAX_STREAM_BYTES = 8_388_608
 log = get_log('items')
 
 
@@ -229,10 +234,21 @@
         :returns: whether the stream completed.
         :raises MalformedStreamError: if an event is broken or out of order.
         """
-        rest = b''
+        splitter = EventSplitter()
+        stream_bytes = 0
+        last_event_at = self._clock.elapsed()
         token_latency = TokenLatencyReader()
         async for chunk in read_chunks(response, EVENT_TIMEOUT):
-            *frames, rest = (rest + chunk).split(EVENT_SEPARATOR)
+            stream_bytes += len(chunk)
+            if stream_bytes > MAX_STREAM_BYTES:
+                run.reset_text()
+                raise MalformedStreamError('stream is too long')
+            frames = _split_events(splitter, chunk)
+            now = self._clock.elapsed()
+            if frames:
+                last_event_at = now
+            elif now - last_event_at > EVENT_TIMEOUT:
+                raise CallFailedError(CallFailure.late, upstream.name)
             for frame in frames:
                 event = self._read_event(run, frame)
                 version = event.weight_version or version
@@ -243,13 +259,13 @@
                     )
                     return False
                 run.append(event, version)
-            reading = token_latency.read(self._clock.elapsed(), len(frames))
+            reading = token_latency.read(now, len(frames))
             if reading is not None:
                 self._pool.on_token_latency(upstream, reading)
             if run.migration_target is not None:
                 self._record_failed_attempt(batch, run, upstream, 'moved')
                 return False
-        if rest.strip():
+        if splitter.rest.strip():
             raise MalformedStreamError('broken event')
         return True
 
@@ -260,3 +276,10 @@
         if not run.is_next(event):
             raise MalformedStreamError('event out of order')
         return event
+
+
+def _split_events(splitter: EventSplitter, chunk: bytes) -> list[bytes]:
+    try:
+        return splitter.feed(chunk)
+    except OversizedEventError as error:
+        raise MalformedStreamError(str(error)) from error
--- a/quetzalcourse/transport/order_client.py
+++ b/quetzalcourse/transport/order_client.py
@@ -18,6 +18,7 @@
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.fleet import FleetCount, FleetPlace
 from quetzalcourse.state.rows import FaultKind, StoreFault
+from quetzalcourse.transport.response_body import read_body
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -139,7 +140,7 @@
             async with self._session.get(
                 url, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await read_body(response)
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return Err(fault)
         if response.status != HTTP_OK:
@@ -171,7 +172,7 @@
                 headers=body.headers,
                 timeout=self._timeout,
             ) as response:
-                await response.read()
+                await read_body(response)
         except (aiohttp.ClientError, asyncio.TimeoutError):
             if body.handed_over:
                 return Err(OrderProblem.unanswered)
--- a/quetzalcourse/transport/platform_client.py
+++ b/quetzalcourse/transport/platform_client.py
@@ -24,11 +24,14 @@
 from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.members import Vm
 from quetzalcourse.state.rows import FaultKind, StoreFault
+from quetzalcourse.transport.response_body import read_body
 
 if TYPE_CHECKING:
     from quetzalcourse.state.rows import TransactionResult, Row, Transaction
 
 HTTP_OK = 200
+# Longest object that a daemon keeps.
+MAX_OBJECT_BYTES = 33_554_432
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 
@@ -76,7 +79,7 @@
             async with self._session.request(
                 method, url, data=body, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await read_body(response, MAX_OBJECT_BYTES)
         except aiohttp.ClientConnectorError:
             return Err(StoreFault(FaultKind.not_applied, step, self._address))
         except (aiohttp.ClientError, asyncio.TimeoutError):
--- a/quetzalcourse/transport/request_proxy.py
+++ b/quetzalcourse/transport/request_proxy.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from quetzalcourse.exceptions import RefusedError
 from quetzalcourse.log import get_log
 from quetzalcourse.state.calls import ResponseOutcome, AttemptMetadata
 from quetzalcourse.transport.headers import HOP_BY_HOP, list_connection_headers
+from quetzalcourse.transport.response_body import (
+    EVENT_SEPARATOR,
+    EventSplitter,
+    OversizedEventError,
+)
 from quetzalcourse.transport.response_stream import ResponseStream
 from quetzalcourse.transport.upstream_client import (
     CallFailedError,
     CallFailure,
     read_chunks,
+    read_chunks_until,
 )
 from quetzalcourse.transport.web import abort_connection
 
@@ -42,11 +49,12 @@
 # A response up to this size is buffered before its first byte is relayed, so
 # that a truncated one can be retried on another upstream.
 MAX_BUFFERED_BYTES = 65536
+# A response that began in time may end so much later.
+LATE_BODY_TIME = timedelta(milliseconds=400)
 HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
 WRITE_TIMEOUT_SECONDS = 30.0
 EVENT_STREAM_TYPE = 'text/event-stream'
-EVENT_SEPARATOR = b'\n\n'
 log = get_log('forward')
 
 
@@ -293,13 +301,15 @@
         response: aiohttp.ClientResponse,
     ) -> None:
         time_left = self._forwarder.find_time_left(forwarding)
-        chunks = read_chunks(response, time_left)
         if response.headers.get('Content-Type', '').startswith(
             EVENT_STREAM_TYPE
         ):
             await caller.start(response)
-            await self._relay_events(caller, forwarding, chunks)
+            await self._relay_events(
+                caller, forwarding, read_chunks(response, time_left)
+            )
             return
+        chunks = read_chunks_until(response, time_left + LATE_BODY_TIME)
         buffered, complete = await _read_up_to_limit(chunks)
         await caller.start(response)
         if complete:
@@ -328,17 +338,17 @@
         :raises CallFailedError: if the stream is interrupted; the response is
             marked unrecoverable if it cannot be resumed.
         """
-        rest = b''
+        splitter = EventSplitter()
         try:
             async for chunk in chunks:
-                *frames, rest = (rest + chunk).split(EVENT_SEPARATOR)
+                frames = _split_events(splitter, chunk)
                 for frame in frames:
                     event = self._dialect.read_event(frame)
                     if event is not None:
                         caller.resume_after = str(event.number)
                 if frames:
                     await caller.send(EVENT_SEPARATOR.join([*frames, b'']))
-            if rest:
+            if splitter.rest:
                 raise CallFailedError(CallFailure.unanswered, 'broken event')
         except CallFailedError:
             repeatable = self._forwarder.may_repeat(forwarding, not_run=False)
@@ -399,6 +409,13 @@
     return load is None or load.total >= load.slots
 
 
+def _split_events(splitter: EventSplitter, chunk: bytes) -> list[bytes]:
+    try:
+        return splitter.feed(chunk)
+    except OversizedEventError as error:
+        raise CallFailedError(CallFailure.unanswered, str(error)) from error
+
+
 async def _read_up_to_limit(chunks: AsyncIterator[bytes]) -> tuple[bytes, bool]:
     """Read a body up to the buffer limit.
 
--- a/quetzalcourse/transport/response_head.py
+++ b/quetzalcourse/transport/response_head.py
@@ -7,6 +7,8 @@
 import aiohttp
 
 HEAD_END = b'\r\n\r\n'
+# All heads of one response, the interim ones included.
+MAX_HEAD_BYTES = 131072
 SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
 # The HTTP client takes statuses that are not defined, folds lines that begin
@@ -53,6 +55,8 @@
                 raise MalformedResponseError('unrequested protocol switch')
             self._head_start = head_end + len(HEAD_END)
             search_from = self._head_start
+        if len(self._received) > MAX_HEAD_BYTES:
+            raise MalformedResponseError('head is too long')
         return None
 
 
--- a/quetzalcourse/transport/response_protocol.py
+++ b/quetzalcourse/transport/response_protocol.py
@@ -16,6 +16,11 @@
 if TYPE_CHECKING:
     import asyncio
 
+# Chunk sizes, chunk extensions and trailers are no content; a body consists
+# mostly of content, apart from this many bytes.
+FRAMING_ALLOWANCE_BYTES = 1_048_576
+MAX_FRAMING_PER_CONTENT_BYTE = 16
+
 
 class ResponseProtocol(ResponseHandler):
     """Rejects malformed responses and responses that end early.
@@ -27,11 +32,13 @@
         """Start without a request."""
         super().__init__(loop)
         self._head: HeadChecker | None = None
+        self._received_bytes = 0
         self._ended_by_peer = False
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to the next request."""
         self._head = HeadChecker()
+        self._received_bytes = 0
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
@@ -43,9 +50,12 @@
             return
         if checked is None:
             return
+        self._received_bytes += len(checked)
         super().data_received(checked)
         if self._exception is not None:
             self._fail_body(self._exception)
+        elif self._is_mostly_framing():
+            self._reject(MalformedResponseError('body is mostly framing'))
 
     def eof_received(self) -> None:
         """Record that the peer ended the connection in an orderly way."""
@@ -73,6 +83,15 @@
             self._head = None
         return checked
 
+    def _is_mostly_framing(self) -> bool:
+        body = self._payload
+        if body is None or body.is_eof():
+            return False
+        allowed = FRAMING_ALLOWANCE_BYTES + (
+            body.total_bytes * (1 + MAX_FRAMING_PER_CONTENT_BYTE)
+        )
+        return self._received_bytes > allowed
+
     def _reject(self, error: MalformedResponseError) -> None:
         self.set_exception(error)
         self._fail_body(error)
--- a/quetzalcourse/transport/scoring_client.py
+++ b/quetzalcourse/transport/scoring_client.py
@@ -10,6 +10,7 @@
 )
 from quetzalcourse.log import get_log
 from quetzalcourse.state.calls import ResponseOutcome, AttemptMetadata
+from quetzalcourse.transport.response_body import MAX_BODY_BYTES
 from quetzalcourse.transport.upstream_client import (
     CallFailedError,
     CallFailure,
@@ -107,7 +108,11 @@
             return ScoringOutcome(ScoringState.lost, reason='foreign answer')
         # A truncated response does not count, so the body is read to its end
         # although its content is unused.
-        chunks = [chunk async for chunk in read_chunks(response, timeout)]
+        size = 0
+        async for chunk in read_chunks(response, timeout):
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                return ScoringOutcome(ScoringState.lost, reason='too long')
         if metadata.state is ResponseOutcome.failed:
             return ScoringOutcome(ScoringState.failed, reason=reason)
         if metadata.state is not ResponseOutcome.served:
@@ -115,5 +120,5 @@
         if not metadata.stamp:
             return ScoringOutcome(ScoringState.lost, reason='no stamp')
         self._pool.on_success(upstream)
-        log.debug('Scoring call succeeded.', call=call.id, pieces=len(chunks))
+        log.debug('Scoring call succeeded.', call=call.id, size=size)
         return ScoringOutcome(ScoringState.scored, metadata.stamp)
--- a/quetzalcourse/transport/upstream_client.py
+++ b/quetzalcourse/transport/upstream_client.py
@@ -170,6 +170,25 @@
         return response
 
 
+async def read_chunks_until(
+    response: aiohttp.ClientResponse,
+    timeout: timedelta,
+) -> AsyncIterator[bytes]:
+    """Yield the body of a response as it arrives, for a limited time.
+
+    :param timeout: timeout of the whole body, however fast it arrives.
+    :raises CallFailedError: if the body is truncated or not complete by then.
+    """
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + timeout.total_seconds()
+    while True:
+        time_left = timedelta(seconds=deadline - clock())
+        chunk = await _read_chunk(response, time_left)
+        if not chunk:
+            return
+        yield chunk
+
+
 async def read_chunks(
     response: aiohttp.ClientResponse,
     chunk_timeout: timedelta | None,
@@ -179,16 +198,24 @@
     :param chunk_timeout: timeout between two chunks, ``None`` for no limit.
     :raises CallFailedError: if the body is truncated or times out.
     """
-    peer = f'{response.url.host}:{response.url.port}'
-    seconds = None if chunk_timeout is None else chunk_timeout.total_seconds()
     while True:
-        try:
-            async with asyncio.timeout(seconds):
-                chunk = await response.content.readany()
-        except TimeoutError:
-            raise CallFailedError(CallFailure.late, peer) from None
-        except (aiohttp.ClientError, OSError, ValueError):
-            raise CallFailedError(CallFailure.unanswered, peer) from None
+        chunk = await _read_chunk(response, chunk_timeout)
         if not chunk:
             return
         yield chunk
+
+
+async def _read_chunk(
+    response: aiohttp.ClientResponse, timeout: timedelta | None
+) -> bytes:
+    peer = f'{response.url.host}:{response.url.port}'
+    seconds = None if timeout is None else timeout.total_seconds()
+    if seconds is not None and seconds <= 0:
+        raise CallFailedError(CallFailure.late, peer)
+    try:
+        async with asyncio.timeout(seconds):
+            return await response.content.readany()
+    except TimeoutError:
+        raise CallFailedError(CallFailure.late, peer) from None
+    except (aiohttp.ClientError, OSError, ValueError):
+        raise CallFailedError(CallFailure.unanswered, peer) from None
