Ignore numbers of responses that 64 bits do not hold

What callers saw: a response of a server in trouble with a number of thousands of digits in Keep-Alive, X-Weight-Versions or X-Server-Load ended the request with an error of the daemon although the answer was there; in the id of an event it ended the attempt of an item by an unexpected error. A number of 30 digits was kept and failed when it was packed for other daemons or for the store.

Cause: the numbers were checked for digits and converted, without a bound.

Change: one function parses counts of at most 18 ASCII digits. A load or version that is none is left out, an event whose id is none is malformed.

--- a/quetzalcourse/platform/upstreams.py
+++ b/quetzalcourse/platform/upstreams.py
@@ -6,6 +6,7 @@
 
 from quetzalcourse.state.batches import MILLISECOND, StreamEvent
 from quetzalcourse.state.calls import ResponseMetadata, ResponseOutcome
+from quetzalcourse.state.decoding import parse_count
 from quetzalcourse.state.pool import LoadReport
 from quetzalcourse.transport.headers import HOP_BY_HOP, list_connection_headers
 
@@ -95,8 +96,7 @@
             return ResponseMetadata(ResponseOutcome.not_run, load)
         if answered != request_id:
             return ResponseMetadata(ResponseOutcome.foreign)
-        version = headers.get('X-Weight-Versions', '')
-        number = int(version) if version.isdecimal() else 0
+        number = parse_count(headers.get('X-Weight-Versions', '')) or 0
         if MIN_OK <= status <= MAX_OK:
             stamp = headers.get('X-Server-Stamp', '')
             return ResponseMetadata(ResponseOutcome.served, load, number, stamp)
@@ -108,7 +108,7 @@
 
     def read_event(self, frame: bytes) -> StreamEvent | None:
         """Parse one event of a stream, ``None`` if it is malformed."""
-        number = -1
+        number: int | None = None
         version = 0
         text: list[str] = []
         try:
@@ -118,13 +118,13 @@
         for line in lines:
             name, _, content = line.rstrip('\r').partition(':')
             content = content.removeprefix(' ')
-            if name == 'id' and content.isdecimal():
-                number = int(content)
+            if name == 'id':
+                number = parse_count(content)
             elif name == 'data':
                 text.append(content)
-            elif name == 'x-weight-versions' and content.isdecimal():
-                version = int(content)
-        if number < 0:
+            elif name == 'x-weight-versions':
+                version = parse_count(content) or 0
+        if number is None:
             return None
         return StreamEvent(number, '\n'.join(text), version)
 
@@ -138,12 +138,14 @@
         figures are ignored.
     """
     figures = text.split(',')
-    try:
-        running, waiting, slots = (
-            int(figure) for figure in figures[:LOAD_FIGURES]
-        )
-    except ValueError:
+    counts = [
+        count
+        for count in map(parse_count, map(str.strip, figures[:LOAD_FIGURES]))
+        if count is not None
+    ]
+    if len(counts) < LOAD_FIGURES:
         return None
+    running, waiting, slots = counts
     optional = figures[LOAD_FIGURES:]
     slowdown = _read_slowdown(optional[0]) if optional else None
     return LoadReport(running, waiting, slots, slowdown)
--- a/quetzalcourse/state/decoding.py
+++ b/quetzalcourse/state/decoding.py
@@ -24,12 +24,24 @@
     OverflowError,
     RecursionError,
 )
+# Every number of so many digits fits into 64 bits.
+MAX_COUNT_DIGITS = 18
 
 
 class MalformedMessageError(QuetzalcourseError):
     """Content that does not have the expected form."""
 
 
+def parse_count(text: str) -> int | None:
+    """Parse a number without a sign that fits into 64 bits.
+
+    :returns: ``None`` if it is none.
+    """
+    if len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text) if text.isascii() and text.isdecimal() else None
+
+
 def decode_json(
     content: bytes | bytearray | str, kind: type[Message]
 ) -> Message:
--- a/quetzalcourse/tests/platform/upstreams_tests.py
+++ b/quetzalcourse/tests/platform/upstreams_tests.py
@@ -200,3 +200,30 @@
     assert [row.ver for row in packed.expected] == [3]
     assert [row.value for row in packed.writes] == [b'1']
     assert [row.table for row in packed.remove] == ['b']
+
+
+HUGE_NUMBERS = ['9' * 30, '9' * 5000, '-1', '٣', '1_0']
+
+
+@pytest.mark.parametrize('number', HUGE_NUMBERS)
+def test_huge_number_in_a_response_is_ignored(number: str) -> None:
+    # Guards against a number that raises in its reader, or that no message
+    # between daemons can hold.
+    headers = {
+        'X-Request-Id': 'r',
+        'X-Weight-Versions': number,
+        'X-Server-Load': f'{number},0,8',
+    }
+    metadata = UPSTREAMS.read_response('r', 200, headers)
+    assert metadata.weight_version == 0
+    assert metadata.load is None
+
+
+@pytest.mark.parametrize('number', HUGE_NUMBERS)
+def test_huge_number_makes_an_event_malformed(number: str) -> None:
+    # Guards against an event id that can't be stored with its text.
+    assert UPSTREAMS.read_event(f'id: {number}\ndata: x'.encode()) is None
+    frame = f'x-weight-versions: {number}\nid: 1\ndata: x'.encode()
+    event = UPSTREAMS.read_event(frame)
+    assert event is not None
+    assert event.weight_version == 0
--- a/quetzalcourse/tests/transport/broken_responses_tests.py
+++ b/quetzalcourse/tests/transport/broken_responses_tests.py
@@ -307,3 +307,12 @@
     async with serve(RawResponse(content)) as server:
         async with asyncio.timeout(PROMPT_SECONDS):
             assert await call(server.address, long=False) is None
+
+
+@pytest.mark.parametrize('timeout', [b'9' * 30, b'9' * 5000, b'-1', b''])
+async def test_odd_keep_alive_timeout_is_ignored(timeout: bytes) -> None:
+    # Guards against a response that is lost for a number in its head.
+    field = b'Keep-Alive: timeout=' + timeout + b'\r\n'
+    response = RawResponse(OK_HEAD + field + LENGTH_2 + b'\r\nhi')
+    async with serve(response) as server:
+        assert await call_upstream(server.address, long=False) == b'hi'
--- a/quetzalcourse/transport/upstream_client.py
+++ b/quetzalcourse/transport/upstream_client.py
@@ -28,7 +28,7 @@
 # default applies until an upstream announces its keep-alive timeout.
 DEFAULT_KEEP_ALIVE_SECONDS = 3.0
 KEEP_ALIVE_MARGIN_SECONDS = 1.5
-KEEP_ALIVE_PATTERN = re.compile(r'timeout=(\d+)')
+KEEP_ALIVE_PATTERN = re.compile(r'timeout=([0-9]{1,6})(?![0-9])')
 MAX_HEADER_BYTES = 65536
 
 
