Refuse batches whose numbers can't be stored, with the reason

What callers saw: an internal error (500) for a batch with a number beyond 64 bits or a length hint of thousands of digits, and for a call that waits for thousands of years.

Cause: the numbers were accepted and failed when they were packed or added up.

--- a/quetzalcourse/platform/callers.py
+++ b/quetzalcourse/platform/callers.py
@@ -11,7 +11,12 @@
 
 from quetzalcourse.state.batches import BatchItem, ScoringCall, Submission
 from quetzalcourse.state.calls import BatchCall, BatchOperation, CallerMetadata
-from quetzalcourse.state.decoding import MalformedMessageError, decode_json
+from quetzalcourse.state.decoding import (
+    Int64,
+    MalformedMessageError,
+    decode_json,
+    parse_count,
+)
 
 if TYPE_CHECKING:
     from quetzalcourse.state.batches import ResultPage
@@ -25,6 +30,8 @@
 LENGTH_HINT_HEADER = 'x-length-hint'
 # A response holds at most 1 MB of results; escaping may double their texts.
 MAX_PAGE_BYTES = 1_000_000
+# Longer durations of callers would overflow when they are added up.
+MAX_DURATION = timedelta(days=1)
 
 
 class ScorerMessage(msgspec.Struct):
@@ -43,7 +50,7 @@
     path: str
     body: bytes = b''
     headers: dict[str, str] = {}
-    tokens: int = 0
+    tokens: Int64 = 0
     group: str = ''
     scorer: ScorerMessage | None = None
 
@@ -52,10 +59,10 @@
     """A batch submission; ``desired_count`` counts groups."""
 
     requests: list[ItemMessage]
-    step: int = 0
+    step: Int64 = 0
     model: str = ''
-    min_version: int = 0
-    desired_count: int = 0
+    min_version: Int64 = 0
+    desired_count: Int64 = 0
 
 
 class ResultMessage(msgspec.Struct, omit_defaults=True):
@@ -79,9 +86,10 @@
 def read_milliseconds(text: str) -> timedelta | None:
     """Parse a header's duration, ``None`` if it is missing or invalid."""
     try:
-        return timedelta(milliseconds=float(text))
+        duration = timedelta(milliseconds=float(text))
     except (ValueError, OverflowError):
         return None
+    return min(duration, MAX_DURATION)
 
 
 class PlatformCallerDialect:
@@ -178,6 +186,6 @@
 
 def _read_length_hint(headers: dict[str, str]) -> int:
     for name, text in headers.items():
-        if name.lower() == LENGTH_HINT_HEADER and text.isdecimal():
-            return int(text)
+        if name.lower() == LENGTH_HINT_HEADER:
+            return parse_count(text) or 0
     return 0
--- a/quetzalcourse/tests/platform/submissions_tests.py
+++ b/quetzalcourse/tests/platform/submissions_tests.py
@@ -8,7 +8,10 @@
 
 import pytest
 
-from quetzalcourse.platform.callers import PlatformCallerDialect
+from quetzalcourse.platform.callers import (
+    PlatformCallerDialect,
+    read_milliseconds,
+)
 from quetzalcourse.state.batches import (
     ItemResult,
     ResultPage,
@@ -87,3 +90,33 @@
         'text': '',
         'versions': [],
     }
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'{"requests":' + b'[' * 20_000 + b']' * 20_000 + b'}',
+        b'{"requests":[{"id":"i","path":"/","tokens":' + b'9' * 30 + b'}]}',
+        b'{"requests":[],"step":' + b'9' * 30 + b'}',
+        b'{"requests":[],"min_version":' + b'9' * 30 + b'}',
+        b'{"requests":[],"desired_count":' + b'9' * 30 + b'}',
+    ],
+)
+def test_submission_that_can_not_be_stored_is_refused(content: bytes) -> None:
+    # Guards against an internal error in place of the reason for a refusal.
+    assert CALLERS.read_submission(content).is_err()
+
+
+def test_huge_length_hint_is_ignored() -> None:
+    # Guards against an internal error for a hint that is only an estimate.
+    assert (
+        read(headers={'X-Length-Hint': '9' * 5000}).items[0].length_estimate
+        == 0
+    )
+
+
+@pytest.mark.parametrize('text', ['1e300', '8.6e16', 'inf', 'nan'])
+def test_endless_duration_can_be_added_up(text: str) -> None:
+    # Guards against an internal error for the time that a caller waits.
+    duration = read_milliseconds(text)
+    assert duration is None or duration + duration > duration
