Report an unreadable answer of the platform as a fault

What callers saw: an answer of the platform's table, weight store, scoring or list of upstreams that could not be decoded ended the task that waited for it, and with it the round of all others that the task looks after.

Cause: the clients of the platform and of orders took every answer of a status that they know as readable, but for the list of VMs.

Change: such an answer is a fault whose effect is not known, as a lost one is.

Evidence: all five cases of the new test failed on the code before and pass now.

--- a/quetzalcourse/tests/transport/broken_responses_tests.py
+++ b/quetzalcourse/tests/transport/broken_responses_tests.py
@@ -10,11 +10,14 @@
 import aiohttp
 import pytest
 import uvloop
-from result import Ok
+from result import Err, Ok
 
 from quetzalcourse.standins.raw_server import RawResponse, RawServer
+from quetzalcourse.state.rows import Transaction
 from quetzalcourse.transport.channel import Channel
 from quetzalcourse.transport.connections import build_connector, send_once
+from quetzalcourse.transport.order_client import OrderClient
+from quetzalcourse.transport.platform_client import PlatformClient
 from quetzalcourse.transport.upstream_client import (
     CallFailedError,
     UpstreamClient,
@@ -316,3 +319,30 @@
     response = RawResponse(OK_HEAD + field + LENGTH_2 + b'\r\nhi')
     async with serve(response) as server:
         assert await call_upstream(server.address, long=False) == b'hi'
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'\xff', b'[' * 20_000, b'{}x', b'"text"']
+)
+async def test_unreadable_answer_of_the_platform_is_a_fault(
+    content: bytes,
+) -> None:
+    # Guards against an answer that can't be decoded and ends the task that
+    # waits for it.
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n'
+    async with (
+        serve(RawResponse(head.encode() + content)) as server,
+        aiohttp.ClientSession(connector=build_connector()) as session,
+    ):
+        platform = PlatformClient(session, server.address, 1.0)
+        orders = OrderClient(session, server.address, 'sender', 1.0)
+        answers = (
+            await platform.read('key'),
+            await platform.scan('prefix'),
+            await platform.transact(Transaction((), ())),
+            await platform.list_vms(),
+            await platform.newest('model'),
+            await platform.score('sample', 'text'),
+            await orders.list_counts(),
+        )
+    assert [type(answer) for answer in answers] == [Err] * len(answers)
--- a/quetzalcourse/transport/order_client.py
+++ b/quetzalcourse/transport/order_client.py
@@ -14,7 +14,7 @@
     UpstreamOrder,
     UsageReport,
 )
-from quetzalcourse.state.decoding import decode_json
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.engines import OrderProblem
 from quetzalcourse.state.fleet import FleetCount, FleetPlace
 from quetzalcourse.state.rows import FaultKind, StoreFault
@@ -145,7 +145,10 @@
             return Err(fault)
         if response.status != HTTP_OK:
             return Err(fault)
-        found = decode_json(content, list[UpstreamCount])
+        try:
+            found = decode_json(content, list[UpstreamCount])
+        except MalformedMessageError:
+            return Err(fault)
         return Ok(
             [
                 FleetCount(
--- a/quetzalcourse/transport/platform_client.py
+++ b/quetzalcourse/transport/platform_client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
 import aiohttp
@@ -21,7 +21,11 @@
     unpack_commit,
     unpack_row,
 )
-from quetzalcourse.state.decoding import MalformedMessageError, decode_json
+from quetzalcourse.state.decoding import (
+    Int64,
+    MalformedMessageError,
+    decode_json,
+)
 from quetzalcourse.state.members import Vm
 from quetzalcourse.state.rows import FaultKind, StoreFault
 from quetzalcourse.transport.response_body import read_body
@@ -29,6 +33,7 @@
 if TYPE_CHECKING:
     from quetzalcourse.state.rows import TransactionResult, Row, Transaction
 
+Message = TypeVar('Message')
 HTTP_OK = 200
 # Longest object that a daemon keeps.
 MAX_OBJECT_BYTES = 33_554_432
@@ -95,8 +100,7 @@
             return result
         if result.ok_value.status == HTTP_NOT_FOUND:
             return Ok(None)
-        message = decode_json(result.ok_value.content, RowMessage)
-        return Ok(unpack_row(message))
+        return self._decode('read', result.ok_value, RowMessage).map(unpack_row)
 
     async def scan(
         self,
@@ -116,8 +120,8 @@
         result = await self.request('GET', path)
         if isinstance(result, Err):
             return result
-        found = decode_json(result.ok_value.content, ScanMessage)
-        return Ok([unpack_row(row) for row in found.rows])
+        found = self._decode('scan', result.ok_value, ScanMessage)
+        return found.map(lambda page: [unpack_row(row) for row in page.rows])
 
     async def transact(
         self,
@@ -129,7 +133,10 @@
         )
         if isinstance(result, Err):
             return result
-        return Ok(unpack_commit(result.ok_value.content))
+        try:
+            return Ok(unpack_commit(result.ok_value.content))
+        except MalformedMessageError:
+            return Err(self._build_fault('transact'))
 
     async def get(self, name: str) -> Result[bytes | None, StoreFault]:
         """Read an object, ``None`` if none has that name."""
@@ -152,15 +159,9 @@
         result = await self.request('GET', '/vms')
         if isinstance(result, Err):
             return result
-        content = result.ok_value.content
-        try:
-            entries = decode_json(content, list[VmEntry])
-        except MalformedMessageError:
-            return Err(
-                StoreFault(FaultKind.not_applied, 'list VMs', self._address)
-            )
-        return Ok(
-            [
+        found = self._decode('list VMs', result.ok_value, list[VmEntry])
+        return found.map(
+            lambda entries: [
                 Vm(entry.vm, entry.data_centre, entry.address, entry.leaving)
                 for entry in entries
             ]
@@ -175,7 +176,7 @@
         if result.ok_value.status != HTTP_OK:
             fault = FaultKind.not_applied
             return Err(StoreFault(fault, f'GET {path}', self._address))
-        return Ok(decode_json(result.ok_value.content, int))
+        return self._decode('newest', result.ok_value, Int64)
 
     async def score(
         self,
@@ -189,5 +190,19 @@
             return Err(result.err_value.kind)
         if result.ok_value.status != HTTP_OK:
             return Err(FaultKind.unanswered)
-        found = decode_json(result.ok_value.content, ScoreResponse)
-        return Ok(found.score)
+        found = self._decode('score', result.ok_value, ScoreResponse)
+        return found.map(lambda scored: scored.score).map_err(
+            lambda fault: fault.kind
+        )
+
+    def _decode(
+        self, step: str, response: PlatformResponse, kind: type[Message]
+    ) -> Result[Message, StoreFault]:
+        try:
+            return Ok(decode_json(response.content, kind))
+        except MalformedMessageError:
+            return Err(self._build_fault(step))
+
+    def _build_fault(self, step: str) -> StoreFault:
+        """Build the fault of a response that can't be read."""
+        return StoreFault(FaultKind.unanswered, step, self._address)
