Read a batch beside rows of another writer

What callers saw: a row of another writer in the part of a batch's results, items or saved texts made the whole part unreadable: 500 for each reader of its results, and no daemon could take the batch over.

Cause: every row of the part was decoded as one of the batch's own.

Change: rows without a number as their name are left out. Usage counts of heartbeats are bounded to 64 bits, as the other figures of foreign rows are.

Evidence: test_rows_of_another_writer_leave_a_batch_readable failed on the code before and passes now.

--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -50,6 +51,7 @@
 
 log = get_log('batches')
 TABLE = 'batches'
+NUMBERED_NAME = re.compile(r'[0-9]+(?:\.[0-9]+)?')
 ITEMS = 'items'
 RESULTS = 'results'
 PARTIALS = 'partials'
@@ -177,6 +179,18 @@
     ]
 
 
+def list_numbered(rows: Sequence[Row]) -> list[Row]:
+    """List the rows with a number as their name, as all numbered rows have.
+
+    Other rows of a batch's part come from another writer.
+    """
+    return [
+        row
+        for row in rows
+        if NUMBERED_NAME.fullmatch(row.key.rpartition('/')[2])
+    ]
+
+
 def decode_partials(rows: Sequence[Row]) -> list[PartialText]:
     """Decode saved texts; one that is malformed is generated again."""
     partials: list[PartialText] = []
@@ -293,7 +307,7 @@
     ) -> Result[list[PartialText], StoreFault]:
         """Read the saved texts of unfinished items."""
         answer = await self._table.scan(f'{PARTIALS}/{batch}/')
-        return answer.map(decode_partials)
+        return answer.map(lambda rows: decode_partials(list_numbered(rows)))
 
     async def commit_results(
         self,
@@ -348,7 +362,9 @@
         """Read the items of a batch."""
         answer = await self._table.scan(f'{ITEMS}/{batch}/')
         return answer.map(
-            lambda rows: join_items([row.content for row in rows])
+            lambda rows: join_items(
+                [row.content for row in list_numbered(rows)]
+            )
         )
 
     async def read_results(
@@ -363,7 +379,7 @@
         last_piece = 10**PIECE_DIGITS - 1
         after = name_result(batch, known - 1, last_piece) if known else ''
         answer = await self._table.scan(f'{RESULTS}/{batch}/', after)
-        return answer.map(join_results)
+        return answer.map(lambda rows: join_results(list_numbered(rows)))
 
     async def remove(
         self,
--- a/quetzalcourse/coordination/feeds/presence.py
+++ b/quetzalcourse/coordination/feeds/presence.py
@@ -18,6 +18,7 @@
 from quetzalcourse.coordination.tasks import wait_event
 from quetzalcourse.log import get_log
 from quetzalcourse.state.decoding import (
+    Int64,
     MalformedMessageError,
     Seconds,
     decode_json,
@@ -70,7 +71,7 @@
     address: str
     leaving: bool
     beat: int
-    usage: dict[str, dict[str, int]] = {}
+    usage: dict[str, dict[str, Int64]] = {}
     calendar_offset: Seconds | None = None
     cores: float = 1
     gap: Seconds = 0
--- a/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
+++ b/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
@@ -2,18 +2,60 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Ok, Result
+
 from quetzalcourse.coordination.batches.batch_rows import (
     CHUNK_BYTES,
+    ITEMS,
     MAX_PARTIALS,
+    PARTIALS,
+    RESULTS,
     TRANSACTION_BYTES,
+    BatchRows,
+    name_result,
     pack_partials,
+    split_items,
+    split_results,
+)
+from quetzalcourse.state.batches import (
+    BatchItem,
+    ItemResult,
+    PartialText,
+    ResultState,
 )
-from quetzalcourse.state.batches import PartialText
+from quetzalcourse.tests.clocks import FakeClock
+from quetzalcourse.tests.feeds import FakeFeed
+
+if TYPE_CHECKING:
+    from quetzalcourse.state.rows import Row, StoreFault
 
 LARGE = CHUNK_BYTES + 1
 HALF = CHUNK_BYTES // 2
 
 
+class PartTable(FakeFeed):
+    """Table that can be scanned by part."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        super().__init__(FakeClock())
+
+    async def scan(
+        self, prefix: str, after: str = '', limit: int = 500
+    ) -> Result[list[Row], StoreFault]:
+        """Read the rows of a part in key order."""
+        return Ok(
+            [
+                row
+                for key, row in sorted(self.rows.items())
+                if key.startswith(prefix) and key > after
+            ][:limit]
+        )
+
+
 def build_partial(size: int) -> PartialText:
     """Build the text of an unfinished item.
 
@@ -43,3 +85,24 @@
 def test_texts_stay_within_the_row_limit_of_a_transaction() -> None:
     partials = dict.fromkeys(range(MAX_PARTIALS + 5), build_partial(1))
     assert len(pack_partials(partials)) == MAX_PARTIALS
+
+
+async def test_rows_of_another_writer_leave_a_batch_readable() -> None:
+    # Guards against a row in the part of a batch that keeps its results from
+    # every reader, and the batch from its next owner.
+    store = PartTable()
+    rows = BatchRows(store)
+    result = ItemResult('i', ResultState.completed, 'text')
+    item = BatchItem('i', '/', {}, b'')
+    for key, content in (
+        (name_result('b', 0), split_results([result])[0]),
+        (f'{ITEMS}/b/0000', split_items([item])[0]),
+        (f'{PARTIALS}/b/0000', msgspec.msgpack.encode(build_partial(1))),
+        (f'{PARTIALS}/b/0001', b'\xff'),
+    ):
+        store.put(key, content)
+    for table in (RESULTS, ITEMS, PARTIALS):
+        store.put(f'{table}/b/odd', b'[' * 9999)
+    assert (await rows.read_results('b', 0)).unwrap() == [result]
+    assert (await rows.read_items('b')).unwrap() == [item]
+    assert (await rows.read_partials('b')).unwrap() == [build_partial(1)]
