--- a/quetzalcourse/transport/response_protocol.py
+++ b/quetzalcourse/transport/response_protocol.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from quetzalcourse.log import get_log
 from quetzalcourse.transport.response_head import (
     HeadChecker,
     MalformedResponseError,
@@ -20,6 +21,7 @@
 # mostly of content, apart from this many bytes.
 FRAMING_ALLOWANCE_BYTES = 1_048_576
 MAX_FRAMING_PER_CONTENT_BYTE = 16
+log = get_log('responses')
 
 
 class ResponseProtocol(ResponseHandler):
@@ -96,6 +98,12 @@
         self.set_exception(error)
         self._fail_body(error)
         if self.transport is not None:
+            host, port = self.transport.get_extra_info('peername')[:2]
+            log.warning(
+                'Malformed response rejected.',
+                peer=f'{host}:{port}',
+                reason=str(error),
+            )
             self.transport.abort()
 
     def _fail_body(self, error: BaseException) -> None:
