--- a/quetzalcourse/standins/raw_server.py
+++ b/quetzalcourse/standins/raw_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import struct
 from dataclasses import dataclass
@@ -11,13 +12,16 @@
 REQUEST_HEAD_BYTES = 4096
 SETTLE_SECONDS = 0.05
 MAX_ENDLESS_BYTES = 64_000_000
+REQUEST_ID = b'{request id}'
+REQUEST_ID_PATTERN = re.compile(rb'x-request-id: ([^\r\n]*)', re.IGNORECASE)
 
 
 @dataclass(frozen=True, slots=True)
 class RawResponse:
     """Bytes that are sent in place of a response.
 
-    :param content: sent as soon as a request arrives.
+    :param content: sent as soon as a request arrives; :data:`REQUEST_ID` in it
+        stands for the id of the request.
     :param endless: sent after it over and over, until the peer closes.
     :param pace_seconds: pause after each repetition of the endless bytes.
     :param reset: whether the connection is reset at the end, which discards
@@ -61,7 +65,7 @@
     ) -> None:
         try:
             await self._respond(reader, writer)
-        except OSError:
+        except (OSError, RuntimeError):
             return
         finally:
             writer.close()
@@ -71,9 +75,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if not await reader.read(REQUEST_HEAD_BYTES):
+        head = await reader.read(REQUEST_HEAD_BYTES)
+        if not head:
             return
-        writer.write(self.response.content)
+        found = REQUEST_ID_PATTERN.search(head)
+        request_id = found[1] if found is not None else b''
+        writer.write(self.response.content.replace(REQUEST_ID, request_id))
         await writer.drain()
         while self.response.endless and self.sent_bytes < MAX_ENDLESS_BYTES:
             writer.write(self.response.endless)
--- a/quetzalcourse/standins/rollout/store.py
+++ b/quetzalcourse/standins/rollout/store.py
@@ -147,9 +147,9 @@
         """Write a row whose value may not even be base64."""
         return await self._apply([(table, part, key, value)], [])
 
-    async def remove(self, table: str, key: str) -> None:
+    async def remove(self, table: str, key: str, part: str = '') -> None:
         """Remove a row as the store does when heartbeats stop."""
-        await self._apply([], [(table, '', key)])
+        await self._apply([], [(table, part, key)])
 
     def forget_history(self) -> None:
         """Clear the change log, so that followers have to read again."""
--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -190,7 +190,9 @@
     assert not check_billing([UsageCall('a', 1, 7, {})], [outcome], [])
 
 
-@pytest.mark.parametrize('options', [(), ('--places',), ('--poison',)])
+@pytest.mark.parametrize(
+    'options', [(), ('--places',), ('--poison',), ('--foreign',)]
+)
 async def test_short_soak_finds_no_fault(options: tuple[str, ...]) -> None:
     # Daemons are killed, stopped and paused, and links, store and servers fail
     # at overlapping times. Callers must see no more than a retry.
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,7 +49,10 @@
     deployment.poison_enabled = options.poison
     deployment.bursts_enabled = options.load
     fault_series = FaultSeries(
-        deployment, seed, data_centre_faults=options.places
+        deployment,
+        seed,
+        data_centre_faults=options.places,
+        foreign_faults=options.foreign,
     )
     try:
         await run_deployment(deployment, fault_series, options.seconds)
@@ -164,6 +167,11 @@
         action='store_true',
         help='also evacuate data centres and replace servers by cold ones',
     )
+    parser.add_argument(
+        '--foreign',
+        action='store_true',
+        help='also write rows that no reader can use, and add broken servers',
+    )
     parser.add_argument(
         '--poison',
         action='store_true',
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from typing import TYPE_CHECKING
 
+from quetzalcourse.standins.raw_server import RawServer
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.upstream import UpstreamStandin
+from soak.foreign import BROKEN_RESPONSES, ODD_CONTENTS, ODD_PLACES
 from soak.proxy import LinkFault
 
 if TYPE_CHECKING:
@@ -30,6 +33,8 @@
     :param deployment: target of the faults.
     :param data_centre_faults: whether to also evacuate data centres and replace
         servers by cold ones.
+    :param foreign_faults: whether to also write rows that no reader can use and
+        to add servers whose responses are broken.
     """
 
     def __init__(
@@ -38,12 +43,14 @@
         seed: int,
         *,
         data_centre_faults: bool = False,
+        foreign_faults: bool = False,
     ) -> None:
         """Initialize without active faults."""
         self.log: list[str] = []
         self._deployment = deployment
         self._random = random.Random(seed)
         self._running: set[asyncio.Task[None]] = set()
+        self._odd_numbers = itertools.count()
         self._injectors: list[Callable[[float], Awaitable[None]]] = [
             self.kill,
             self.terminate,
@@ -62,6 +69,8 @@
         ]
         if data_centre_faults:
             self._injectors += [self.evacuate, self.restart_cold]
+        if foreign_faults:
+            self._injectors += [self.write_odd_rows, self.add_broken_server]
 
     async def run(self, stop: asyncio.Event) -> None:
         """Inject faults until ``stop`` is set, then wait for their ends."""
@@ -191,5 +200,36 @@
         server = self._choose_server()
         await self._deployment.replace_server(server, seconds, cold=True)
 
+    async def write_odd_rows(self, seconds: float) -> None:
+        """Write a row that no reader can use to each table for some seconds."""
+        name = f'odd-{next(self._odd_numbers)}'
+        content = self._random.choice(ODD_CONTENTS)
+        store = self._deployment.store
+        for table, part in ODD_PLACES:
+            await store.write(table, name, content, part)
+        await asyncio.sleep(seconds)
+        for table, part in ODD_PLACES:
+            await store.remove(table, name, part)
+
+    async def add_broken_server(self, seconds: float) -> None:
+        """Add a server whose responses are broken for some seconds."""
+        name = f'broken-{next(self._odd_numbers)}'
+        server = RawServer(self._random.choice(BROKEN_RESPONSES))
+        await server.start()
+        entry = {
+            'service': self._random.choice(
+                (documents.ENGINES, documents.CATALOGUE)
+            ),
+            'address': server.address,
+            'zone': documents.DATA_CENTRE,
+            'slots': 8,
+            'state': 'ready',
+            'models': [{'name': documents.MODEL, 'version': 1}],
+        }
+        await self._deployment.store.write('servers', name, entry)
+        await asyncio.sleep(seconds)
+        await self._deployment.store.remove('servers', name)
+        await server.stop()
+
     def _choose_server(self) -> UpstreamStandin:
         return self._random.choice(self._deployment.servers)
