Let a malformed row hold up a lease for one term only

What callers saw: with a row of another writer in place of a lease's row, nobody acquired the lease any more: no usage reports, no orders for upstreams or weights. With a token of 30 digits in it, the next holder's token went beyond 64 bits.

Cause: each contender decoded the row before anything else, and the error ended its attempt, each second again; tokens had no bound.

Change: a malformed row counts as held by an unknown contender, which never renews it. After the lease's wait the next one acquires it, with the token above the one in the fence row. Tokens are bounded to 64 bits.

--- a/quetzalcourse/coordination/leases/lease.py
+++ b/quetzalcourse/coordination/leases/lease.py
@@ -9,7 +9,8 @@
 import msgspec
 from result import Err
 
-from quetzalcourse.state.decoding import decode_json
+from quetzalcourse.log import get_log
+from quetzalcourse.state.decoding import MalformedMessageError, decode_json
 from quetzalcourse.state.lease import (
     FenceRecord,
     LeaseRecord,
@@ -34,7 +35,9 @@
 
 UNKNOWN_VERSION = -1
 MAX_RELEASE_ATTEMPTS = 3
+UNKNOWN_HOLDER = 'unknown'
 _CONTENDER_NUMBERS = itertools.count(1)
+log = get_log('lease')
 
 
 def encode_record(record: LeaseRecord) -> bytes:
@@ -43,8 +46,16 @@
 
 
 def decode_record(row: Row) -> LeaseRecord:
-    """Decode the record of a row."""
-    return decode_json(row.content, LeaseRecord)
+    """Decode the record of a row.
+
+    A malformed row counts as held by an unknown contender, which never renews
+    it, so that the lease can be acquired after its term.
+    """
+    try:
+        return decode_json(row.content, LeaseRecord)
+    except MalformedMessageError:
+        log.warning('Lease row is malformed.', lease=row.key)
+        return LeaseRecord(UNKNOWN_HOLDER, 0, 0)
 
 
 def is_never_predecessor(_: str) -> bool:
--- a/quetzalcourse/state/lease.py
+++ b/quetzalcourse/state/lease.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from quetzalcourse.state.decoding import Int64
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
@@ -17,15 +19,15 @@
     """
 
     holder: str
-    token: int
-    renewal: int
+    token: Int64
+    renewal: Int64
 
 
 @dataclass(frozen=True, slots=True)
 class FenceRecord:
     """Content of a lease's fence row, written with every new holder only."""
 
-    token: int
+    token: Int64
 
 
 @dataclass(frozen=True, slots=True)
--- a/quetzalcourse/tests/coordination/leases/lease_tests.py
+++ b/quetzalcourse/tests/coordination/leases/lease_tests.py
@@ -408,3 +408,30 @@
     for before, after in pairwise(sent):
         if before[1] != after[1] and not releases:
             assert after[0] - before[0] >= ORDER_SECONDS - TICK_SECONDS
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'[' * 9999,
+        b'{"holder":"x","token":' + b'9' * 30 + b',"renewal":0}',
+        b'{"holder":1,"token":1,"renewal":0}',
+    ],
+)
+async def test_malformed_row_holds_a_lease_up_for_one_term(
+    content: bytes,
+) -> None:
+    # Guards against a row of another writer in place of a lease's, which ends
+    # each attempt to acquire it, so that nobody sends orders or reports.
+    pair = ContenderPair()
+    assert await pair.first.acquire_or_renew()
+    await pair.store.transact(Transaction((), (Write(KEY, content),)))
+    pair.move(1)
+    assert not await pair.second.acquire_or_renew()
+    await pair.first.acquire_or_renew()
+    pair.move(TERMS.wait.total_seconds())
+    assert not pair.first.held
+    assert await pair.second.acquire_or_renew()
+    assert pair.second.token == pair.first.token + 1
+    assert await commit_under_lease(pair.store, pair.second)
