--- a/quetzalcourse/tests/platform/documents_tests.py
+++ b/quetzalcourse/tests/platform/documents_tests.py
@@ -38,7 +38,17 @@
 
 @pytest.mark.parametrize(
     'address',
-    ['', ':1', '1.2.3.4:', '1.2.3.4:0', '1.2.3.4:65536', 'x y:1', '1.2.3.4/:1'],
+    [
+        '',
+        ':1',
+        '1.2.3.4:',
+        '1.2.3.4:0',
+        '1.2.3.4:65536',
+        'x y:1',
+        '1.2.3.4/:1',
+        '::1:80',
+        '1.2.3.4:' + '9' * 5000,
+    ],
 )
 def test_server_address_has_to_be_an_ip_address_with_a_port(
     address: str,
