--- a/quetzalcourse/tests/platform/documents_tests.py
+++ b/quetzalcourse/tests/platform/documents_tests.py
@@ -13,7 +13,7 @@
     read_version,
 )
 from quetzalcourse.standins.rollout import documents
-from quetzalcourse.tests.rollout.odd_entries_tests import (
+from quetzalcourse.tests.odd_entries import (
     DEEP,
     HUGE,
     ODD_ENTRIES,
