Let a test of unexpected bytes bear a paused machine

Traced from its log: the attempt at the only server with slots was late, after 0.4 s, and the other one refused; no bytes of another answer were seen.

Its routes now last 20 s, as in the tests of stops, so that an attempt is not late after a pause. The check is as strict: all six lookups must get their own answer.

--- a/quetzalcourse/tests/rollout/calls.py
+++ b/quetzalcourse/tests/rollout/calls.py
@@ -11,6 +11,7 @@
     from quetzalcourse.standins.rollout.cluster import Reply, RolloutCluster
 
 LOOKUP = documents.LOOKUP_PREFIX
+LONG_ROUTE_SECONDS = 20.0
 
 
 async def look_up(
@@ -32,3 +33,14 @@
             for daemon in cluster.daemons
         ):
             await asyncio.sleep(0.05)
+
+
+async def use_long_routes(cluster: RolloutCluster) -> None:
+    """Let requests last longer than a stop or a pause of a daemon."""
+    config = documents.build_config(2)
+    for route in config['routes']:
+        route['timeout_ms'] = LONG_ROUTE_SECONDS * 1000
+    await cluster.store.write('op', 'config', config)
+    async with asyncio.timeout(5):
+        while cluster.daemons[0].routes.version < 2:
+            await asyncio.sleep(0.02)
--- a/quetzalcourse/tests/rollout/requests_tests.py
+++ b/quetzalcourse/tests/rollout/requests_tests.py
@@ -10,7 +10,11 @@
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.upstream import UpstreamFaults
 from quetzalcourse.standins.rollout.cluster import Caller
-from quetzalcourse.tests.rollout.calls import LOOKUP, look_up
+from quetzalcourse.tests.rollout.calls import (
+    LOOKUP,
+    look_up,
+    use_long_routes,
+)
 
 if TYPE_CHECKING:
     from quetzalcourse.standins.rollout.cluster import RolloutCluster
@@ -114,6 +118,7 @@
 ) -> None:
     # Guards against a second answer that a server sends behind the first one:
     # the next caller on that connection would get it.
+    await use_long_routes(cluster)
     cluster.services[1].slots = 0
     cluster.services[0].faults.duplicated_answers = 3
     replies = [
--- a/quetzalcourse/tests/rollout/stops_tests.py
+++ b/quetzalcourse/tests/rollout/stops_tests.py
@@ -11,7 +11,11 @@
 
 from quetzalcourse.standins.rollout import documents
 from quetzalcourse.standins.rollout.cluster import RolloutCluster, build_batch
-from quetzalcourse.tests.rollout.calls import LOOKUP
+from quetzalcourse.tests.rollout.calls import (
+    LOOKUP,
+    LONG_ROUTE_SECONDS,
+    use_long_routes,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -24,7 +28,6 @@
 GRACE_SECONDS = 12
 # Callers have left a draining daemon by then.
 LATE_SECONDS = 4.0
-ROUTE_SECONDS = 20.0
 
 
 @pytest_asyncio.fixture
@@ -37,17 +40,6 @@
     await running.stop()
 
 
-async def use_long_routes(cluster: RolloutCluster) -> None:
-    """Let requests last longer than the drain of a daemon."""
-    config = documents.build_config(2)
-    for route in config['routes']:
-        route['timeout_ms'] = ROUTE_SECONDS * 1000
-    await cluster.store.write('op', 'config', config)
-    async with asyncio.timeout(5):
-        while cluster.daemons[0].routes.version < 2:
-            await asyncio.sleep(0.02)
-
-
 async def ask(
     cluster: RolloutCluster, path: str, request_id: str
 ) -> Reply | None:
@@ -59,7 +51,7 @@
             path,
             b'salt',
             request_id=request_id,
-            seconds=ROUTE_SECONDS,
+            seconds=LONG_ROUTE_SECONDS,
         )
     except aiohttp.ClientError:
         return None
