Wait in running time for the restarts of crashed stand-ins

Seen: in a check of the whole project, on a machine of others, test_quarantined_request_is_refused_at_once got 503 with Retry-After 0.5 ("another attempt is being watched") in place of the quarantine. The third crash had not been confirmed: its log lacks the new registration of s-1.

The refusal was true at that moment: the daemons quarantined the request some 10 ms later, once the registration had come.

RunningTime.sleep, which another test of the file used, did not help either: its thread notes a pause only once it has woken up, and the loop often asks first. No bound or assertion changed.

--- a/quetzalcourse/tests/rollout/quarantine_tests.py
+++ b/quetzalcourse/tests/rollout/quarantine_tests.py
@@ -61,13 +61,9 @@
     return sum(len(server.crashes) for server in servers)
 
 
-async def await_restart(running_time: RunningTime | None = None) -> None:
+async def await_restart(running_time: RunningTime) -> None:
     """Wait until crashed servers are back and registered."""
-    seconds = RESTART_SECONDS + NOTICED_SECONDS
-    if running_time is None:
-        await asyncio.sleep(seconds)
-    else:
-        await running_time.sleep(seconds)
+    await running_time.sleep(RESTART_SECONDS + NOTICED_SECONDS)
 
 
 async def ask(
@@ -104,6 +100,7 @@
     two_daemons: RolloutCluster,
     path: str,
     events: int,
+    running_time: RunningTime,
 ) -> None:
     """Guards against a request that crashes all upstreams repeatedly."""
     servers = [*two_daemons.services, *two_daemons.engines]
@@ -111,7 +108,7 @@
     await await_membership(two_daemons)
     for number in range(SUBMISSIONS):
         await ask(two_daemons, path, number)
-        await await_restart()
+        await await_restart(running_time)
     assert count_crashes(servers) <= MAX_CRASHES
     assert (  # type: ignore
         await ask(two_daemons, path, 0, b'salt')
@@ -203,7 +200,7 @@
 
 
 async def quarantine_lookup(
-    cluster: RolloutCluster, running_time: RunningTime | None = None
+    cluster: RolloutCluster, running_time: RunningTime
 ) -> None:
     """Let a lookup crash upstreams until it is quarantined."""
     poison(cluster.services, POISON)
@@ -216,9 +213,10 @@
 
 async def test_quarantined_request_is_refused_at_once(
     two_daemons: RolloutCluster,
+    running_time: RunningTime,
 ) -> None:
     """Guards against a caller that is not told when to retry."""
-    await quarantine_lookup(two_daemons)
+    await quarantine_lookup(two_daemons, running_time)
     for number in range(2):
         reply = await ask(two_daemons, LOOKUP, number)
         assert reply is not None
@@ -233,14 +231,15 @@
 
 async def test_quarantine_outlives_all_daemons(
     two_daemons: RolloutCluster,
+    running_time: RunningTime,
 ) -> None:
     """Guards against upstreams that crash again after daemons restart."""
-    await quarantine_lookup(two_daemons)
+    await quarantine_lookup(two_daemons, running_time)
     for daemon in tuple(two_daemons.daemons):
         await two_daemons.end_daemon(daemon)
     two_daemons.daemons.clear()
     await two_daemons.add_daemon('vm-8')
-    await asyncio.sleep(NOTICED_SECONDS)
+    await running_time.sleep(NOTICED_SECONDS)
     reply = await ask(two_daemons, LOOKUP, 0)
     assert reply is not None
     assert reply.status == 503
@@ -280,6 +279,7 @@
 
 async def test_bystanders_of_a_crashing_request_are_served(
     two_daemons: RolloutCluster,
+    running_time: RunningTime,
 ) -> None:
     """Guards against quarantine of requests that ran on the same upstreams."""
     await await_membership(two_daemons)
@@ -295,7 +295,7 @@
         await asyncio.sleep(NOTICED_SECONDS / 6)
         await ask(two_daemons, LOOKUP, number)
         await asyncio.gather(*asking)
-        await await_restart()
+        await await_restart(running_time)
     assert 2 <= count_crashes(two_daemons.services) <= MAX_CRASHES
     runs = [run for server in two_daemons.services for run in server.runs]
     struck = Counter(run.body for run in runs if run.body in bodies)
@@ -310,6 +310,7 @@
 
 async def test_servers_that_crash_otherwise_quarantine_no_request(
     two_daemons: RolloutCluster,
+    running_time: RunningTime,
 ) -> None:
     """Guards against quarantine of a popular request if servers are killed."""
     await await_membership(two_daemons)
@@ -325,7 +326,7 @@
             *(server.crash() for server in two_daemons.services)
         )
         await asyncio.gather(*asking)
-        await asyncio.sleep(NOTICED_SECONDS)
+        await running_time.sleep(NOTICED_SECONDS)
         reply = await ask(two_daemons, LOOKUP, 0, b'popular')
         assert reply is not None
         assert reply.status == 200
--- a/quetzalcourse/tests/running_time_tests.py
+++ b/quetzalcourse/tests/running_time_tests.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from quetzalcourse.tests.running_time import RunningTime
+from quetzalcourse.tests.running_time import TICK_SECONDS, RunningTime
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +27,17 @@
         pass
 
 
+def pause_process() -> subprocess.Popen[bytes]:
+    """Stop this process for some time.
+
+    :returns: the process that has resumed it.
+    """
+    resume = f'sleep {PAUSE_SECONDS}; kill -CONT {os.getpid()}'
+    resuming = subprocess.Popen(['sh', '-c', resume])
+    os.kill(os.getpid(), signal.SIGSTOP)
+    return resuming
+
+
 @pytest.mark.parametrize('wait', [time.sleep, spin])
 def test_work_and_waits_of_the_process_count(
     wait: Callable[[float], None],
@@ -44,9 +55,7 @@
     """Guards against bounds that fail while the machine is overloaded."""
     running_time = RunningTime()
     began = time.monotonic()
-    resume = f'sleep {PAUSE_SECONDS}; kill -CONT {os.getpid()}'
-    with subprocess.Popen(['sh', '-c', resume]):
-        os.kill(os.getpid(), signal.SIGSTOP)
+    pause_process().wait()
     await asyncio.sleep(TOLERANCE_SECONDS)
     ended = time.monotonic()
     running_time.stop()
@@ -63,3 +72,22 @@
     measured = running_time.measure(began, time.monotonic())
     running_time.stop()
     assert measured >= PAUSE_SECONDS
+
+
+async def test_pause_prolongs_a_sleep() -> None:
+    """Guards against a sleep that ends before the watch knows of a pause."""
+    running_time = RunningTime()
+    pauses: list[subprocess.Popen[bytes]] = []
+    began = time.monotonic()
+    asyncio.get_running_loop().call_later(
+        TOLERANCE_SECONDS, lambda: pauses.append(pause_process())
+    )
+    await running_time.sleep(2 * TOLERANCE_SECONDS)
+    ended = time.monotonic()
+    pauses[0].wait()
+    await asyncio.sleep(TOLERANCE_SECONDS)
+    running_time.stop()
+    assert ended - began > PAUSE_SECONDS
+    # The end of the pause is known to the next tick only.
+    seconds = 2 * TOLERANCE_SECONDS - 2 * TICK_SECONDS
+    assert running_time.measure(began, ended) >= seconds
