Keep the port of a crashed stand-in until its restart

In a play with four workers a log shows why: s-0 crashed, its restart never registered, and its address answered with the answer of another server ("foreign answer").

Cause: a stand-in closed its port for the 0.4 s of a crash, and a server of another test worker got the port from the kernel meanwhile; the restart failed with an error that nobody read, and requests went to the server of another test. With eight workers that open dozens of servers a second this is a matter of time in each run of all tests.

Change: the stand-in holds its port by a second socket that is bound and never listens. Connections are refused as before, and neither an ephemeral nor a plain bind of another process gets the port.

--- a/quetzalcourse/standins/rollout/ports.py
+++ b/quetzalcourse/standins/rollout/ports.py
@@ -36,6 +36,18 @@
         return True
 
 
+def reserve_free_port() -> socket.socket:
+    """Reserve a free port until the returned socket is closed.
+
+    The socket does not listen, so that the port refuses connections until
+    another socket of this process listens on it.
+    """
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    return reservation
+
+
 def _is_listening(port: int) -> bool:
     with socket.socket() as probe:
         return probe.connect_ex((HOST, port)) == 0
--- a/quetzalcourse/standins/rollout/upstream.py
+++ b/quetzalcourse/standins/rollout/upstream.py
@@ -220,8 +220,7 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.sleep(RESTART_SECONDS)
-        self.server = StandinServer(self.name, self.serve, self.server.address)
-        await self.server.start()
+        await self.server.restart()
         await self.on_restart()
         self._incarnation += 1
         await self.register()
