--- a/quetzalcourse/tests/running_time_tests.py
+++ b/quetzalcourse/tests/running_time_tests.py
@@ -88,6 +88,6 @@
     await asyncio.sleep(TOLERANCE_SECONDS)
     running_time.stop()
     assert ended - began > PAUSE_SECONDS
-    # The end of the pause is known to the next tick only.
+    # A pause is measured with a precision of one tick at each end.
     seconds = 2 * TOLERANCE_SECONDS - 2 * TICK_SECONDS
     assert running_time.measure(began, ended) >= seconds
