--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,9 @@
 ZONES = ('rennes-a', 'brest-b', 'vannes-c')
 SLOTS = 6
 CLIENTS = 13
-SECONDS = 40.0
+SECONDS = 98.0
+# Mean time between two requests of a client: six requests a second in all.
+PAUSE = 6.5
 # Half of the servers, by the largest dose, spoil 0.02 of their answers.
 SPOILED = 0.02
 TIME_LIMIT = 2.0
@@ -49,13 +51,18 @@
     try:
         await deployment.start()
         end = time.monotonic() + SECONDS
-        await asyncio.gather(
-            *(
+        clients = [
+            asyncio.ensure_future(
                 run_client(daemon, end, record, counts, wrong)
-                for daemon in deployment.daemons
-                for _ in range(CLIENTS)
             )
-        )
+            for daemon in deployment.daemons
+            for _ in range(CLIENTS)
+        ]
+        await asyncio.wait(clients, timeout=SECONDS)
+        for client in clients:
+            if client.done():
+                client.result()
+            client.cancel()
     finally:
         await deployment.stop()
     spoiled = deployment.servers[0]
@@ -72,6 +79,7 @@
     daemon, end: float, record: Record, counts: Counter, wrong: list[str]
 ) -> None:
     """Send lookups one after the other, each with one retry."""
+    await asyncio.sleep(random.expovariate(1 / PAUSE))
     while time.monotonic() < end:
         for _ in range(2):
             request_id = f'{random.getrandbits(64):016x}'
@@ -87,7 +95,7 @@
             if answer is not None and answer.status == 200:
                 judge(daemon, request_id, answer, record, wrong)
                 break
-        await asyncio.sleep(random.uniform(0, 0.3))
+        await asyncio.sleep(random.expovariate(1 / PAUSE))
 
 
 def judge(daemon, request_id: str, answer, record: Record, wrong: list) -> None:
