--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,15 +13,16 @@
 from deployment import Deployment, Record, call, documents
 from plain import PlainServer, write_body
 
-# The sheet of obdaf-rennes: three servers with 6 slots, 13 or 14 clients in
-# each zone, a request each has a time limit of 2 s and one retry.
+# 13 clients in each zone and a time limit of 2 s with one retry, as the sheet
+# of obdaf-rennes has them; four servers with 6 slots, so that half are two.
 ZONES = ('rennes-a', 'brest-b', 'vannes-c')
 SLOTS = 6
 CLIENTS = 13
-SECONDS = 98.0
+SECONDS = 80.0
 # Mean time between two requests of a client: six requests a second in all.
 PAUSE = 6.5
-# Half of the servers, by the largest dose, spoil 0.02 of their answers.
+# Half of the servers spoil 0.02 of their answers.
+SERVERS = 4
 SPOILED = 0.02
 TIME_LIMIT = 2.0
 
@@ -38,13 +39,13 @@
         PlainServer(
             f'catalogue-{number}',
             documents.CATALOGUE,
-            zone,
+            ZONES[number % len(ZONES)],
             deployment.store,
             slots=SLOTS,
-            unframed=SPOILED if number == 0 else 0,
+            unframed=SPOILED if number < SERVERS // 2 else 0,
             broken=trouble,
         )
-        for number, zone in enumerate(ZONES)
+        for number in range(SERVERS)
     ]
     counts: Counter[str] = Counter()
     wrong: list[str] = []
@@ -65,10 +66,10 @@
             client.cancel()
     finally:
         await deployment.stop()
-    spoiled = deployment.servers[0]
+    cut = sum(len(server.cut) for server in deployment.servers)
+    whole = sum(server.whole for server in deployment.servers)
     record.add(
-        f'{len(spoiled.cut)} answers without a length were reset, '
-        f'{spoiled.whole} ended whole'
+        f'{cut} answers without a length were reset, {whole} ended whole'
     )
     record.add(f'answers by status: {dict(counts)}')
     record.add(f'{len(wrong)} clients got a part of a body as a success')
