Review case 1: spoiling servers drawn anew each 5 s; free ports, ends on SIGTERM

The scripts' daemons get addresses whose ports are free, and a script that gets SIGTERM ends them and removes its folder.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,9 +21,10 @@
 SECONDS = 80.0
 # Mean time between two requests of a client: six requests a second in all.
 PAUSE = 6.5
-# Half of the servers spoil 0.02 of their answers.
+# Half of the servers, drawn anew each 5 s, spoil 0.02 of their answers.
 SERVERS = 4
 SPOILED = 0.02
+GARBLE_SECONDS = 5.0
 TIME_LIMIT = 2.0
 
 
@@ -42,7 +43,6 @@
             ZONES[number % len(ZONES)],
             deployment.store,
             slots=SLOTS,
-            unframed=SPOILED if number < SERVERS // 2 else 0,
             broken=trouble,
         )
         for number in range(SERVERS)
@@ -52,6 +52,7 @@
     try:
         await deployment.start()
         end = time.monotonic() + SECONDS
+        garble = asyncio.ensure_future(spoil(deployment.servers, record))
         clients = [
             asyncio.ensure_future(
                 run_client(daemon, end, record, counts, wrong)
@@ -64,6 +65,7 @@
             if client.done():
                 client.result()
             client.cancel()
+        garble.cancel()
     finally:
         await deployment.stop()
     cut = sum(len(server.cut) for server in deployment.servers)
@@ -76,6 +78,16 @@
     return not wrong
 
 
+async def spoil(servers: list[PlainServer], record: Record) -> None:
+    """Let half of the servers answer some requests without a length."""
+    while True:
+        drawn = random.sample(servers, SERVERS // 2)
+        for server in servers:
+            server.unframed = SPOILED if server in drawn else 0
+        record.add(f'without length: {", ".join(one.name for one in drawn)}')
+        await asyncio.sleep(GARBLE_SECONDS)
+
+
 async def run_client(
     daemon, end: float, record: Record, counts: Counter, wrong: list[str]
 ) -> None:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -25,6 +26,9 @@
 from quetzalcourse.standins.rollout.server import StandinServer
 from quetzalcourse.standins.rollout.store import StoreStandin
 
+# Ports of a daemon, which has a loopback address of its own.
+PORTS = {'front': 8689, 'ready': 8687, 'control': 8683}
+INTERNAL_PORTS = range(7360, 7376)
 ROOT = Path(__file__).resolve().parents[2]
 # The store's limits on one call, as its page gives them.
 MAX_ENTRIES = 100
@@ -59,6 +63,31 @@
         return found
 
 
+def find_free_net(count: int) -> str:
+    """Find loopback addresses where all ports of the daemons are free.
+
+    :param count: number of daemons; they get the last bytes from 2 on.
+    """
+    while True:
+        net = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
+        if all(
+            is_free(f'{net}.{number + 2}', port)
+            for number in range(count)
+            for port in (*PORTS.values(), *INTERNAL_PORTS)
+        ):
+            return net
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tell whether nothing listens at an address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class Record:
     """Lines of ``record.txt``: what was sent, answered and run."""
 
@@ -170,7 +199,7 @@
         self._zones = zones
         self._memory_mb = memory_mb
         self._bounds = bounds
-        self._net = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
+        self._net = find_free_net(len(zones))
 
     async def start(self) -> None:
         """Start everything and wait until all daemons are ready."""
@@ -211,7 +240,6 @@
             'cancel_ms': 3000,
             'settle_ms': 1000,
         }
-        first, last = self.free_ports(address)
         return {
             'node_name': f'front-{zone}-{number + 1}',
             'role': 'quetzalcoursed',
@@ -221,11 +249,9 @@
             'region': 'bretagne',
             'zones': {name: 'bretagne' for name in self._zones},
             'listen': {
-                'front': f'{address}:8689',
-                'ready': f'{address}:8687',
-                'control': f'{address}:8683',
+                name: f'{address}:{port}' for name, port in PORTS.items()
             },
-            'internal_ports': [first, last],
+            'internal_ports': [INTERNAL_PORTS[0], INTERNAL_PORTS[-1]],
             'first_start': True,
             'limits': {
                 'cpu_share': 0.717,
@@ -251,10 +277,6 @@
             },
         }
 
-    def free_ports(self, _: str) -> tuple[int, int]:
-        """Ports for messages between daemons."""
-        return 7360, 7375
-
     async def await_ready(self, daemon: DaemonProcess) -> None:
         """Wait until a daemon says that it is ready."""
         async with asyncio.timeout(20):
--- a/review/lib/plain.py
+++ b/review/lib/plain.py
@@ -24,8 +24,9 @@
 class PlainServer:
     """Answers each request with a body that follows from its id.
 
-    :param unframed: share of its answers that have no length and end with
-        their channel.
+    ``unframed`` is the share of its answers that have no length and end with
+    their channel.
+
     :param broken: whether these are reset in the middle.
     """
 
@@ -37,7 +38,6 @@
         store: Any,
         *,
         slots: int,
-        unframed: float,
         broken: bool,
     ) -> None:
         """Keep the options."""
@@ -49,7 +49,7 @@
         self._zone = zone
         self._store = store
         self._slots = slots
-        self._unframed = unframed
+        self.unframed = 0.0
         self._broken = broken
         self._born = int(time.time() * 1000)
 
@@ -136,7 +136,7 @@
             f'X-Server-Stamp: {self.name}.{request_id}\r\n'
             f'X-Server-Load: {self.running},0,{self._slots}\r\n'
         )
-        if random.random() >= self._unframed:
+        if random.random() >= self.unframed:
             writer.write(_build_head(200, request_id, stamp, len(body)) + body)
             await writer.drain()
             return True
--- a/review/lib/scenario.py
+++ b/review/lib/scenario.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import traceback
 from typing import TYPE_CHECKING
 
@@ -41,12 +42,15 @@
     record.add(f'TROUBLE={int(trouble)}')
 
     async def run() -> bool:
+        # A script that is ended early ends what it started, too.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(LIMIT_SECONDS):
             return await play(record, trouble)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f'the case could not run: {error!r}')
         traceback.print_exc()
         return NOT_RUN
