Run the tests on the event loop that serves

Daemons serve on quetzalcourse/event_loop.py (uvloop), while pytest ran all tests on asyncio's own loop. The two report the end of a connection in different ways, so tests of connections passed although the same client failed in a daemon.

--- a/quetzalcourse/event_loop.py
+++ b/quetzalcourse/event_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING, Any
 
 import uvloop
@@ -42,3 +43,15 @@
             raise
         sock.close()
         return connection
+
+
+def create_loop() -> EventLoop:
+    """Create an event loop without io_uring.
+
+    libuv sets up io_uring and keeps an ``io_uring`` descriptor open, which
+    the rules of the machines forbid, unless an environment variable says
+    otherwise before the loop is created. It is set here so that no caller
+    has to set it in a shell.
+    """
+    os.environ['UV_USE_IO_URING'] = '0'
+    return EventLoop()
--- a/quetzalcourse/tests/event_loop_tests.py
+++ b/quetzalcourse/tests/event_loop_tests.py
@@ -63,3 +63,8 @@
     """Guards against a daemon that runs out of descriptors."""
     leaked = uvloop.run(count_leaked_descriptors(50), loop_factory=EventLoop)
     assert leaked < 10
+
+
+async def test_tests_run_on_the_event_loop_of_the_daemons() -> None:
+    """Guards against tests that pass on a loop that never serves."""
+    assert isinstance(asyncio.get_running_loop(), EventLoop)
