Log how a response without a length ended

A caller got a part of a body as the whole one, and the logs of the daemon couldn't tell whether the server had closed the connection in an orderly way, whether the daemon had missed a reset, or whether the reset had got lost on the way: the line of the answered request is the same.

ResponseProtocol now asks the socket for its error when the event loop reports the end of a connection, and logs it with the server's address and the bytes received.

--- a/quetzalcourse/standins/raw_server.py
+++ b/quetzalcourse/standins/raw_server.py
@@ -1,8 +1,9 @@
-"""Stand-in for a server in trouble, which sends chosen bytes."""
+"""Stand-ins for servers in trouble, which send chosen bytes."""
 
 from __future__ import annotations
 
 import asyncio
+import enum
 import re
 import socket
 import struct
@@ -78,9 +79,7 @@
         head = await reader.read(REQUEST_HEAD_BYTES)
         if not head:
             return
-        found = REQUEST_ID_PATTERN.search(head)
-        request_id = found[1] if found is not None else b''
-        writer.write(self.response.content.replace(REQUEST_ID, request_id))
+        writer.write(_fill_in_request_id(self.response.content, head))
         await writer.drain()
         while self.response.endless and self.sent_bytes < MAX_ENDLESS_BYTES:
             writer.write(self.response.endless)
@@ -95,3 +94,85 @@
         elif writer.can_write_eof():
             writer.write_eof()
             await reader.read()
+
+
+class ConnectionEnd(enum.Enum):
+    """How a server ends a connection.
+
+    A connection that is closed and then reset was complete before the reset.
+    """
+
+    closed = enum.auto()
+    reset = enum.auto()
+    closed_then_reset = enum.auto()
+
+
+class AbruptServer:
+    """Ends each connection in the same step in which it sends a response.
+
+    A client's event loop learns of the last bytes and of the end at once.
+
+    :param content: sent once a request arrives; :data:`REQUEST_ID` in it
+        stands for the id of the request.
+
+    ``answered`` counts the responses.
+    """
+
+    def __init__(
+        self, content: bytes, end: ConnectionEnd = ConnectionEnd.reset
+    ) -> None:
+        """Open the listening socket, so that the address is known."""
+        self.answered = 0
+        self._content = content
+        self._end = end
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._listener.setblocking(False)
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._serving: asyncio.Task[None] | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Serve until :meth:`stop`."""
+        self._serving = asyncio.ensure_future(self._serve())
+
+    async def stop(self) -> None:
+        """Stop serving and close the open connections."""
+        tasks = [self._serving, *self._connections]
+        running = [task for task in tasks if task is not None]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self._listener.close()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._listener)
+            task = asyncio.ensure_future(self._respond(connection))
+            self._connections.add(task)
+            task.add_done_callback(self._connections.discard)
+
+    async def _respond(self, connection: socket.socket) -> None:
+        with connection:
+            connection.setblocking(False)
+            head = await asyncio.get_running_loop().sock_recv(
+                connection, REQUEST_HEAD_BYTES
+            )
+            if head:
+                self._send(connection, _fill_in_request_id(self._content, head))
+
+    def _send(self, connection: socket.socket, content: bytes) -> None:
+        self.answered += 1
+        connection.send(content)
+        if self._end is not ConnectionEnd.reset:
+            connection.shutdown(socket.SHUT_WR)
+        if self._end is not ConnectionEnd.closed:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
+
+def _fill_in_request_id(content: bytes, head: bytes) -> bytes:
+    found = REQUEST_ID_PATTERN.search(head)
+    return content.replace(REQUEST_ID, found[1] if found is not None else b'')
--- a/quetzalcourse/transport/response_protocol.py
+++ b/quetzalcourse/transport/response_protocol.py
@@ -9,6 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from quetzalcourse.log import get_log
+from quetzalcourse.transport.connection_end import find_end_error
 from quetzalcourse.transport.response_head import (
     HeadChecker,
     MalformedResponseError,
@@ -36,6 +37,17 @@
         self._head: HeadChecker | None = None
         self._received_bytes = 0
         self._ended_by_peer = False
+        self._end_error: OSError | None = None
+        self._peer = ''
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the address of the peer, which a reset socket has lost."""
+        peername = transport.get_extra_info('peername')
+        # A connection may be reset before its transport is set up.
+        if peername is not None:
+            host, port = peername[:2]
+            self._peer = f'{host}:{port}'
+        super().connection_made(transport)
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to the next request."""
@@ -62,6 +74,7 @@
     def eof_received(self) -> None:
         """Record that the peer ended the connection in an orderly way."""
         self._ended_by_peer = True
+        self._end_error = find_end_error(self.transport)
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -70,6 +83,7 @@
         Only the orderly end of the connection completes a body that has
         neither a length nor chunks.
         """
+        self._log_end(exc or self._end_error)
         if not self._ended_by_peer:
             self._fail_body(
                 exc or aiohttp.ClientConnectionError('connection lost')
@@ -98,14 +112,24 @@
         self.set_exception(error)
         self._fail_body(error)
         if self.transport is not None:
-            host, port = self.transport.get_extra_info('peername')[:2]
             log.warning(
                 'Malformed response rejected.',
-                peer=f'{host}:{port}',
+                peer=self._peer,
                 reason=str(error),
             )
             self.transport.abort()
 
+    def _log_end(self, error: BaseException | None) -> None:
+        body = self._payload
+        if body is None or body.is_eof():
+            return
+        log.info(
+            'Response ended with its connection.',
+            peer=self._peer,
+            received_bytes=self._received_bytes,
+            error=str(error or ''),
+        )
+
     def _fail_body(self, error: BaseException) -> None:
         body = self._payload
         if body is None or body.is_eof():
