Fail bodies without a length whose connection was reset at their end

What callers saw: a server answered without a length and reset the connection in the middle of the body. The caller got a 200 with that part, framed as whole.

Cause: ResponseProtocol took eof_received for the proof of an orderly end. uvloop also calls it for a reset that one poll reports together with the last bytes: libuv sees the hang-up, does not read again, and reports the end of the stream. The error stays on the socket, and nobody asked for it.

Change: at the end of a connection the protocol asks the socket for its error, and any error but EPIPE fails the body. All HTTP clients of the daemons share this protocol, so the one place mends requests, streams, items, scoring, orders, probes and the store's channel.

--- a/quetzalcourse/transport/response_protocol.py
+++ b/quetzalcourse/transport/response_protocol.py
@@ -72,9 +72,9 @@
             self._reject(MalformedResponseError('body is mostly framing'))
 
     def eof_received(self) -> None:
-        """Record that the peer ended the connection in an orderly way."""
-        self._ended_by_peer = True
+        """Record whether the peer ended the connection in an orderly way."""
         self._end_error = find_end_error(self.transport)
+        self._ended_by_peer = self._end_error is None
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -83,12 +83,13 @@
         Only the orderly end of the connection completes a body that has
         neither a length nor chunks.
         """
-        self._log_end(exc or self._end_error)
+        error = exc or self._end_error
+        self._log_end(error)
         if not self._ended_by_peer:
             self._fail_body(
-                exc or aiohttp.ClientConnectionError('connection lost')
+                error or aiohttp.ClientConnectionError('connection lost')
             )
-        super().connection_lost(exc)
+        super().connection_lost(error)
 
     def _check_head(self, data: bytes) -> bytes | None:
         """Return the bytes to pass on, ``None`` before the head is whole."""
