Test entries of servers with a port out of range or a number beyond a float

Operators of similar systems reported that one odd entry of another writer among those of the servers ended or stopped all daemons. Deep nesting and huge numbers had tests; ports out of range, negative, endless or in other digits, and a number beyond a float, had none.

--- a/quetzalcourse/tests/odd_entries.py
+++ b/quetzalcourse/tests/odd_entries.py
@@ -45,4 +45,11 @@
     'slots as text': build_entry(slots='8'),
     'other state': build_entry(state='sleeping'),
     'no port': build_entry(address='127.0.0.1'),
+    'port out of range': build_entry(address='127.0.0.1:65536'),
+    'huge port': build_entry(address=f'127.0.0.1:{"9" * 5000}'),
+    'negative port': build_entry(address='127.0.0.1:-1'),
+    'port of another script': build_entry(address='127.0.0.1:\u0669'),
+    'number beyond a float': build_entry(cold_remaining_ms=0).replace(
+        b'"cold_remaining_ms": 0', b'"cold_remaining_ms": 1e999'
+    ),
 }
