Check every answer at the trainers' client library and the commands

What callers would have seen: an answer that is reset before it is whole, or has the status 000, counts as one. A trainer could take a part of its samples for all of them, quetzalctl report burn rates of a part of the events, and quetzalctl status and key a part of a list. No user reported it; it was found while the cause of the last fault was looked for wherever answers are read.

Cause: TrainerClient and the commands opened sessions of the HTTP client itself. On asyncio's loop, too, these complete a body without a length when its connection is reset.

Change: open_session opens every session of the package, with the connection pool that checks heads and ends. The stand-in for callers uses it as well, so the tests and the soak judge daemons' answers as strictly.

--- a/quetzalcourse/application.py
+++ b/quetzalcourse/application.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import aiohttp
 
 from quetzalcourse.lease_components import build_lease_components
 from quetzalcourse.coordination.service_levels.daily_event_sums import (
@@ -36,10 +35,7 @@
 )
 from quetzalcourse.transport.clock import SystemClock
 from quetzalcourse.transport.caller_protocol import CallerProtocol
-from quetzalcourse.transport.connections import (
-    build_connector,
-    send_once,
-)
+from quetzalcourse.transport.connections import open_session, send_once
 from quetzalcourse.transport.key_sessions import KeySessions
 from quetzalcourse.transport.platform_client import PlatformClient
 from quetzalcourse.transport.routes import add_routes
@@ -83,8 +79,7 @@
 
     async def on_start(self) -> None:
         """Build the components, load a manifest and start serving."""
-        self._session = aiohttp.ClientSession(
-            connector=build_connector(),
+        self._session = open_session(
             skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
             middlewares=(send_once,),
         )
--- a/quetzalcourse/client.py
+++ b/quetzalcourse/client.py
@@ -26,6 +26,7 @@
     Sample,
     StepProgress,
 )
+from quetzalcourse.transport.connections import open_session
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -99,9 +100,7 @@
     async def __aenter__(self) -> TrainerClient:
         """Open the connections."""
         timeout = aiohttp.ClientTimeout(total=self._call_timeout)
-        self._session = aiohttp.ClientSession(
-            headers=self._headers, timeout=timeout
-        )
+        self._session = open_session(headers=self._headers, timeout=timeout)
         return self
 
     async def __aexit__(
--- a/quetzalcourse/commands/demo.py
+++ b/quetzalcourse/commands/demo.py
@@ -24,6 +24,7 @@
     TRAINER_KEY,
     Deployment,
 )
+from quetzalcourse.transport.connections import open_session
 
 GROUPS = 8
 SAMPLES_PER_GROUP = 8
@@ -91,7 +92,7 @@
     deployment = Deployment(callers=options.callers)
     await deployment.on_start()
     try:
-        async with aiohttp.ClientSession(deployment.url) as session:
+        async with open_session(base_url=deployment.url) as session:
             rows = [
                 await _ask_model(session),
                 await _ask_service(session),
--- a/quetzalcourse/commands/key.py
+++ b/quetzalcourse/commands/key.py
@@ -18,6 +18,7 @@
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
 from quetzalcourse.state.keys import KeyRecord, build_tombstone, validate_record
+from quetzalcourse.transport.connections import open_session
 
 SECRET_BYTES = 24
 TIMEOUT_SECONDS = 5.0
@@ -208,7 +209,7 @@
     headers = {'Authorization': f'Bearer {secret}'}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             async with session.request(
                 method, url, data=body, headers=headers
             ) as answer:
--- a/quetzalcourse/commands/platform.py
+++ b/quetzalcourse/commands/platform.py
@@ -6,8 +6,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-import aiohttp
-
+from quetzalcourse.transport.connections import open_session
 from quetzalcourse.transport.platform_client import PlatformClient
 
 if TYPE_CHECKING:
@@ -32,5 +31,5 @@
 
     :param address: IP address and port.
     """
-    async with aiohttp.ClientSession() as session:
+    async with open_session() as session:
         yield PlatformClient(session, address, TIMEOUT_SECONDS)
--- a/quetzalcourse/commands/report.py
+++ b/quetzalcourse/commands/report.py
@@ -24,6 +24,7 @@
 from quetzalcourse.protocol.exposition import read_events
 from quetzalcourse.settings.manifest import load_manifest
 from quetzalcourse.state.service_levels import Window
+from quetzalcourse.transport.connections import open_session
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -134,7 +135,7 @@
     """
     unreachable = []
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_session(timeout=timeout) as session:
         for daemon in daemons:
             url = f'http://{daemon}/metrics'
             try:
--- a/quetzalcourse/commands/status.py
+++ b/quetzalcourse/commands/status.py
@@ -10,6 +10,7 @@
 from quetzalcourse.commands.output import write_json, write_line
 from quetzalcourse.exceptions import AbortError
 from quetzalcourse.loop import run_loop
+from quetzalcourse.transport.connections import open_session
 
 TIMEOUT_SECONDS = 5.0
 
@@ -31,7 +32,7 @@
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
     url = f'http://{options.daemon}/status'
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             async with session.get(url) as answer:
                 document = await answer.json()
     except (aiohttp.ClientError, TimeoutError) as error:
--- a/quetzalcourse/standins/rollout/cluster.py
+++ b/quetzalcourse/standins/rollout/cluster.py
@@ -18,6 +18,8 @@
 from quetzalcourse.standins.rollout.cloud import CloudStandin
 from quetzalcourse.standins.rollout.store import StoreEndpoint, StoreStandin
 from quetzalcourse.standins.rollout.upstream import UpstreamStandin
+from quetzalcourse.transport.connections import open_session
+from quetzalcourse.transport.response_protocol import StrictConnector
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -117,8 +119,8 @@
         }
         timeout = aiohttp.ClientTimeout(total=seconds)
         async with (
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True),
+            open_session(
+                StrictConnector(force_close=True),
                 skip_auto_headers=('Accept-Encoding', 'User-Agent'),
             ) as session,
             session.request(
--- a/quetzalcourse/transport/channel.py
+++ b/quetzalcourse/transport/channel.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from quetzalcourse.state.rows import FaultKind, StoreFault
-from quetzalcourse.transport.connections import send_once
+from quetzalcourse.transport.connections import open_session, send_once
 from quetzalcourse.transport.response_body import read_body
 from quetzalcourse.transport.response_protocol import StrictConnector
 
@@ -143,8 +143,8 @@
             await session.close()
 
     def _open_session(self) -> aiohttp.ClientSession:
-        return aiohttp.ClientSession(
-            connector=StrictConnector(
+        return open_session(
+            StrictConnector(
                 limit=0,
                 keepalive_timeout=IDLE_CONNECTION_SECONDS,
                 socket_factory=open_socket,
--- a/quetzalcourse/transport/connections.py
+++ b/quetzalcourse/transport/connections.py
@@ -1,8 +1,8 @@
-"""Connection pool to upstreams without implicit retries."""
+"""HTTP sessions that take no broken response, and retry nothing unasked."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -22,7 +22,22 @@
     """The connection closed after the request may have been sent."""
 
 
-def build_connector() -> aiohttp.TCPConnector:
+def open_session(
+    connector: StrictConnector | None = None, **options: Any
+) -> aiohttp.ClientSession:
+    """Open a session that rejects malformed and incomplete responses.
+
+    Sessions of the HTTP client itself pass some of them on as complete.
+
+    :param connector: connection pool, by default :func:`build_connector`.
+    :param options: passed on to the session.
+    """
+    return aiohttp.ClientSession(
+        connector=connector or build_connector(), **options
+    )
+
+
+def build_connector() -> StrictConnector:
     """Build the connection pool.
 
     If a server closes an idle connection while a request is being written,
--- a/quetzalcourse/transport/upstream_client.py
+++ b/quetzalcourse/transport/upstream_client.py
@@ -14,7 +14,7 @@
 
 from quetzalcourse.exceptions import QuetzalcourseError
 from quetzalcourse.transport.channel import SKIPPED_AUTO_HEADERS, open_socket
-from quetzalcourse.transport.connections import send_once
+from quetzalcourse.transport.connections import open_session, send_once
 from quetzalcourse.transport.response_protocol import StrictConnector
 
 if TYPE_CHECKING:
@@ -85,8 +85,8 @@
             keepalive_timeout=DEFAULT_KEEP_ALIVE_SECONDS,
             socket_factory=open_socket,
         )
-        self._session = aiohttp.ClientSession(
-            connector=self._connector,
+        self._session = open_session(
+            self._connector,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             auto_decompress=False,
             middlewares=(send_once,),
