Release the slots of items whose tasks are cancelled before their first step

What callers saw: after clients had ended two open steps at the same time, steps of the others ran out of time with items that were sent to no server, and later steps were accepted without one item being sent, until the daemon was restarted.

Cause: the dispatcher counts a slot and starts a task whose finally releases it. asyncio never enters a coroutine whose task is cancelled before its first step. The slots that one ended step gave back went to the next one, which ended in the same pass of the event loop. Scoring calls were started in the same way.

Change: a callback of the task releases the slots if the coroutine has not. It is called however the task ends. Other tasks of the package that hold a count were read: waiting requests already release a slot that is granted as their caller leaves, and the tasks of steps count nothing before they run.

--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.coordination.batches.carried_texts import NoCarriedTexts
@@ -289,6 +290,15 @@
         run.started_at = self._clock.elapsed()
         self._pool.on_send(upstream)
         run.task = self._tasks.start(self._attempt(batch, run, upstream))
+        run.task.add_done_callback(partial(self._on_task_done, run, upstream))
+
+    def _on_task_done(
+        self, run: ItemRun, upstream: Upstream, task: asyncio.Task[None]
+    ) -> None:
+        # A task that is cancelled before its first step never enters its
+        # coroutine, which would release the slots.
+        if run.task is task:
+            self._on_end(run, upstream)
 
     def _build_request(
         self, batch: BatchRun, run: ItemRun
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -12,6 +12,7 @@
 import enum
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from quetzalcourse.coordination.batches.item_run import (
@@ -27,6 +28,7 @@
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable, Sequence
 
     from quetzalcourse.coordination.batches.batch_run import BatchRun
@@ -151,6 +153,15 @@
         self._pool.on_start(upstream)
         self._pool.on_send(upstream)
         run.task = self._tasks.start(self._score(batch, run, upstream, route))
+        run.task.add_done_callback(partial(self._on_task_done, run, upstream))
+
+    def _on_task_done(
+        self, run: ItemRun, upstream: Upstream, task: asyncio.Task[None]
+    ) -> None:
+        # A task that is cancelled before its first step never enters its
+        # coroutine, which would release the slot.
+        if run.task is task:
+            self._release(run, upstream)
 
     async def _score(
         self,
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -1,4 +1,4 @@
-"""Tests of item migration: slots, and upstreams that leave meanwhile."""
+"""Tests of the slots of items: migration, leaving upstreams, ended batches."""
 
 from __future__ import annotations
 
@@ -23,7 +23,12 @@
 from quetzalcourse.coordination.quarantine.records import QuarantineRecords
 from quetzalcourse.platform.documents import read_manifest
 from quetzalcourse.standins.rollout import documents
-from quetzalcourse.state.batches import BatchHead, BatchItem, StreamEvent
+from quetzalcourse.state.batches import (
+    BatchHead,
+    BatchItem,
+    ScoringCall,
+    StreamEvent,
+)
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock
@@ -111,11 +116,12 @@
         none: Any = None
         writer: Any = StubWriter()
         allocator, _ = build_allocator(self.pool, clock)
+        self.scoring = ItemScoring(
+            none, self.pool, residency, quarantine, clock, counters
+        )
         self.runner = BatchRunner(
             self.items,
-            ItemScoring(
-                none, self.pool, residency, quarantine, clock, counters
-            ),
+            self.scoring,
             writer,
             Placement(self.pool, allocator, clock),
             self.pool,
@@ -123,12 +129,16 @@
             quarantine,
             clock,
         )
+        self.clock = clock
+        self.batch = self.build_batch()
+
+    def build_batch(self, scoring: ScoringCall | None = None) -> BatchRun:
+        """Build a batch with one item."""
         head = BatchHead(
             'b', 'desk', 'r-drill', 'h', 1, 0, 7500, 20_000, 'm', min_version=1
         )
-        item = BatchItem('i', '/i', {}, b'')
-        self.batch = build_batch_run(head, [item], (), 1, clock.elapsed())
-        self.clock = clock
+        item = BatchItem('i', '/i', {}, b'', scoring=scoring)
+        return build_batch_run(head, [item], (), 1, self.clock.elapsed())
 
     def set_token_latency(self, name: str, seconds: float) -> None:
         """Set the measured token latency of an engine."""
@@ -204,3 +214,44 @@
     world.runner.drop('b', 'ended')
     await asyncio.sleep(ROUND_SECONDS)
     assert set(world.count_running().values()) == {0}
+
+
+@pytest.mark.parametrize('attempts', [1, 3])
+async def test_batch_that_ends_as_its_items_start_releases_their_slots(
+    attempts: int,
+) -> None:
+    # Guards against slots lost for good when a batch ends between the dispatch
+    # of its items and the first step of their tasks.
+    world = World()
+
+    def end_batch(_: object) -> None:
+        world.runner.drop('b', 'ended')
+
+    world.runner.on_placed(end_batch)
+    running = asyncio.ensure_future(world.runner.run())
+    for _ in range(attempts):
+        world.runner.add(world.build_batch())
+        await asyncio.sleep(ROUND_SECONDS)
+    running.cancel()
+    assert world.items.attempts == []
+    assert world.count_running() == {'slow': 0}
+
+
+async def test_batch_that_ends_as_a_scoring_call_starts_releases_its_slot() -> (
+    None
+):
+    # Guards against slots of scoring services that are lost in the same way.
+    world = World()
+    world.pool.replace(
+        PoolMember('app', documents.CATALOGUE, 'app:1', 'hall-a', SLOTS)
+    )
+    batch = world.build_batch(
+        ScoringCall('s', documents.HOST, f'{documents.SCORING_PREFIX}1', b'')
+    )
+    world.scoring.begin(batch, batch.items[0])
+    upstream = world.pool.find('app')
+    assert upstream is not None
+    assert upstream.running == 1
+    batch.stop()
+    await asyncio.sleep(0.01)
+    assert upstream.running == 0
