Read all rows of large steps, page by page

What callers saw: a step of 1,024 samples of 70 KB could not be read any more after the daemon that ran it was killed. Reads were answered 500 at every daemon, or 200 without a result, and the step was never finished.

Cause: the results of a step were read with one scan, which returns at most 1,000 rows. Such a step has some 1,500, and where the cut fell into a result, decoding failed. The next owner read them in the same way, so the step got none. The rows of items and texts, the claims of scoring calls that may not be repeated, and open steps were read so, too.

Change: scan_all reads page by page.

--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -20,6 +20,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from quetzalcourse.coordination.table_scan import scan_all
 from quetzalcourse.log import get_log
 from quetzalcourse.state.batches import (
     BatchHead,
@@ -306,7 +307,7 @@
         batch: str,
     ) -> Result[list[PartialText], StoreFault]:
         """Read the saved texts of unfinished items."""
-        answer = await self._table.scan(f'{PARTIALS}/{batch}/')
+        answer = await scan_all(self._table, f'{PARTIALS}/{batch}/')
         return answer.map(lambda rows: decode_partials(list_numbered(rows)))
 
     async def commit_results(
@@ -353,14 +354,14 @@
         batch: str,
     ) -> Result[list[Row], StoreFault]:
         """Read the metadata rows of a batch."""
-        return await self._table.scan(f'{TABLE}/{batch}/')
+        return await scan_all(self._table, f'{TABLE}/{batch}/')
 
     async def read_items(
         self,
         batch: str,
     ) -> Result[list[BatchItem], StoreFault]:
         """Read the items of a batch."""
-        answer = await self._table.scan(f'{ITEMS}/{batch}/')
+        answer = await scan_all(self._table, f'{ITEMS}/{batch}/')
         return answer.map(
             lambda rows: join_items(
                 [row.content for row in list_numbered(rows)]
@@ -378,7 +379,7 @@
         """
         last_piece = 10**PIECE_DIGITS - 1
         after = name_result(batch, known - 1, last_piece) if known else ''
-        answer = await self._table.scan(f'{RESULTS}/{batch}/', after)
+        answer = await scan_all(self._table, f'{RESULTS}/{batch}/', after)
         return answer.map(lambda rows: join_results(list_numbered(rows)))
 
     async def remove(
@@ -388,7 +389,7 @@
         """Delete all rows of a batch."""
         keys: list[str] = []
         for table in (RESULTS, PARTIALS, ITEMS, TABLE):
-            found = await self._table.scan(f'{table}/{batch}/')
+            found = await scan_all(self._table, f'{table}/{batch}/')
             if isinstance(found, Err):
                 return found
             keys += [row.key for row in found.ok_value]
--- a/quetzalcourse/coordination/steps/scoring.py
+++ b/quetzalcourse/coordination/steps/scoring.py
@@ -16,6 +16,7 @@
     decode,
     encode,
 )
+from quetzalcourse.coordination.table_scan import scan_all
 from quetzalcourse.state.rows import FaultKind
 from quetzalcourse.state.steps import SampleKey
 
@@ -71,7 +72,7 @@
         if self._spec.scoring_repeatable:
             return Ok(None)
         prefix = build_claims_prefix(self._spec.trainer, self._spec.step)
-        answer = await self._table.scan(prefix)
+        answer = await scan_all(self._table, prefix)
         if isinstance(answer, Err):
             return answer
         for row in answer.ok_value:
--- a/quetzalcourse/coordination/steps/step_service.py
+++ b/quetzalcourse/coordination/steps/step_service.py
@@ -23,6 +23,7 @@
 )
 from quetzalcourse.coordination.steps.step_runner import StepRunner, cancel_all
 from quetzalcourse.coordination.steps.watchers import is_watcher
+from quetzalcourse.coordination.table_scan import scan_all
 from quetzalcourse.log import get_log
 from quetzalcourse.state.lease import LeaseTimings
 from quetzalcourse.state.refusal import Refusal, RefusalCode
@@ -178,7 +179,7 @@
         await cancel_all(tuple(self._running.values()))
 
     async def _scan_open_steps(self) -> None:
-        answer = await self._table.scan(OPEN_STEPS_PREFIX)
+        answer = await scan_all(self._table, OPEN_STEPS_PREFIX)
         if isinstance(answer, Err):
             return
         for row in answer.ok_value:
--- a/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
+++ b/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import pytest
 from result import Ok, Result
 
 from quetzalcourse.coordination.batches.batch_rows import (
@@ -106,3 +107,48 @@
     assert (await rows.read_results('b', 0)).unwrap() == [result]
     assert (await rows.read_items('b')).unwrap() == [item]
     assert (await rows.read_partials('b')).unwrap() == [build_partial(1)]
+
+
+# Size of a step to design for; a long text takes more than one row.
+LARGE_STEP_SAMPLES = 1024
+PIECE_BYTES = 20
+
+
+def put_results(store: PartTable, count: int) -> list[ItemResult]:
+    """Write results, each of them in several rows."""
+    results = [
+        ItemResult(f'i-{number}', ResultState.completed, 'text')
+        for number in range(count)
+    ]
+    for position, result in enumerate(results):
+        packed = split_results([result])[0]
+        for begin in range(0, len(packed), PIECE_BYTES):
+            piece = begin // PIECE_BYTES
+            store.put(
+                name_result('b', position, piece),
+                packed[begin : begin + PIECE_BYTES],
+            )
+    return results
+
+
+@pytest.mark.parametrize('known', [0, 1, 500, 960, LARGE_STEP_SAMPLES])
+async def test_results_of_a_large_step_are_read_whole(known: int) -> None:
+    # Guards against results that can't be read, or are made again, because
+    # the store returns no more than a page of their rows.
+    store = PartTable()
+    results = put_results(store, LARGE_STEP_SAMPLES)
+    found = await BatchRows(store).read_results('b', known)
+    assert found.unwrap() == results[known:]
+
+
+async def test_items_and_texts_beyond_a_page_are_read() -> None:
+    # Guards against items of a large step that its next owner never runs.
+    store = PartTable()
+    items = [BatchItem(f'i-{number}', '/', {}, b'') for number in range(600)]
+    for number, item in enumerate(items):
+        store.put(f'{ITEMS}/b/{number:04d}', split_items([item])[0])
+        partial = msgspec.msgpack.encode(build_partial(1))
+        store.put(f'{PARTIALS}/b/{number:04d}', partial)
+    rows = BatchRows(store)
+    assert (await rows.read_items('b')).unwrap() == items
+    assert len((await rows.read_partials('b')).unwrap()) == len(items)
