Remove large batches in several transactions

What operators would have seen: rows of batches with more than 100 rows stay in the store for ever, and a daemon tries in vain to remove them, over and over. No user reported it; it was found beside the rows that could not be read.

Cause: all rows of an expired batch were removed in one transaction. The store takes at most 100 entries in a call.

Change: rows are removed 100 at a time, the head last, by which the rest is found if the store fails in between. A batch of fewer rows is removed at once, as before.

--- a/quetzalcourse/coordination/batches/batch_rows.py
+++ b/quetzalcourse/coordination/batches/batch_rows.py
@@ -60,11 +60,12 @@
 OWNER = 'owner'
 PROGRESS = 'progress'
 END = 'end'
-# The store limits rows to 64 KiB and transactions to 1 MB; the rest is left
-# for keys and for the encoding on the wire.
+# The store limits rows to 64 KiB and transactions to 1 MB and 100 rows; the
+# rest is left for keys and for the encoding on the wire.
 CHUNK_BYTES = 48_000
 TRANSACTION_BYTES = 500_000
-# The store limits transactions to 100 rows.
+MAX_TRANSACTION_ROWS = 100
+# The rest is left for the owner's row.
 MAX_PARTIALS = 90
 POSITION_DIGITS = 8
 PIECE_DIGITS = 3
@@ -393,9 +394,17 @@
             if isinstance(found, Err):
                 return found
             keys += [row.key for row in found.ok_value]
-        writes = tuple(Write(key, None) for key in keys)
-        answer = await self._table.transact(Transaction((), writes))
-        return answer.map(lambda _: None)
+        # Without the head, nobody would find the rows that remain.
+        keys.sort(key=lambda key: key == name_row(batch, HEAD))
+        for begin in range(0, len(keys), MAX_TRANSACTION_ROWS):
+            writes = tuple(
+                Write(key, None)
+                for key in keys[begin : begin + MAX_TRANSACTION_ROWS]
+            )
+            answer = await self._table.transact(Transaction((), writes))
+            if isinstance(answer, Err):
+                return answer
+        return Ok(None)
 
 
 def _read_commit(
--- a/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
+++ b/quetzalcourse/tests/coordination/batches/batch_rows_tests.py
@@ -10,13 +10,17 @@
 
 from quetzalcourse.coordination.batches.batch_rows import (
     CHUNK_BYTES,
+    HEAD,
     ITEMS,
     MAX_PARTIALS,
+    MAX_TRANSACTION_ROWS,
     PARTIALS,
+    PROGRESS,
     RESULTS,
     TRANSACTION_BYTES,
     BatchRows,
     name_result,
+    name_row,
     pack_partials,
     split_items,
     split_results,
@@ -31,7 +35,12 @@
 from quetzalcourse.tests.feeds import FakeFeed
 
 if TYPE_CHECKING:
-    from quetzalcourse.state.rows import Row, StoreFault
+    from quetzalcourse.state.rows import (
+        Row,
+        StoreFault,
+        Transaction,
+        TransactionResult,
+    )
 
 LARGE = CHUNK_BYTES + 1
 HALF = CHUNK_BYTES // 2
@@ -43,6 +52,19 @@
     def __init__(self) -> None:
         """Create an empty table."""
         super().__init__(FakeClock())
+        self.transaction_sizes: list[int] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the row that was written last."""
+        return self._version
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[TransactionResult, StoreFault]:
+        """Write rows and record how many."""
+        self.transaction_sizes.append(len(transaction.writes))
+        return await super().transact(transaction)
 
     async def scan(
         self, prefix: str, after: str = '', limit: int = 500
@@ -152,3 +174,19 @@
     rows = BatchRows(store)
     assert (await rows.read_items('b')).unwrap() == items
     assert len((await rows.read_partials('b')).unwrap()) == len(items)
+
+
+async def test_large_batch_is_removed_within_the_limits_of_the_store() -> None:
+    # Guards against batches that are never removed because the store refuses
+    # to delete all of their rows at once.
+    store = PartTable()
+    put_results(store, 150)
+    store.put(name_row('b', HEAD), b'{}')
+    store.put(name_row('b', PROGRESS), b'150')
+    store.put(name_result('other', 0), b'[]')
+    removed = await BatchRows(store).remove('b')
+    assert removed.is_ok()
+    assert max(store.transaction_sizes) <= MAX_TRANSACTION_ROWS
+    kept = [key for key, row in store.rows.items() if not row.removed]
+    assert kept == [name_result('other', 0)]
+    assert store.rows[name_row('b', HEAD)].version == store.version
