--- a/quetzalcourse/tests/rollout/calls.py
+++ b/quetzalcourse/tests/rollout/calls.py
@@ -8,6 +8,7 @@
 from quetzalcourse.standins.rollout import documents
 
 if TYPE_CHECKING:
+    from quetzalcourse.standins.raw_server import AbruptServer, RawServer
     from quetzalcourse.standins.rollout.cluster import Reply, RolloutCluster
 
 LOOKUP = documents.LOOKUP_PREFIX
@@ -44,3 +45,27 @@
     async with asyncio.timeout(5):
         while cluster.daemons[0].routes.version < 2:
             await asyncio.sleep(0.02)
+
+
+async def register(
+    cluster: RolloutCluster, server: RawServer | AbruptServer, service: str
+) -> None:
+    """Register a server in trouble instead of the sound ones of a service."""
+    for sound in (*cluster.services, *cluster.engines):
+        if sound.service == service:
+            await sound.stop_heartbeats()
+            await cluster.store.remove('servers', sound.name)
+    entry = {
+        'service': service,
+        'address': server.address,
+        'zone': 'hall-a',
+        'slots': 8,
+        'state': 'ready',
+        'born': 1,
+    }
+    if service == documents.ENGINES:
+        entry['models'] = [{'name': documents.MODEL, 'version': 1}]
+    await cluster.store.write('servers', 'odd', entry)
+    async with asyncio.timeout(5):
+        while cluster.daemons[0].pool.find('odd') is None:
+            await asyncio.sleep(0.02)
