Give each slot of an upstream one owner, released however its task ends

What callers saw: nothing new. After steps that ended early, slots had stayed counted until the daemon was restarted; that was fixed with a done callback beside the task's own release, once for items and once for scoring calls, and each further place that counts before its task runs would have needed it again. And an item whose attempt ended by a cancellation that this daemon had not asked for counted as running until it expired, at no upstream: its step could not be whole. No library was seen to cancel an attempt in this way; that part is suspected.

Cause: the count had no owner. Three functions released it, each told by the state of the item whether another one had done so before.

Change: a slot is a permit that its task owns and that is released once, by a callback of the task or sooner. The pool's count changes in no other way: items, migrations, scoring calls and forwarded requests take their slots from it. A migrating item hands its reserved slot to the next attempt, where it was released and counted again. An attempt that ends without a result, for whatever reason, leaves its item waiting.

Evidence: test_item_whose_attempt_was_cancelled_by_others_is_retried failed before (one attempt, two expected) and passes. The tests of slots at an early end pass as they are. Tests that counted requests by hand take slots now; no bound or assertion changed. All tests passed, at a load average of 15 to 18.

--- a/bench/suites/rollouts.py
+++ b/bench/suites/rollouts.py
@@ -117,7 +117,7 @@
     for _ in range(ITEMS):
         upstream = placement.choose(NEED)
         if upstream is not None:
-            pool.on_start(upstream)
+            pool.take_slot(upstream)
     slow = pool.find('e-00')
     assert slow is not None
     return Figure(
@@ -136,7 +136,7 @@
     for _ in range(ITEMS):
         upstream = pool.choose('engines')
         assert upstream is not None
-        pool.on_start(upstream)
+        pool.take_slot(upstream)
     slow = pool.find('e-00')
     assert slow is not None
     return slow.running
--- a/quetzalcourse/coordination/admission/queueing_selection.py
+++ b/quetzalcourse/coordination/admission/queueing_selection.py
@@ -123,16 +123,19 @@
         self._on_chosen(request, place, free)
         return free
 
-    def release(self, request: ForwardedRequest, upstream: Upstream) -> None:
-        """Record that an attempt ended, and send the next request."""
+    def release(self, request: ForwardedRequest) -> None:
+        """Release the slot of an attempt, and send the next request."""
+        slot = request.slot
+        if slot is None or not slot.held:
+            return
+        slot.release()
         place = request.waiting
         if place is not None and place.charged:
             held = self._clock.elapsed() - request.attempt_began
             queue = self._find_service(request.service).queue
             queue.charge_end(place, held.total_seconds())
             place.charged = 0
-        self._pool.on_end(upstream)
-        self._limits.on_ended(upstream, request.client_account)
+        self._limits.on_ended(slot.upstream, request.client_account)
         self._send_waiting(request.service)
 
     def on_full(self, request: ForwardedRequest, upstream: Upstream) -> None:
@@ -219,10 +222,8 @@
         name = waiter.request.service
         if self._find_service(name).leave(place):
             self._on_queue_changed(name)
-        upstream = waiter.upstream
-        if upstream.done() and not upstream.cancelled():
-            if upstream.exception() is None:
-                self.release(waiter.request, upstream.result())
+        # A slot may have been granted since the task ran last.
+        self.release(waiter.request)
 
     def _send_waiting(self, name: str) -> None:
         """Send the requests that wait for a service to its free slots."""
@@ -281,7 +282,7 @@
         account = request.client_account
         if not place.charged:
             self._find_service(request.service).queue.charge_start(place)
-        self._pool.on_start(upstream)
+        request.slot = self._pool.take_slot(upstream)
         self._limits.on_sent(upstream, account)
         waited = self._clock.elapsed() - place.arrived_at
         self._counters.observe(
--- a/quetzalcourse/coordination/batches/item_run.py
+++ b/quetzalcourse/coordination/batches/item_run.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
     from quetzalcourse.state.batches import BatchItem, StreamEvent
 
 MIN_RETRY_DELAY = timedelta(milliseconds=50)
@@ -57,8 +57,8 @@
     :param saved_event: last event of the text that was last saved.
     :param saved_complete: whether the saved text was complete.
     :param completed: whether it has a result with its complete text.
-    :param migration_target: upstream to continue at, where a slot is reserved
-        for it; ``None`` to stay.
+    :param migration_slot: slot that is reserved for it at another upstream,
+        to continue there; ``None`` to stay.
     """
 
     item: BatchItem
@@ -78,7 +78,7 @@
     upstream: str = ''
     avoided: str = ''
     started_at: timedelta = timedelta(0)
-    migration_target: Upstream | None = None
+    migration_slot: UpstreamSlot | None = None
     task: asyncio.Task[None] | None = None
     fingerprint: str = ''
     scoring_fingerprint: str = ''
--- a/quetzalcourse/coordination/batches/runner.py
+++ b/quetzalcourse/coordination/batches/runner.py
@@ -33,6 +33,7 @@
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.residency import Residency
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.batches import ItemResult
     from quetzalcourse.state.clock import Clock
@@ -278,27 +279,32 @@
         upstream = self._placement.choose(request)
         if upstream is None:
             return False
-        # Counted here and not in the task, which starts later: otherwise all
+        # Taken here and not in the task, which starts later: otherwise all
         # items of one dispatch would see the same upstream as idle.
-        self._pool.on_start(upstream)
-        self._start(batch, run, upstream)
+        self._start(batch, run, self._pool.take_slot(upstream))
         return True
 
-    def _start(self, batch: BatchRun, run: ItemRun, upstream: Upstream) -> None:
+    def _start(self, batch: BatchRun, run: ItemRun, slot: UpstreamSlot) -> None:
+        upstream = slot.upstream
         run.state = ItemState.running
         run.upstream = upstream.name
         run.started_at = self._clock.elapsed()
         self._pool.on_send(upstream)
         run.task = self._tasks.start(self._attempt(batch, run, upstream))
-        run.task.add_done_callback(partial(self._on_task_done, run, upstream))
+        slot.assign(run.task)
+        run.task.add_done_callback(partial(self._on_attempt_done, run))
 
-    def _on_task_done(
-        self, run: ItemRun, upstream: Upstream, task: asyncio.Task[None]
-    ) -> None:
-        # A task that is cancelled before its first step never enters its
-        # coroutine, which would release the slots.
-        if run.task is task:
-            self._on_end(run, upstream)
+    def _on_attempt_done(self, run: ItemRun, task: asyncio.Task[None]) -> None:
+        self._wake.set()
+        if run.task is not task:
+            return
+        run.task = None
+        run.migration_slot = None
+        if run.state is ItemState.running:
+            # The attempt failed or was cancelled without a result; the item
+            # would count as running until it expires.
+            run.state = ItemState.waiting
+            run.back_off(self._clock.elapsed())
 
     def _build_request(
         self, batch: BatchRun, run: ItemRun
@@ -320,7 +326,9 @@
 
     def _consider_migration(self, batch: BatchRun, run: ItemRun) -> None:
         upstream = self._pool.find(run.upstream)
-        if run.migration_target is not None or run.last_event is None:
+        if run.migration_slot is not None or run.last_event is None:
+            return
+        if run.task is None:
             return
         if upstream is None or not self._placement.is_slower_than_usual(
             upstream
@@ -337,8 +345,8 @@
         )
         if target is None or not _allows_version(batch, run, target):
             return
-        run.migration_target = target
-        self._pool.on_start(target)
+        run.migration_slot = self._pool.take_slot(target)
+        run.migration_slot.assign(run.task)
 
     async def _attempt(
         self,
@@ -346,27 +354,17 @@
         run: ItemRun,
         upstream: Upstream,
     ) -> None:
-        result = None
         resumed = run.last_event is not None
-        try:
-            result = await self._items.run(batch, run, upstream)
-        except Exception:
-            # The item would count as running until it expires.
-            if run.state is ItemState.running:
-                run.state = ItemState.waiting
-                run.back_off(self._clock.elapsed())
-            raise
-        finally:
-            target = self._on_end(run, upstream)
-        if result is not None:
-            self._quarantine.on_answer(run.fingerprint, upstream.run_id)
+        result = await self._items.run(batch, run, upstream)
+        migration_slot = run.migration_slot
+        run.migration_slot = None
         if result is None:
             run.avoided = upstream.name
             run.state = ItemState.waiting
-            if target is not None and run.retry_at <= self._clock.elapsed():
-                self._pool.on_start(target)
-                self._start(batch, run, target)
+            if migration_slot is not None:
+                self._migrate(batch, run, migration_slot)
             return
+        self._quarantine.on_answer(run.fingerprint, upstream.run_id)
         if result.state is ResultState.completed and not resumed:
             self.durations.observe(
                 batch.head.model,
@@ -383,25 +381,19 @@
             return
         batch.finish(run, result)
 
-    def _on_end(self, run: ItemRun, upstream: Upstream) -> Upstream | None:
-        """Release the slots of an attempt that ended.
-
-        :returns: upstream where a slot is reserved to continue the item, if
-            it still accepts work.
-        """
-        self._pool.on_end(upstream)
-        target = run.migration_target
-        run.migration_target = None
-        run.task = None
-        self._wake.set()
-        if target is None:
-            return None
-        self._pool.on_end(target)
+    def _migrate(
+        self, batch: BatchRun, run: ItemRun, slot: UpstreamSlot
+    ) -> None:
+        """Continue an item where a slot is reserved for it, if it still may."""
+        target = slot.upstream
         # It may have left or restarted since its slot was reserved.
-        known = self._pool.find(target.name) is target
-        usable = target.is_available(self._clock.elapsed())
-        usable = usable and self._pool.cold_starts.admits(target)
-        return target if known and usable else None
+        usable = (
+            self._pool.find(target.name) is target
+            and target.is_available(self._clock.elapsed())
+            and self._pool.cold_starts.admits(target)
+        )
+        if usable and run.retry_at <= self._clock.elapsed():
+            self._start(batch, run, slot)
 
     def _abandon(self, batch: BatchRun) -> None:
         for run in batch.items:
--- a/quetzalcourse/coordination/batches/scoring.py
+++ b/quetzalcourse/coordination/batches/scoring.py
@@ -150,18 +150,19 @@
             return
         run.state = ItemState.scoring
         run.upstream = upstream.name
-        self._pool.on_start(upstream)
+        slot = self._pool.take_slot(upstream)
         self._pool.on_send(upstream)
         run.task = self._tasks.start(self._score(batch, run, upstream, route))
-        run.task.add_done_callback(partial(self._on_task_done, run, upstream))
+        slot.assign(run.task)
+        run.task.add_done_callback(partial(self._on_call_done, run))
 
-    def _on_task_done(
-        self, run: ItemRun, upstream: Upstream, task: asyncio.Task[None]
-    ) -> None:
-        # A task that is cancelled before its first step never enters its
-        # coroutine, which would release the slot.
+    def _on_call_done(self, run: ItemRun, task: asyncio.Task[None]) -> None:
         if run.task is task:
-            self._release(run, upstream)
+            run.task = None
+            # An item that was abandoned meanwhile keeps that state.
+            if run.state is ItemState.scoring:
+                run.state = ItemState.unscored
+        self._on_end()
 
     async def _score(
         self,
@@ -175,12 +176,9 @@
         began = self._clock.elapsed()
         wait = compute_timeout(route, run.failed_calls, self._timeouts)
         timeout = min(wait, batch.expires_at - began)
-        try:
-            outcome = await self._scorer.score(
-                call, run.scoring_fingerprint, upstream, timeout
-            )
-        finally:
-            self._release(run, upstream)
+        outcome = await self._scorer.score(
+            call, run.scoring_fingerprint, upstream, timeout
+        )
         took = self._clock.elapsed() - began
         self._record_outcome(route, outcome, took)
         if outcome.state in ANSWERED:
@@ -217,14 +215,6 @@
         elif outcome.state is ScoringState.late:
             self._timeouts.on_timeout(route.name, took)
 
-    def _release(self, run: ItemRun, upstream: Upstream) -> None:
-        self._pool.on_end(upstream)
-        run.task = None
-        # An item that was abandoned meanwhile keeps that state.
-        if run.state is ItemState.scoring:
-            run.state = ItemState.unscored
-        self._on_end()
-
     def _count_failed_score(
         self, batch: BatchRun, run: ItemRun, route: Route
     ) -> None:
--- a/quetzalcourse/coordination/forwarding/forwarding.py
+++ b/quetzalcourse/coordination/forwarding/forwarding.py
@@ -19,6 +19,7 @@
     from quetzalcourse.coordination.admission.entry_queue import WaitingRequest
     from quetzalcourse.coordination.forwarding.pool import Pool
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.routing import AllowedRegions, Route
@@ -61,6 +62,7 @@
     :param refused_by: ids of the upstreams that did not run it as they were
         full.
     :param waiting: its place among the requests that wait for a slot.
+    :param slot: slot of the upstream that its current attempt uses.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     full_refusals: int = 0
     refused_by: set[str] = field(default_factory=set)
     waiting: WaitingRequest | None = None
+    slot: UpstreamSlot | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -13,6 +13,7 @@
     choose_fastest,
 )
 from quetzalcourse.coordination.forwarding.upstream import ZERO, Upstream
+from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
 from quetzalcourse.log import get_log
 
 if TYPE_CHECKING:
@@ -222,18 +223,14 @@
             self._random.random(),
         )
 
-    def on_start(self, upstream: Upstream) -> None:
-        """Count a request that is sent, or a slot reserved for one."""
-        upstream.running += 1
+    def take_slot(self, upstream: Upstream) -> UpstreamSlot:
+        """Count a request that is sent, or will be, until it is released."""
+        return UpstreamSlot(upstream)
 
     def on_send(self, upstream: Upstream) -> None:
         """Record the time of a request that is sent."""
         upstream.recent_sends.append(self._clock.elapsed())
 
-    def on_end(self, upstream: Upstream) -> None:
-        """Count a request that finished."""
-        upstream.running -= 1
-
     def on_idle_connection(
         self, upstream: Upstream, duration: timedelta
     ) -> None:
--- a/quetzalcourse/coordination/forwarding/selection.py
+++ b/quetzalcourse/coordination/forwarding/selection.py
@@ -20,11 +20,13 @@
     async def acquire(self, request: ForwardedRequest) -> Upstream:
         """Select the upstream of the next attempt.
 
+        The request holds a slot there until :meth:`release`.
+
         :raises RefusedError: if there is none.
         """
 
-    def release(self, request: ForwardedRequest, upstream: Upstream) -> None:
-        """Record that an attempt ended."""
+    def release(self, request: ForwardedRequest) -> None:
+        """Release the slot of an attempt that ended, if it is still held."""
 
     def on_full(self, request: ForwardedRequest, upstream: Upstream) -> None:
         """Record that an upstream did not run a request since it was full."""
@@ -50,12 +52,13 @@
         :raises RefusedError: if there is none.
         """
         upstream = self._forwarder.choose(request)
-        self._pool.on_start(upstream)
+        request.slot = self._pool.take_slot(upstream)
         return upstream
 
-    def release(self, _: ForwardedRequest, upstream: Upstream) -> None:
-        """Record that an attempt ended."""
-        self._pool.on_end(upstream)
+    def release(self, request: ForwardedRequest) -> None:
+        """Release the slot of an attempt that ended, if it is still held."""
+        if request.slot is not None:
+            request.slot.release()
 
     def on_full(self, request: ForwardedRequest, upstream: Upstream) -> None:
         """Ignore a full upstream: its refusal counts as an attempt."""
--- a/quetzalcourse/tests/bursts.py
+++ b/quetzalcourse/tests/bursts.py
@@ -29,6 +29,7 @@
     from collections.abc import Callable
 
     from quetzalcourse.coordination.forwarding.upstream import Upstream
+    from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
 
 SERVICE = 'guest-list'
 DATA_CENTRE = 'brest-b'
@@ -89,6 +90,7 @@
     account: str
     arrived: timedelta
     attempts: int = 0
+    slot: UpstreamSlot | None = None
 
 
 class BurstDaemon:
@@ -190,7 +192,7 @@
 
     def _send(self, lookup: Lookup, upstream: Upstream) -> None:
         lookup.attempts += 1
-        self.pool.on_start(upstream)
+        lookup.slot = self.pool.take_slot(upstream)
         if self.limits:
             self.limits.on_sent(upstream, lookup.account)
         self.world.after(
@@ -204,7 +206,8 @@
         self.pool.on_load(upstream, load)
         if self.limits and not ran:
             self.limits.on_full(upstream)
-        self.pool.on_end(upstream)
+        if lookup.slot is not None:
+            lookup.slot.release()
         if not ran and (self.limits or lookup.attempts < MAX_ATTEMPTS):
             self.queue.insert(0, lookup)
         if self.limits:
--- a/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
+++ b/quetzalcourse/tests/coordination/admission/queueing_selection_tests.py
@@ -74,7 +74,7 @@
             self.clock,
             self.counters,
         )
-        self.running: list[tuple[ForwardedRequest, Upstream]] = []
+        self.running: list[ForwardedRequest] = []
         self._numbers = 0
 
     @property
@@ -107,7 +107,7 @@
     async def send(self, request: ForwardedRequest) -> Upstream:
         """Wait for a slot and use it."""
         upstream = await self.selection.acquire(request)
-        self.running.append((request, upstream))
+        self.running.append(request)
         return upstream
 
     async def fill(self) -> None:
@@ -117,9 +117,9 @@
 
     def end(self) -> None:
         """End the oldest running request."""
-        request, upstream = self.running.pop(0)
+        request = self.running.pop(0)
         self.selection.on_served(request)
-        self.selection.release(request, upstream)
+        self.selection.release(request)
 
 
 @pytest.fixture
@@ -298,7 +298,7 @@
     for _ in range(ROUTE.max_attempts + 1):
         daemon.pool.on_load(upstream, LoadReport(SLOTS + 1, 0, SLOTS))
         daemon.selection.on_full(request, upstream)
-        daemon.selection.release(request, upstream)
+        daemon.selection.release(request)
         again = asyncio.create_task(daemon.selection.acquire(request))
         await settle()
         assert not again.done()
@@ -325,7 +325,7 @@
         sent_to.add(upstream.name)
         daemon.pool.on_load(upstream, LoadReport(SLOTS + 1, 0, SLOTS))
         daemon.selection.on_full(request, upstream)
-        daemon.selection.release(request, upstream)
+        daemon.selection.release(request)
     assert len(sent_to) == ROUTE.max_attempts
 
 
--- a/quetzalcourse/tests/coordination/batches/item_completion_tests.py
+++ b/quetzalcourse/tests/coordination/batches/item_completion_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 from datetime import timedelta
 
@@ -20,6 +21,7 @@
 )
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.upstream import Upstream
+from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import LoadReport, PoolMember
 from quetzalcourse.tests.clocks import FakeClock
@@ -32,6 +34,8 @@
 LONG = 120
 DISPATCH = timedelta(milliseconds=10)
 WINDOW = timedelta(milliseconds=110)
+# End of an item, its number and its slot.
+RunningItem = tuple[timedelta, int, UpstreamSlot]
 
 
 class World:
@@ -40,6 +44,7 @@
     def __init__(self, *, measured: bool = True) -> None:
         """Start with idle upstreams whose latencies are known."""
         self.clock = FakeClock()
+        self._numbers = itertools.count()
         self.pool = Pool(
             'hall-a', self.clock, Counters(), measured_pace=measured
         )
@@ -87,24 +92,23 @@
             upstream = self.placement.choose(request)
             if upstream is None:
                 return
-            self.pool.on_start(upstream)
+            self.pool.take_slot(upstream)
 
     def run_step(self, lengths: list[int]) -> float:
         """Run a step, the longest items first, and return its duration."""
         waiting = sorted(lengths, reverse=True)
-        running: list[tuple[timedelta, int]] = []
+        running: list[RunningItem] = []
         start = self.clock.elapsed()
         while waiting or running:
             now = self.clock.elapsed()
             while running and running[0][0] <= now:
-                _, number = heapq.heappop(running)
-                self.pool.on_end(self.find(number))
+                heapq.heappop(running)[-1].release()
             waiting = self._dispatch(waiting, running)
             self.clock.move(DISPATCH)
         return (self.clock.elapsed() - start).total_seconds()
 
     def _dispatch(
-        self, waiting: list[int], running: list[tuple[timedelta, int]]
+        self, waiting: list[int], running: list[RunningItem]
     ) -> list[int]:
         self.placement.start_round()
         left: list[int] = []
@@ -116,11 +120,10 @@
             if upstream is None:
                 left.append(events)
                 continue
-            self.pool.on_start(upstream)
+            slot = self.pool.take_slot(upstream)
             seconds = events * find_latency(upstream.name)
             end = self.clock.elapsed() + timedelta(seconds=seconds)
-            number = int(upstream.name.removeprefix('e-'))
-            heapq.heappush(running, (end, number))
+            heapq.heappush(running, (end, next(self._numbers), slot))
         return left
 
 
--- a/quetzalcourse/tests/coordination/batches/placement_tests.py
+++ b/quetzalcourse/tests/coordination/batches/placement_tests.py
@@ -65,7 +65,7 @@
             upstream = self.placement.choose(request)
             name = 'nowhere' if upstream is None else upstream.name
             if upstream is not None:
-                self.pool.on_start(upstream)
+                self.pool.take_slot(upstream)
             placed[name] += 1
         return placed
 
@@ -150,7 +150,7 @@
             NEED, world.find(0), 10
         )
         if target is not None:
-            world.pool.on_start(target)
+            world.pool.take_slot(target)
             moved += 1
     assert moved == 2
 
--- a/quetzalcourse/tests/coordination/batches/runner_tests.py
+++ b/quetzalcourse/tests/coordination/batches/runner_tests.py
@@ -10,6 +10,7 @@
 import pytest_asyncio
 
 from quetzalcourse.coordination.batches.batch_run import build_batch_run
+from quetzalcourse.coordination.batches.item_run import MAX_RETRY_DELAY
 from quetzalcourse.coordination.batches.placement import MEDIAN_TTL, Placement
 from quetzalcourse.coordination.batches.runner import BatchRunner
 from quetzalcourse.coordination.batches.scoring import ItemScoring
@@ -54,6 +55,7 @@
     def __init__(self) -> None:
         """Initialise without attempts."""
         self.attempts: list[tuple[str, str]] = []
+        self.cancelled_attempts = 0
         self.proceed = asyncio.Event()
 
     async def run(
@@ -64,6 +66,8 @@
     ) -> None:
         """Append the events on the first attempt, then wait to proceed."""
         self.attempts.append((upstream.name, run.resume_after))
+        if len(self.attempts) <= self.cancelled_attempts:
+            raise asyncio.CancelledError
         if run.last_event is None:
             for number in range(1, EVENTS + 1):
                 run.append(StreamEvent(number, 'x'), 1)
@@ -237,6 +241,24 @@
     assert world.count_running() == {'slow': 0}
 
 
+async def test_item_whose_attempt_was_cancelled_by_others_is_retried() -> None:
+    # Guards against an item that counts as running for good when a library
+    # cancels its attempt, so that no upstream ever gets it again.
+    world = World()
+    world.items.cancelled_attempts = 1
+    running = asyncio.ensure_future(world.runner.run())
+    world.runner.add(world.batch)
+    await asyncio.sleep(ROUND_SECONDS)
+    world.clock.move(MAX_RETRY_DELAY)
+    await asyncio.sleep(ROUND_SECONDS)
+    attempts = len(world.items.attempts)
+    used = world.count_running()
+    world.runner.drop('b', 'ended')
+    running.cancel()
+    assert attempts == 2
+    assert used == {'slow': 1}
+
+
 async def test_batch_that_ends_as_a_scoring_call_starts_releases_its_slot() -> (
     None
 ):
--- a/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
+++ b/quetzalcourse/tests/coordination/batches/slot_allocation_tests.py
@@ -17,7 +17,7 @@
     SlotDemand,
 )
 from quetzalcourse.coordination.forwarding.pool import Pool
-from quetzalcourse.coordination.forwarding.upstream import Upstream
+from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.pool import PoolMember
 from quetzalcourse.tests.clocks import FakeClock, settle
@@ -59,7 +59,7 @@
             'engines', MODELS[number], 1, latest_start=world.clock.elapsed()
         )
         self.waiting = 0
-        self.running: list[Upstream] = []
+        self.running: list[UpstreamSlot] = []
 
     def begin(self, items: int) -> None:
         """Start a batch."""
@@ -73,8 +73,7 @@
             if upstream is None:
                 break
             self.waiting -= 1
-            self.pool.on_start(upstream)
-            self.running.append(upstream)
+            self.running.append(self.pool.take_slot(upstream))
         short = [SlotDemand(self.request.key, self.request.latest_start)]
         self.updates.send_update(short if self.waiting else [])
 
@@ -82,14 +81,10 @@
         """Finish some items, spread over the upstreams."""
         spread = max(len(self.running) // count, 1) if count else 1
         ended = set(range(0, spread * count, spread))
-        for index, upstream in enumerate(self.running):
+        for index, slot in enumerate(self.running):
             if index in ended:
-                self.pool.on_end(upstream)
-        self.running = [
-            upstream
-            for index, upstream in enumerate(self.running)
-            if index not in ended
-        ]
+                slot.release()
+        self.running = [slot for slot in self.running if slot.held]
 
 
 class World:
@@ -137,9 +132,9 @@
     def count_used(self) -> Counter[str]:
         """Count the items at each upstream."""
         return Counter(
-            upstream.name
+            slot.upstream.name
             for coordinator in self.coordinators
-            for upstream in coordinator.running
+            for slot in coordinator.running
         )
 
     def count_overcommitted(self) -> int:
--- a/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/cold_start_tests.py
@@ -18,6 +18,7 @@
     compute_sender_budget,
 )
 from quetzalcourse.coordination.forwarding.pool import Pool
+from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
 from quetzalcourse.settings.rollout import ColdStartTolerance
 from quetzalcourse.state.counters import Counters
 from quetzalcourse.state.members import Member
@@ -106,7 +107,7 @@
         limiter.on_manifest(build_manifest(kind))
         self.pool.cold_starts = limiter
         self.placement = Placement(self.pool, self.allocator, clock)
-        self.running: list[tuple[str, int]] = []
+        self.running: list[tuple[UpstreamSlot, int]] = []
         self.announce(timedelta(0), started=1)
 
     def announce(self, cold_for: timedelta, *, started: int) -> None:
@@ -128,19 +129,16 @@
 
     def place_items(self, arrivals: Arrivals) -> None:
         """Finish the oldest items, then send as many as find a slot."""
-        ended = [name for name, ticks in self.running if ticks == 1]
+        ended = [slot for slot, ticks in self.running if ticks == 1]
         self.running = [
-            (name, ticks - 1) for name, ticks in self.running if ticks > 1
+            (slot, ticks - 1) for slot, ticks in self.running if ticks > 1
         ]
-        for name in ended:
-            upstream = self.pool.find(name)
-            assert upstream is not None
-            self.pool.on_end(upstream)
+        for slot in ended:
+            slot.release()
         request = PlacementRequest('engines', 'verse', 1)
         while (chosen := self.placement.choose(request)) is not None:
-            self.pool.on_start(chosen)
             self.pool.on_send(chosen)
-            self.running.append((chosen.name, ITEM_TICKS))
+            self.running.append((self.pool.take_slot(chosen), ITEM_TICKS))
             arrivals.add(chosen.name, self.clock.elapsed())
         self.updates.send_update([])
 
--- a/quetzalcourse/tests/coordination/forwarding/pool_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/pool_tests.py
@@ -211,8 +211,7 @@
     for _ in range(20):
         upstream = pool.choose('app')
         assert upstream is not None
-        pool.on_start(upstream)
-        pool.on_end(upstream)
+        pool.take_slot(upstream).release()
         pool.on_idle_connection(upstream, KEEPALIVE)
         used.add(upstream.name)
         clock.move(timedelta(seconds=1.5))
@@ -227,7 +226,7 @@
     for _ in range(MEMBER.slots):
         upstream = pool.choose('app')
         assert upstream is not None
-        pool.on_start(upstream)
+        pool.take_slot(upstream)
     assert connected.running == MEMBER.slots // 2
 
 
@@ -239,7 +238,7 @@
     connected = pool.find('s-1')
     assert connected is not None
     pool.on_idle_connection(connected, KEEPALIVE)
-    pool.on_start(connected)
+    pool.take_slot(connected)
     assert pool.choose('app') is connected
     clock.move(KEEPALIVE)
     assert pool.choose('app') is pool.find('s-2')
--- a/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
+++ b/quetzalcourse/tests/coordination/forwarding/response_estimate_tests.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from quetzalcourse.coordination.forwarding.upstream_slot import UpstreamSlot
+
 DAEMONS = 67
 UPSTREAMS = 4
 NAMES = tuple(f's-{number}' for number in range(UPSTREAMS))
@@ -59,7 +61,9 @@
         start = self.clock.elapsed()
         self.free_at = {name: [start] * SLOTS for name in NAMES}
         self.slowdowns = dict.fromkeys(NAMES, 1.0)
-        self.ends: list[tuple[timedelta, int, str, Pool, timedelta]] = []
+        self.ends: list[
+            tuple[timedelta, int, UpstreamSlot, Pool, timedelta]
+        ] = []
         self.sent: Counter[str] = Counter()
         self.load: Counter[str] = Counter()
         self.took: list[float] = []
@@ -87,7 +91,7 @@
         self.clock.move(now - self.clock.elapsed())
         upstream = pool.choose('app')
         assert upstream is not None
-        pool.on_start(upstream)
+        slot = pool.take_slot(upstream)
         name = upstream.name
         self.sent[name] += 1
         self.load[name] += 1
@@ -96,11 +100,12 @@
         end = start + timedelta(seconds=work)
         heapq.heappush(self.free_at[name], end)
         order = self.source.getrandbits(60)
-        heapq.heappush(self.ends, (end, order, name, pool, now))
+        heapq.heappush(self.ends, (end, order, slot, pool, now))
 
     def _end_until(self, until: timedelta) -> None:
         while self.ends and self.ends[0][0] <= until:
-            now, _, name, pool, sent = heapq.heappop(self.ends)
+            now, _, slot, pool, sent = heapq.heappop(self.ends)
+            name = slot.upstream.name
             self.clock.move(now - self.clock.elapsed())
             self.load[name] -= 1
             self.took.append((now - sent).total_seconds())
@@ -111,7 +116,7 @@
                 upstream, LoadReport(self.load[name], 0, SLOTS, slowdown)
             )
             pool.pace.on_response(upstream, now - sent, now)
-            pool.on_end(upstream)
+            slot.release()
             pool.on_idle_connection(upstream, KEEP_ALIVE)
 
 
@@ -178,5 +183,5 @@
             pool.pace.on_response(upstream, took, replay.clock.elapsed())
         pool.on_idle_connection(upstream, KEEP_ALIVE)
     assert pool.choose('app') is hanging
-    pool.on_start(hanging)
+    pool.take_slot(hanging)
     assert pool.choose('app') in others
--- a/quetzalcourse/transport/item_client.py
+++ b/quetzalcourse/transport/item_client.py
@@ -262,7 +262,7 @@
             reading = token_latency.read(now, len(frames))
             if reading is not None:
                 self._pool.on_token_latency(upstream, reading)
-            if run.migration_target is not None:
+            if run.migration_slot is not None:
                 self._record_failed_attempt(batch, run, upstream, 'moved')
                 return False
         if splitter.rest.strip():
--- a/quetzalcourse/transport/request_proxy.py
+++ b/quetzalcourse/transport/request_proxy.py
@@ -184,7 +184,7 @@
         try:
             await self._send(caller, head, forwarding, body, upstream)
         finally:
-            self._selection.release(forwarding, upstream)
+            self._selection.release(forwarding)
 
     async def _send(
         self,
