Show slots that stay counted without a request

What operators saw: nothing. While lost slots stopped one daemon, no metric told its count of used slots from what ran, and no line was logged.

The two counts share no code.

--- a/quetzalcourse/coordination/forwarding/pool.py
+++ b/quetzalcourse/coordination/forwarding/pool.py
@@ -136,13 +136,13 @@
             upstream.evacuated = False
             self._mark_cold(upstream, self.cold_starts.find_duration(upstream))
 
+    def list_running(self) -> list[Upstream]:
+        """List the upstreams that have requests of this daemon."""
+        return [one for one in self._upstreams.values() if one.running]
+
     def count_running(self) -> dict[str, int]:
         """Count this daemon's requests at each upstream that has any."""
-        return {
-            upstream.name: upstream.running
-            for upstream in self._upstreams.values()
-            if upstream.running
-        }
+        return {one.name: one.running for one in self.list_running()}
 
     def sample_service(self, service: str) -> list[Upstream]:
         """List at most :data:`MAX_CANDIDATES` random upstreams of a service."""
--- a/quetzalcourse/rollout_application.py
+++ b/quetzalcourse/rollout_application.py
@@ -41,6 +41,7 @@
 from quetzalcourse.transport.upstream_client import UpstreamClient
 from quetzalcourse.transport.web import WebServer
 from quetzalcourse.upstream_components import (
+    audit_slots,
     build_upstream_components,
     limit_cold_starts,
 )
@@ -326,6 +327,13 @@
         self.quarantine.start(self.lifecycle)
         self.batches.start(self.lifecycle)
         self.duties.start(self.lifecycle)
+        audit_slots(
+            self.upstreams,
+            self.calls,
+            self.lifecycle,
+            self.clock,
+            self.counters,
+        )
         self.routes.on_manifest(self.on_manifest)
 
     def on_operator_rows(self, rows: list[Row]) -> None:
--- a/quetzalcourse/transport/upstream_client.py
+++ b/quetzalcourse/transport/upstream_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import re
+from collections import Counter
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -93,6 +94,11 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
+        self._open: Counter[str] = Counter()
+
+    def count_open(self, address: str) -> int:
+        """Count the requests without a complete response at an address."""
+        return self._open[address]
 
     @property
     def keep_alive(self) -> timedelta:
@@ -121,19 +127,25 @@
         :param head_timeout: how long to wait for status and headers.
         :raises CallFailedError: if status and headers do not arrive.
         """
-        response = await self._send(
-            address, method, target, headers, body, head_timeout
-        )
+        self._open[address] += 1
         try:
-            yield response
-        except BaseException:
-            response.close()
-            raise
-        else:
-            if response.content.at_eof():
-                response.release()
-            else:
+            response = await self._send(
+                address, method, target, headers, body, head_timeout
+            )
+            try:
+                yield response
+            except BaseException:
                 response.close()
+                raise
+            else:
+                if response.content.at_eof():
+                    response.release()
+                else:
+                    response.close()
+        finally:
+            self._open[address] -= 1
+            if not self._open[address]:
+                self._open.pop(address)
 
     async def _send(
         self,
--- a/quetzalcourse/upstream_components.py
+++ b/quetzalcourse/upstream_components.py
@@ -11,12 +11,15 @@
 from quetzalcourse.coordination.forwarding.pool import Pool
 from quetzalcourse.coordination.forwarding.registrations import Registrations
 from quetzalcourse.coordination.forwarding.residency import Residency
+from quetzalcourse.coordination.forwarding.slot_audit import SlotAudit
 
 if TYPE_CHECKING:
     from quetzalcourse.coordination.forwarding.cold_start import Coordinators
     from quetzalcourse.coordination.forwarding.route_table import RouteTable
+    from quetzalcourse.coordination.forwarding.slot_audit import OpenRequests
     from quetzalcourse.deployment import Documents
     from quetzalcourse.feed_components import FeedComponents
+    from quetzalcourse.lifecycle import Lifecycle
     from quetzalcourse.settings.rollout import RolloutSettings
     from quetzalcourse.state.clock import Clock
     from quetzalcourse.state.counters import Counters
@@ -72,3 +75,15 @@
     )
     parts.pool.cold_starts = limiter
     routes.on_manifest(limiter.on_manifest)
+
+
+def audit_slots(
+    parts: UpstreamComponents,
+    requests: OpenRequests,
+    lifecycle: Lifecycle,
+    clock: Clock,
+    counters: Counters,
+) -> None:
+    """Compare the slots in use with the open requests in the background."""
+    audit = SlotAudit(parts.pool, requests, clock, counters)
+    lifecycle.run('slot audit', audit.run)
