Do not start a batch that ended before its own write was answered

What callers saw: a batch was submitted, not answered in time, submitted again and ended at another daemon. Its owner ran all of its items after the end, and later batches waited for the slots.

Cause: the end reaches the owner by its feed and stops the batch if it runs there. While the store's answer to the owner's write is on its way, nothing runs yet; the answer then started the batch, and the feed shows an end only once. The same holds for a batch that another daemon took over meanwhile, as after a pause.

Change: before a batch starts, the view of it must say that it has not ended and has no later owner. The takeover checked this already and uses the same function.

Evidence: the new test delays the store's answers by 0.8 s and ends the batch meanwhile; before, items ran in 3 of 3 runs, now in 0 of 3. The tests of batches, outages, stops and coordinators passed.

--- a/quetzalcourse/coordination/batches/batch_service.py
+++ b/quetzalcourse/coordination/batches/batch_service.py
@@ -177,11 +177,24 @@
             step=head.step,
             min_version=head.min_version,
         )
-        if owner.incarnation:
+        if owner.incarnation and self._may_run(head.id, written.version):
             self._runner.add(
                 build_batch_run(head, items, (), written.version, accepted_at)
             )
 
+    def _may_run(self, batch_id: str, owner_version: int) -> bool:
+        # The feed may show that a batch ended, or was taken over, before its
+        # write is answered here. It will not show that a second time.
+        view = self._directory.find(batch_id)
+        if view is None or view.may_run(owner_version):
+            return True
+        log.info(
+            'Batch ended or was taken over before it could start here.',
+            batch=batch_id,
+            ended=view.ended,
+        )
+        return False
+
     async def read_results(
         self,
         batch_id: str,
--- a/quetzalcourse/coordination/batches/batch_takeover.py
+++ b/quetzalcourse/coordination/batches/batch_takeover.py
@@ -237,7 +237,7 @@
             self._clock.elapsed() - age,
         )
         batch.restore(partials.unwrap())
-        if view.ended or view.owner_version != version or batch.done:
+        if batch.done or not view.may_run(version):
             return
         self._runner.add(batch)
 
--- a/quetzalcourse/coordination/batches/directory.py
+++ b/quetzalcourse/coordination/batches/directory.py
@@ -52,6 +52,13 @@
             return False
         return self.committed < self.head.total
 
+    def may_run(self, owner_version: int) -> bool:
+        """Tell whether the owner of a version may run it.
+
+        It may not once the batch has ended or has another owner.
+        """
+        return not self.ended and self.owner_version <= owner_version
+
 
 class BatchDirectory:
     """Keeps every batch up to date with the rows that changed."""
--- a/quetzalcourse/standins/rollout/cluster.py
+++ b/quetzalcourse/standins/rollout/cluster.py
@@ -149,6 +149,12 @@
             request_id=batch_id,
         )
 
+    async def end(self, address: str, batch_id: str) -> Reply:
+        """End a batch."""
+        return await self.call(
+            address, 'DELETE', f'/quetzalcourse/lots/{batch_id}'
+        )
+
     async def read(
         self,
         address: str,
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -130,6 +130,29 @@
     assert sum(engine.running for engine in two_daemons.engines) == 0
 
 
+async def test_batch_that_ends_while_its_write_is_answered_never_runs(
+    two_daemons: RolloutCluster,
+) -> None:
+    # Guards against a batch that occupies slots until it expires, since its
+    # caller ended it at another daemon before its owner had the store's answer.
+    owner, other = two_daemons.daemons
+    two_daemons.store.faults.answer_delay_seconds = 0.8
+    submitted = asyncio.ensure_future(
+        two_daemons.caller.submit(
+            two_daemons.address(), 'b-1', build_batch(ITEMS)
+        )
+    )
+    async with asyncio.timeout(3):
+        while other.batches.directory.find('b-1') is None:
+            await asyncio.sleep(0.02)
+        reply = await two_daemons.caller.end(two_daemons.address(1), 'b-1')
+    assert reply.status == 200
+    assert (await submitted).status == 202
+    await asyncio.sleep(0.5)
+    assert not owner.batches.runner.batches
+    assert not [run for one in two_daemons.engines for run in one.runs]
+
+
 @pytest.mark.parametrize('lost', ['owner is cut off', 'owner is dead'])
 async def test_batch_goes_on_without_its_owner(
     two_daemons: RolloutCluster,
