Unmark loading upstreams however the task of their load ends

What callers saw: nothing was reported. An upstream whose load never began would have stayed marked as loading until the daemon restarted: no further version for it, and one load fewer at a time for the others.

Cause: as with the slots of items, the mark was set before the task that removes it ran. A task that is cancelled before its first step removes nothing. Nothing cancels these tasks before the daemon stops, so this was found by reading.

Change: the mark is a permit of the task.

--- a/quetzalcourse/coordination/versions/load_controller.py
+++ b/quetzalcourse/coordination/versions/load_controller.py
@@ -6,8 +6,10 @@
 import enum
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
+from quetzalcourse.coordination.permit import Permit
 from quetzalcourse.coordination.tasks import BackgroundTasks, wait_event
 from quetzalcourse.coordination.versions.load_plan import (
     UpstreamVersions,
@@ -208,7 +210,12 @@
         if upstream is None:
             return
         self._loading[load.upstream] = load.model
-        self._tasks.start(self._load(load, upstream, service))
+        permit = Permit(partial(self._on_load_end, load))
+        permit.assign(self._tasks.start(self._load(load, upstream, service)))
+
+    def _on_load_end(self, load: WeightLoad) -> None:
+        self._loading.pop(load.upstream, None)
+        self._wake.set()
 
     async def _load(
         self,
@@ -216,12 +223,7 @@
         upstream: Upstream,
         service: Service,
     ) -> None:
-        try:
-            done = await self._try_load(load, upstream, service)
-        finally:
-            self._loading.pop(load.upstream, None)
-            self._wake.set()
-        if done:
+        if await self._try_load(load, upstream, service):
             for listener in self._listeners:
                 listener.on_load_done(load)
         else:
