Go on reporting crashes after a message that could not be sent

What callers saw: nothing was reported. A daemon whose task that sends crash reports ended early would have told the others of no crash again, so that requests that crash upstreams would have been quarantined later; its list would have grown.

Cause: the first waiting report starts the task, and the task empties the list. A list that was not emptied looked like one whose task is on its way. Found by reading; nothing cancels this task before the daemon stops.

Change: a task is started whenever none runs, and it takes the reports first.

Evidence: the new test cancels the task before its first step; before, neither that crash nor the next one reached the other daemon, now both do.

--- a/quetzalcourse/coordination/quarantine/crash_updates.py
+++ b/quetzalcourse/coordination/quarantine/crash_updates.py
@@ -21,6 +21,8 @@
 from quetzalcourse.state.members import Topic
 
 if TYPE_CHECKING:
+    import asyncio
+
     from quetzalcourse.coordination.ports import MemberView, Peers
     from quetzalcourse.coordination.quarantine.quarantine import Quarantine
     from quetzalcourse.state.clock import Clock
@@ -67,6 +69,7 @@
         self._clock = clock
         self._reports: list[CrashReport] = []
         self._tasks = BackgroundTasks('crash updates')
+        self._sending: asyncio.Task[None] | None = None
         quarantine.on_local_crash(self.send_crash)
         quarantine.on_local_answer(self.send_answer)
         peers.subscribe(Topic.upstream_ends, self.on_message)
@@ -94,13 +97,14 @@
 
     def _queue(self, report: CrashReport) -> None:
         self._reports.append(report)
-        if len(self._reports) == 1:
-            self._tasks.start(self._send())
+        if self._sending is None or self._sending.done():
+            self._sending = self._tasks.start(self._send())
 
     async def _send(self) -> None:
         await self._clock.sleep(SEND_DELAY)
-        content = msgspec.msgpack.encode(CrashReportBatch(self._reports))
+        reports = self._reports
         self._reports = []
+        content = msgspec.msgpack.encode(CrashReportBatch(reports))
         for member in self._members.list_live():
             if member.vm != self._members.own.vm:
                 self._peers.send(member, Topic.upstream_ends, content)
--- a/quetzalcourse/tests/coordination/quarantine/quarantine_decisions_tests.py
+++ b/quetzalcourse/tests/coordination/quarantine/quarantine_decisions_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from datetime import timedelta
 
 import pytest
@@ -105,6 +106,25 @@
     assert all(daemon.may_begin('popular') for daemon in daemons)
 
 
+async def test_crashes_after_a_cancelled_message_are_reported() -> None:
+    """Guards against a daemon that never again tells others of crashes."""
+    clock = FakeClock()
+    network = FakeNetwork()
+    own, other = (Member(name, name, 'h', name) for name in ('a', 'b'))
+    quarantine, far = build(), build()
+    for member, known in ((own, quarantine), (other, far)):
+        members = FakeMembers(member, [own, other])
+        CrashUpdates(known, members, network.join(member), clock)
+    before = asyncio.all_tasks()
+    quarantine.on_crash('first', ('u', 1), 'a')
+    for task in asyncio.all_tasks() - before:
+        task.cancel()
+    await clock.advance(SEND_DELAY)
+    quarantine.on_crash('second', ('v', 1), 'b')
+    await clock.advance(SEND_DELAY)
+    assert len(far.records) == 2
+
+
 def run_cascade(*, isolated: bool) -> int:
     """Crash overloaded upstreams until all requests are answered.
 
