Let clients of the soak end several open batches at the same time

Cause: the soak's batches were all read to their end, so no run of it ended items whose slots had just been given to them, and no check looked at the counted slots.

Two checks are new: no daemon counts a slot once nothing runs any more, by its metrics, and no item of an ended batch starts later than 3 s after the end or the last fault.

--- a/quetzalcourse/tests/soak_tests.py
+++ b/quetzalcourse/tests/soak_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from dataclasses import replace
 
 import pytest
 
@@ -21,12 +22,16 @@
     check_batches,
     check_billing,
     check_cold_starts,
+    check_ended_batches,
     check_fencing_tokens,
     check_poison,
     check_requests,
+    check_slots,
     check_usage,
 )
 from soak.daemons import Interruption
+from soak.leavers import EndedBatch
+from soak.slots import read_gauge
 
 ONCE = documents.NON_IDEMPOTENT_PREFIX
 LOOKUP = documents.LOOKUP_PREFIX
@@ -111,6 +116,27 @@
     assert not check_batches([record], [])
 
 
+@pytest.mark.parametrize(
+    ('began', 'broken'), [(0, False), (12, False), (14, True)]
+)
+def test_ended_batch_check_finds_a_late_item(
+    began: float, *, broken: bool
+) -> None:
+    """Guards against a soak that misses items which run after their end."""
+    batch = EndedBatch('ended-0', ['i-1'], accepted=True, ended_at=10)
+    runs = [replace(build_run('i-1'), at=began)] if began else []
+    assert bool(check_ended_batches([batch], runs, 9)) is broken
+    assert not check_ended_batches([batch], runs, 12)
+
+
+def test_slot_check_finds_a_slot_in_use() -> None:
+    """Guards against a soak that misses lost slots."""
+    page = '# HELP a b\na_b 0.0\na_b_c 3.0\n'
+    assert not check_slots({'vm-0': read_gauge(page, 'a_b')})
+    assert check_slots({'vm-0': read_gauge(page, 'a_b_c')})
+    assert check_slots({'vm-0': read_gauge(page, 'other')})
+
+
 async def test_order_and_usage_checks_find_planted_faults() -> None:
     """Two lease holders and two reports of a window are reported."""
     server = UpstreamStandin('u', 's', StoreStandin())
@@ -191,7 +217,7 @@
 
 
 @pytest.mark.parametrize(
-    'options', [(), ('--places',), ('--poison',), ('--foreign',)]
+    'options', [(), ('--places',), ('--poison',), ('--foreign',), ('--leave',)]
 )
 async def test_short_soak_finds_no_fault(options: tuple[str, ...]) -> None:
     # Daemons are killed, stopped and paused, and links, store and servers fail
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import random
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 from quetzalcourse.log import configure_log
@@ -20,19 +21,24 @@
     check_batches,
     check_billing,
     check_cold_starts,
+    check_ended_batches,
     check_fencing_tokens,
     check_poison,
     check_requests,
+    check_slots,
     check_usage,
 )
 from soak.deployment import SoakDeployment
 from soak.faults import FaultSeries
+from soak.slots import await_released_slots
 
 # After the last fault a batch may still wait for a lease takeover, a weight
 # reload and a retry.
 DRAIN_TIMEOUT_SECONDS = 25.0
 # By then each daemon has the state of its peers and of the store.
 SETTLE_SECONDS = 3.0
+# A batch whose end no daemon acknowledged runs until it is complete.
+RELEASE_TIMEOUT_SECONDS = 15.0
 READER_COUNT = 2
 
 
@@ -48,6 +54,7 @@
     deployment = SoakDeployment(folder, options.daemons, seed)
     deployment.poison_enabled = options.poison
     deployment.bursts_enabled = options.load
+    deployment.leaving_enabled = options.leave
     fault_series = FaultSeries(
         deployment,
         seed,
@@ -77,10 +84,13 @@
         clients.append(callers.send_poison_requests(stop))
     if deployment.bursts_enabled:
         clients.append(deployment.burst_callers.send_bursts(stop))
+    if deployment.leaving_enabled:
+        clients.append(deployment.leaving_clients.run(stop))
     running = asyncio.gather(*clients, fault_series.run(stop))
     await asyncio.sleep(seconds)
     stop.set()
     await running
+    deployment.calm_since = time.monotonic()
     await callers.read_remaining_batches(DRAIN_TIMEOUT_SECONDS)
     if deployment.poison_enabled:
         await asyncio.sleep(SETTLE_SECONDS)
@@ -89,6 +99,9 @@
     if deployment.bursts_enabled:
         await asyncio.sleep(SETTLE_SECONDS)
         deployment.burst_violations = await check_final_burst(deployment)
+    deployment.counted_slots = await await_released_slots(
+        deployment.daemons, RELEASE_TIMEOUT_SECONDS
+    )
 
 
 async def check_final_burst(deployment: SoakDeployment) -> list[str]:
@@ -110,6 +123,10 @@
     violations = check_requests(outcomes, runs)
     violations += deployment.burst_violations
     violations += check_batches(deployment.callers.batches, runs)
+    violations += check_ended_batches(
+        deployment.leaving_clients.batches, runs, deployment.calm_since
+    )
+    violations += check_slots(deployment.counted_slots)
     violations += check_fencing_tokens(deployment.list_servers())
     violations += check_cold_starts(deployment.list_servers())
     violations += check_usage(deployment.cloud.reports)
@@ -182,6 +199,11 @@
         action='store_true',
         help='also send bursts of several accounts beyond the slots of servers',
     )
+    parser.add_argument(
+        '--leave',
+        action='store_true',
+        help='also let clients end several open batches at the same time',
+    )
     options = parser.parse_args()
     configure_log('error', 'console')
     return run_loop(run_seeds(options))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,7 @@
     from quetzalcourse.standins.rollout.upstream import Run, UpstreamStandin
     from soak.callers import BatchRecord, RequestOutcome
     from soak.daemons import Interruption
+    from soak.leavers import EndedBatch
 
 OK = 200
 UNAVAILABLE = 503
@@ -26,6 +27,8 @@
 # The daemons' time may differ from the true one by this much while the link to
 # the store is slow.
 TIME_ERROR_SECONDS = 0.3
+# Time by which no item of an ended batch starts any more.
+CANCEL_SECONDS = 3.0
 # A daemon that is killed while the store fails may lose the counts of this
 # time; one that was paused writes its counts this late.
 UNWRITTEN_SECONDS = 6.0
@@ -143,6 +146,36 @@
     return []
 
 
+def check_ended_batches(
+    batches: Iterable[EndedBatch], runs: Iterable[Run], calm_since: float
+) -> list[str]:
+    """Check that no item of an ended batch starts while nothing is disturbed.
+
+    :param calm_since: monotonic time in seconds of the end of the last fault.
+    """
+    started = {run.request_id: run.at for run in runs}
+    return [
+        f'{batch.id}: {item} began {started[item] - batch.ended_at:.1f} s late'
+        for batch in batches
+        if batch.ended_at
+        for item in batch.items
+        if started.get(item, 0)
+        > max(batch.ended_at, calm_since) + CANCEL_SECONDS
+    ]
+
+
+def check_slots(counted: Mapping[str, float]) -> list[str]:
+    """Check that no daemon counts a slot once nothing runs any more.
+
+    :param counted: counted slots by daemon.
+    """
+    return [
+        f'{name} counts {slots} slots in use'
+        for name, slots in counted.items()
+        if slots
+    ]
+
+
 def check_fencing_tokens(upstreams: Iterable[UpstreamStandin]) -> list[str]:
     """Check that fencing tokens of orders never fall and have one holder."""
     violations = []
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -43,6 +43,7 @@
         """Initialize from the settings without starting a process."""
         self.name = settings['node_name']
         self.address = settings['listen']['front']
+        self.metrics_address = f'{settings["ip"]}:{settings["metrics_port"]}'
         self.starts = 0
         self.unexpected_exits: list[int] = []
         self.clock_offset: float = 0
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -23,6 +23,7 @@
 )
 from soak.callers import POISON_BODY, SoakCallers
 from soak.daemons import SoakDaemon, build_daemon
+from soak.leavers import LeavingClients
 from soak.proxy import FaultProxy
 
 if TYPE_CHECKING:
@@ -55,6 +56,9 @@
         self.manifest_version = 1
         self.poison_enabled = False
         self.bursts_enabled = False
+        self.leaving_enabled = False
+        self.calm_since: float = 0
+        self.counted_slots: dict[str, float] = {}
         self.burst_violations: list[str] = []
         self.crashes_at_rest: Counter[str] = Counter()
         self._folder = folder
@@ -76,6 +80,7 @@
         addresses = [daemon.address for daemon in self.daemons]
         self.callers = SoakCallers(addresses, self._seed)
         self.burst_callers = BurstCallers(addresses, self._seed)
+        self.leaving_clients = LeavingClients(addresses, self._seed)
         await self._await_ready()
 
     async def stop(self) -> None:
