Bound the length hints of items

What callers saw: nothing was reported.

Cause: the duration that is predicted from the hint overflows, and the error ends each dispatch.

Change: a hint counts up to ten million tokens, checked where it is read.

Evidence: the new test failed before (no result of the next batch within 6 s) with a hint of 18 digits; with 30 digits, which was ignored already, it passed. Both pass now.

--- a/quetzalcourse/platform/callers.py
+++ b/quetzalcourse/platform/callers.py
@@ -28,6 +28,8 @@
 # Carries the client's estimate of an item's output tokens, of which
 # `X-Token-Counts` gives only the maximum.
 LENGTH_HINT_HEADER = 'x-length-hint'
+# Tokens; durations predicted from longer ones would overflow.
+MAX_LENGTH_HINT = 10_000_000
 # A response holds at most 1 MB of results; escaping may double their texts.
 MAX_PAGE_BYTES = 1_000_000
 # Longer durations of callers would overflow when they are added up.
@@ -187,5 +189,5 @@
 def _read_length_hint(headers: dict[str, str]) -> int:
     for name, text in headers.items():
         if name.lower() == LENGTH_HINT_HEADER:
-            return parse_count(text) or 0
+            return min(parse_count(text) or 0, MAX_LENGTH_HINT)
     return 0
--- a/quetzalcourse/tests/rollout/batches_tests.py
+++ b/quetzalcourse/tests/rollout/batches_tests.py
@@ -350,6 +350,26 @@
     assert sum(len(engine.runs) for engine in cluster.engines) == 7
 
 
+@pytest.mark.parametrize('hint', ['9' * 18, '9' * 30])
+async def test_item_with_a_huge_length_hint_holds_nothing_up(
+    cluster: RolloutCluster, hint: str
+) -> None:
+    # Guards against a hint from which no duration can be computed, so that no
+    # item of any batch is sent.
+    usual = build_batch(ITEMS)
+    for item in usual['requests']:
+        item['headers']['X-Length-Hint'] = '30'
+    await cluster.caller.submit(cluster.address(), 'b-1', usual)
+    check_results(await cluster.caller.read_all(cluster.address(), 'b-1'))
+    odd = build_batch(['odd'])
+    odd['requests'][0]['headers']['X-Length-Hint'] = hint
+    for batch_id, batch in (('b-2', odd), ('b-3', usual)):
+        await cluster.caller.submit(cluster.address(), batch_id, batch)
+    check_results(await cluster.caller.read_all(cluster.address(), 'b-3', 6))
+    (result,) = await cluster.caller.read_all(cluster.address(), 'b-2', 6)
+    assert result['state'] == 'completed'
+
+
 async def test_large_text_is_read_back(cluster: RolloutCluster) -> None:
     # Guards against a commit with more text than a row of the store holds: the
     # store would refuse it repeatedly, and the batch would never end.
