Keep connections that a stopping daemon has just accepted

What callers saw: a request on a new connection to a daemon late in its stop was ended without an answer, where 503 was due.

Cause: a draining daemon closes connections without a request every 50 ms, also those that it has just accepted and whose request is on its way.

At the stop itself all idle connections are closed, as before.

--- a/quetzalcourse/tests/rollout/stops_tests.py
+++ b/quetzalcourse/tests/rollout/stops_tests.py
@@ -28,6 +28,8 @@
 GRACE_SECONDS = 12
 # Callers have left a draining daemon by then.
 LATE_SECONDS = 4.0
+# Longer than two of the daemon's searches for idle connections.
+REQUEST_DELAY_SECONDS = 0.12
 
 
 @pytest_asyncio.fixture
@@ -94,6 +96,36 @@
     assert 'late' not in {run.request_id for run in runs}
 
 
+async def test_request_on_a_connection_that_was_just_accepted_is_answered(
+    long_stop: RolloutCluster,
+) -> None:
+    # Guards against a connection that a draining daemon accepts and closes
+    # before the request on it has arrived.
+    await use_long_routes(long_stop)
+    for server in long_stop.services:
+        server.faults.unresponsive = True
+    stopping = asyncio.ensure_future(stop(long_stop))
+    # Keeps the daemon from stopping early.
+    early = asyncio.ensure_future(ask(long_stop, ONCE, 'early'))
+    await asyncio.sleep(LATE_SECONDS)
+    host, _, port = long_stop.address().partition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    await asyncio.sleep(REQUEST_DELAY_SECONDS)
+    writer.write(
+        f'POST {ONCE} HTTP/1.1\r\nHost: {documents.HOST}\r\n'
+        f'X-Request-Id: late\r\nX-Key: {documents.KEY}\r\n'
+        'Content-Length: 4\r\n\r\nsalt'.encode()
+    )
+    async with asyncio.timeout(1):
+        status = await reader.readline()
+    writer.close()
+    assert status.startswith(b'HTTP/1.1 503')
+    for server in long_stop.services:
+        server.faults.unresponsive = False
+    assert (await early) is not None
+    await stopping
+
+
 async def test_late_request_is_served_if_its_time_is_over_before(
     long_stop: RolloutCluster,
 ) -> None:
--- a/quetzalcourse/transport/caller_protocol.py
+++ b/quetzalcourse/transport/caller_protocol.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from sanic.http.constants import Stage
-from sanic.server.protocols.http_protocol import HttpProtocol
 
 from quetzalcourse.protocol.refusals import STATUS_BY_CODE, encode_refusal
 from quetzalcourse.state.refusal import Refusal, RefusalCode
+from quetzalcourse.transport.server_protocol import ServerProtocol
 
 if TYPE_CHECKING:
     from sanic import Request
@@ -21,7 +21,7 @@
 )
 
 
-class CallerProtocol(HttpProtocol):
+class CallerProtocol(ServerProtocol):
     """HTTP connection of a caller, cancelled when the caller sends EOF.
 
     EOF is the only sign that a caller's process has exited, so the request
--- a/quetzalcourse/transport/web.py
+++ b/quetzalcourse/transport/web.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Any
 
 from sanic import Request, Sanic
-from sanic.server.protocols.http_protocol import HttpProtocol
+
+from quetzalcourse.transport.server_protocol import ServerProtocol
 
 if TYPE_CHECKING:
     import socket
@@ -87,7 +88,7 @@
         self,
         app: Sanic,
         listener: socket.socket,
-        protocol: type[HttpProtocol] = HttpProtocol,
+        protocol: type[ServerProtocol] = ServerProtocol,
     ) -> None:
         """Store the application and its socket."""
         self._app = app
@@ -114,15 +115,18 @@
     def close_idle(self) -> int:
         """Close the connections without a running request.
 
+        Connections that were accepted just now are kept, since their first
+        request may be on its way.
+
         :returns: number of connections that are still in use.
         """
         if self._server is None:
             return 0
-        idle = [
-            connection.close_if_idle()
+        closed = [
+            not connection.awaits_first_request and connection.close_if_idle()
             for connection in tuple(self._server.connections)
         ]
-        return idle.count(False)
+        return closed.count(False)
 
     def abort(self) -> None:
         """Abort every connection, as the exit of the process would."""
@@ -141,5 +145,6 @@
         if self._server is None:
             return
         await self.close_port()
-        self.close_idle()
+        for connection in tuple(self._server.connections):
+            connection.close_if_idle()
         Sanic.unregister_app(self._app)
