--- a/quetzalcourse/tests/rollout/stops_tests.py
+++ b/quetzalcourse/tests/rollout/stops_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -69,6 +70,22 @@
         server.abort()
 
 
+@asynccontextmanager
+async def late_in_stop(cluster: RolloutCluster) -> AsyncIterator[None]:
+    """Stop the daemon, which a request keeps running for the block."""
+    await use_long_routes(cluster)
+    for server in cluster.services:
+        server.faults.unresponsive = True
+    stopping = asyncio.ensure_future(stop(cluster))
+    early = asyncio.ensure_future(ask(cluster, ONCE, 'early'))
+    await asyncio.sleep(LATE_SECONDS)
+    yield
+    for server in cluster.services:
+        server.faults.unresponsive = False
+    assert (await early) is not None
+    await stopping
+
+
 @pytest.mark.parametrize('path', [LOOKUP, ONCE])
 async def test_late_request_is_rejected_by_a_draining_daemon(
     long_stop: RolloutCluster,
@@ -76,22 +93,12 @@
 ) -> None:
     # Guards against requests that a daemon takes late in its stop, passes on
     # and cuts at the end.
-    await use_long_routes(long_stop)
-    for server in long_stop.services:
-        server.faults.unresponsive = True
-    stopping = asyncio.ensure_future(stop(long_stop))
-    # Keeps the daemon from stopping early.
-    early = asyncio.ensure_future(ask(long_stop, ONCE, 'early'))
-    await asyncio.sleep(LATE_SECONDS)
-    late = await asyncio.wait_for(ask(long_stop, path, 'late'), 1.0)
+    async with late_in_stop(long_stop):
+        late = await asyncio.wait_for(ask(long_stop, path, 'late'), 1.0)
     assert late is not None
     assert late.status == 503
     assert 'Retry-After' in late.headers
     assert late.headers['Connection'] == 'close'
-    for server in long_stop.services:
-        server.faults.unresponsive = False
-    assert (await early) is not None
-    await stopping
     runs = [run for server in long_stop.services for run in server.runs]
     assert 'late' not in {run.request_id for run in runs}
 
@@ -101,29 +108,19 @@
 ) -> None:
     # Guards against a connection that a draining daemon accepts and closes
     # before the request on it has arrived.
-    await use_long_routes(long_stop)
-    for server in long_stop.services:
-        server.faults.unresponsive = True
-    stopping = asyncio.ensure_future(stop(long_stop))
-    # Keeps the daemon from stopping early.
-    early = asyncio.ensure_future(ask(long_stop, ONCE, 'early'))
-    await asyncio.sleep(LATE_SECONDS)
-    host, _, port = long_stop.address().partition(':')
-    reader, writer = await asyncio.open_connection(host, int(port))
-    await asyncio.sleep(REQUEST_DELAY_SECONDS)
-    writer.write(
-        f'POST {ONCE} HTTP/1.1\r\nHost: {documents.HOST}\r\n'
-        f'X-Request-Id: late\r\nX-Key: {documents.KEY}\r\n'
-        'Content-Length: 4\r\n\r\nsalt'.encode()
-    )
-    async with asyncio.timeout(1):
-        status = await reader.readline()
-    writer.close()
+    async with late_in_stop(long_stop):
+        host, _, port = long_stop.address().partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(REQUEST_DELAY_SECONDS)
+        writer.write(
+            f'POST {ONCE} HTTP/1.1\r\nHost: {documents.HOST}\r\n'
+            f'X-Request-Id: late\r\nX-Key: {documents.KEY}\r\n'
+            'Content-Length: 4\r\n\r\nsalt'.encode()
+        )
+        async with asyncio.timeout(1):
+            status = await reader.readline()
+        writer.close()
     assert status.startswith(b'HTTP/1.1 503')
-    for server in long_stop.services:
-        server.faults.unresponsive = False
-    assert (await early) is not None
-    await stopping
 
 
 async def test_late_request_is_served_if_its_time_is_over_before(
